--- /dev/null
+++ b/damaskproxy/events/logs.py
@@ -0,0 +1,87 @@
+"""Structured logging of numbered events."""
+
+import logging
+import sys
+from typing import TextIO
+
+from pythonjsonlogger.json import JsonFormatter
+
+from damaskproxy.events.catalogue import Event
+
+__all__ = ["configure_logging", "log_event"]
+
+TERMINAL_FORMAT = "%(asctime)s %(levelname)-7s %(message)s"
+JSON_FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
+
+
+class TerminalFormatter(logging.Formatter):
+    """Prints the fields of an event behind its name."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the record as one line."""
+        line = super().format(record)
+        fields = getattr(record, "fields", None)
+        if not fields:
+            return line
+        return line + " " + " ".join(f"{key}={value}" for key, value in fields.items())
+
+
+class EventJsonFormatter(JsonFormatter):
+    """Prints an event and its fields as one JSON object."""
+
+    def add_fields(self, log_data, record, message_dict):
+        """Merge the fields of the event into the object."""
+        super().add_fields(log_data, record, message_dict)
+        log_data.update(log_data.pop("fields", None) or {})
+
+
+def log_event(
+    logger: logging.Logger, event: Event, /, *, exc_info: bool = False, **fields: object
+) -> None:
+    """Log `event` with `fields`.
+
+    Parameters
+    ----------
+    logger : logging.Logger
+        Logger of the calling module.
+    event : Event
+        Registered event; its level decides whether the record is printed.
+    exc_info : bool
+        Whether to add the traceback of the current exception.
+    **fields
+        Structured values; names carry their unit as a suffix.
+    """
+    if not logger.isEnabledFor(event.level):
+        return
+    logger.log(
+        event.level,
+        "E%d %s",
+        event.number,
+        event.name,
+        exc_info=exc_info,
+        extra={"event": event.number, "fields": fields},
+    )
+
+
+def configure_logging(
+    *, style: str = "json", level: str = "INFO", stream: TextIO | None = None
+) -> None:
+    """Send all records to `stream`.
+
+    Parameters
+    ----------
+    style : {"json", "terminal"}
+        One JSON object a line, or a line for a person.
+    level : str
+        Lowest level that is printed.
+    stream : file object, optional
+        Standard error by default.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
+    if style == "json":
+        handler.setFormatter(EventJsonFormatter(JSON_FIELDS))
+    else:
+        handler.setFormatter(TerminalFormatter(TERMINAL_FORMAT))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools of the repository."""
