--- /dev/null
+++ b/damaskproxy/context/__init__.py
@@ -0,0 +1,17 @@
+"""Helper for the authors of backend servers."""
+
+from damaskproxy.context.client import OutboundClient
+from damaskproxy.context.request import (
+    RequestContext,
+    current_request,
+    read_context,
+    request_middleware,
+)
+
+__all__ = [
+    "OutboundClient",
+    "RequestContext",
+    "current_request",
+    "read_context",
+    "request_middleware",
+]
--- /dev/null
+++ b/damaskproxy/context/request.py
@@ -0,0 +1,137 @@
+"""Context of the request that a backend server is serving."""
+
+import time
+from collections.abc import Callable, Mapping
+from contextvars import ContextVar
+from dataclasses import dataclass
+
+from aiohttp import web
+
+__all__ = [
+    "NOT_STARTED_HEADERS",
+    "RequestContext",
+    "current_request",
+    "read_context",
+    "request_middleware",
+]
+
+NOT_STARTED_HEADERS = {"Damask-Not-Started": "1"}
+
+_current: ContextVar["RequestContext | None"] = ContextVar(
+    "damask_request", default=None
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RequestContext:
+    """What the node said about one request.
+
+    Parameters
+    ----------
+    attempt : str
+        Value of ``Damask-Attempt``, empty for a request that bypassed the node.
+    traceparent : str
+        W3C trace context, empty if there is none.
+    key : str
+        ``Idempotency-Key`` of a non-idempotent request.
+    deadline_s : float or None
+        End of the request's budget on the clock of `now_s`.
+    start_by_ms : int or None
+        Unix time after which the request must not be started.
+    now_s : callable
+        Monotonic clock.
+    """
+
+    attempt: str
+    traceparent: str
+    key: str
+    deadline_s: float | None
+    start_by_ms: int | None
+    now_s: Callable[[], float]
+
+    def remaining_ms(self) -> int | None:
+        """Return the budget that is left, at least 0, or None without a deadline."""
+        if self.deadline_s is None:
+            return None
+        return max(0, int((self.deadline_s - self.now_s()) * 1000))
+
+    def outbound_headers(self) -> dict[str, str]:
+        """Return the headers that tie an outbound call to this request."""
+        headers = {"Damask-Attempt": self.attempt, "traceparent": self.traceparent}
+        return {name: value for name, value in headers.items() if value}
+
+
+def _integer(headers: Mapping[str, str], name: str) -> int | None:
+    text = headers.get(name)
+    if text is None:
+        return None
+    try:
+        return int(text)
+    except ValueError:
+        raise ValueError(f"{name} is not an integer: {text!r}") from None
+
+
+def read_context(
+    headers: Mapping[str, str], now_s: Callable[[], float] = time.monotonic
+) -> RequestContext:
+    """Return the context in the headers of a request.
+
+    Raises
+    ------
+    ValueError
+        If a number in a header is malformed.
+    """
+    budget_ms = _integer(headers, "Damask-Deadline-Ms")
+    return RequestContext(
+        attempt=headers.get("Damask-Attempt", ""),
+        traceparent=headers.get("traceparent", ""),
+        key=headers.get("Idempotency-Key", ""),
+        deadline_s=None if budget_ms is None else now_s() + budget_ms / 1000,
+        start_by_ms=_integer(headers, "Damask-Start-By"),
+        now_s=now_s,
+    )
+
+
+def current_request() -> RequestContext | None:
+    """Return the context of the request that this task serves."""
+    return _current.get()
+
+
+def request_middleware(
+    *,
+    now_s: Callable[[], float] = time.monotonic,
+    unix_s: Callable[[], float] = time.time,
+):
+    """Return an aiohttp middleware that sets the context of each request.
+
+    A request whose ``Damask-Start-By`` has passed is refused with
+    ``Damask-Not-Started: 1`` before the handler runs.
+
+    Parameters
+    ----------
+    now_s : callable
+        Monotonic clock for deadlines.
+    unix_s : callable
+        Wall clock for ``Damask-Start-By``, which the node of the same VM sets.
+    """
+
+    @web.middleware
+    async def middleware(request: web.Request, handler):
+        try:
+            context = read_context(request.headers, now_s)
+        except ValueError as error:
+            return web.Response(
+                status=400, text=f"{error}\n", headers=NOT_STARTED_HEADERS
+            )
+        late = context.start_by_ms is not None and unix_s() * 1000 > context.start_by_ms
+        if late:
+            return web.Response(
+                status=503, text="start-by passed\n", headers=NOT_STARTED_HEADERS
+            )
+        token = _current.set(context)
+        try:
+            return await handler(request)
+        finally:
+            _current.reset(token)
+
+    return middleware
