Add the development backend server

It announces itself to its node, has slots, stragglers, cold start, slow moments, drain and outbound calls, and records each run for the checker. 15 tests.

--- /dev/null
+++ b/damaskproxy/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the outside systems for development and tests."""
--- /dev/null
+++ b/damaskproxy/standins/backend.py
@@ -0,0 +1,295 @@
+"""Development backend server: slots, stragglers, cold start, drain, outbound calls."""
+
+import asyncio
+import logging
+import os
+import random
+import time
+from collections.abc import Callable
+
+import aiohttp
+from aiohttp import web
+
+from damaskproxy.context import (
+    OutboundClient,
+    current_request,
+    request_middleware,
+)
+from damaskproxy.context.request import NOT_STARTED_HEADERS
+from damaskproxy.events import log_event
+from damaskproxy.standins.backend_announce import Announcer
+from damaskproxy.standins.backend_answer import (
+    ChildResult,
+    build_answer,
+    check_answer,
+    request_digest,
+)
+from damaskproxy.standins.backend_events import (
+    BACKEND_CRASHING,
+    BACKEND_DRAINING,
+    BACKEND_STARTED,
+    BACKEND_STOPPED,
+)
+from damaskproxy.standins.backend_runs import RunLog
+from damaskproxy.standins.backend_settings import BackendConfig, ChildCall
+from damaskproxy.standins.backend_work import LaggingLoad, ServiceTimes
+
+__all__ = ["RunningBackend", "start_backend"]
+
+CRASH_STATUS = 70
+# Time for the last answer to leave the socket before the listener closes.
+CLOSE_TIMEOUT_S = 2.0
+MAX_BODY_BYTES = 1_048_576
+
+logger = logging.getLogger(__name__)
+
+
+def exit_at_once() -> None:
+    """End the process without cleaning up, as a crash does."""
+    os._exit(CRASH_STATUS)
+
+
+class RunningBackend:
+    """A development backend server that is listening.
+
+    Parameters
+    ----------
+    config : BackendConfig
+        Behaviour.
+    crash : callable
+        Called for a request with the crash mark.
+
+    Attributes
+    ----------
+    host, port : str, int
+        Address of the listener.
+    runs : RunLog
+        Requests that were started.
+    announcer : Announcer or None
+        Announcements, if a node is configured.
+    stopped : asyncio.Event
+        Set when the last request ended after a request to stop.
+    """
+
+    def __init__(
+        self,
+        config: BackendConfig,
+        *,
+        crash: Callable[[], None] = exit_at_once,
+        now_s: Callable[[], float] = time.monotonic,
+    ):
+        self.config = config
+        self.host = config.host
+        self.port = config.port
+        self.runs = RunLog(config.run_log)
+        self.announcer: Announcer | None = None
+        self.stopped = asyncio.Event()
+        self.draining = False
+        self._crash = crash
+        self._times = ServiceTimes(config, random.Random(config.seed), now_s)
+        self._load = LaggingLoad(config.load_lag_ms / 1000, now_s)
+        self._slots = asyncio.Semaphore(config.slots)
+        self._present = 0
+        self._running = 0
+        self._tasks: set[asyncio.Task] = set()
+        self._runner: web.AppRunner | None = None
+        self._session: aiohttp.ClientSession | None = None
+        self._outbound: OutboundClient | None = None
+        self._announcing: asyncio.Task | None = None
+
+    @property
+    def address(self) -> str:
+        """``host:port`` of the listener."""
+        return f"{self.host}:{self.port}"
+
+    async def start(self) -> None:
+        """Listen, and announce the server to its node."""
+        app = web.Application(
+            middlewares=[request_middleware()], client_max_size=MAX_BODY_BYTES
+        )
+        app.router.add_post("/damask/stop", self._handle_stop)
+        app.router.add_get("/damask/load", self._handle_load)
+        app.router.add_route("*", "/{path:.*}", self._handle_work)
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=CLOSE_TIMEOUT_S,
+        )
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, self.config.host, self.config.port)
+        await site.start()
+        self.host, self.port = self._runner.addresses[0][:2]
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+        if self.config.node:
+            self._start_announcing()
+        log_event(
+            logger,
+            BACKEND_STARTED,
+            service=self.config.service,
+            address=self.address,
+            node=self.config.node,
+        )
+
+    def stop(self) -> None:
+        """Refuse new requests and set `stopped` when the last one ended."""
+        if not self.draining:
+            self.draining = True
+            log_event(
+                logger,
+                BACKEND_DRAINING,
+                service=self.config.service,
+                in_flight=self._present,
+            )
+        self._check_drained()
+
+    async def close(self) -> None:
+        """Stop announcing and close the listener and all connections."""
+        if self._announcing is not None:
+            self._announcing.cancel()
+            await asyncio.gather(self._announcing, return_exceptions=True)
+        if self._runner is not None:
+            await self._runner.cleanup()
+        if self._session is not None:
+            await self._session.close()
+        self.runs.close()
+        log_event(logger, BACKEND_STOPPED, service=self.config.service)
+
+    def _start_announcing(self) -> None:
+        body = {
+            "service": self.config.service,
+            "host": self.host,
+            "port": self.port,
+            "slots": self.config.slots,
+        }
+        self._outbound = OutboundClient(self._session, f"http://{self.config.node}")
+        self.announcer = Announcer(self._session, self.config.node, body)
+        delay_s = self.config.start_delay_ms / 1000
+        self._announcing = asyncio.create_task(self.announcer.run(delay_s))
+
+    def _check_drained(self) -> None:
+        if self.draining and self._present == 0:
+            self.stopped.set()
+
+    def _note_load(self) -> None:
+        self._load.note(self._running, self._present - self._running)
+
+    async def _handle_stop(self, _request: web.Request) -> web.Response:
+        # The answer leaves before `stopped` can close the listener.
+        asyncio.get_running_loop().call_soon(self.stop)
+        return web.json_response({"in_flight": self._present}, status=202)
+
+    async def _handle_load(self, _request: web.Request) -> web.Response:
+        running, waiting = self._load.report()
+        return web.json_response(
+            {"running": running, "waiting": waiting, "slots": self.config.slots}
+        )
+
+    async def _handle_work(self, request: web.Request) -> web.Response:
+        """Serve one request; one with a key goes on when its connection closes."""
+        body = await request.read()
+        if self.draining:
+            return self._not_started("draining")
+        if self._present >= self.config.slots + self.config.waiting:
+            return self._not_started("no slot")
+        self._present += 1
+        task = asyncio.ensure_future(self._serve(request.method, request.path_qs, body))
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        if current_request().key:
+            return await asyncio.shield(task)
+        return await task
+
+    def _ended(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        self._present -= 1
+        self._note_load()
+        self._check_drained()
+
+    def _not_started(self, why: str) -> web.Response:
+        return web.Response(status=503, text=f"{why}\n", headers=NOT_STARTED_HEADERS)
+
+    async def _serve(self, method: str, path: str, body: bytes) -> web.Response:
+        async with self._slots:
+            self._running += 1
+            self._note_load()
+            try:
+                return await self._work(method, path, body)
+            finally:
+                self._running -= 1
+
+    async def _work(self, method: str, path: str, body: bytes) -> web.Response:
+        context = current_request()
+        digest = request_digest(method, path, body)
+        self.runs.append(
+            service=self.config.service,
+            server=self.address,
+            method=method,
+            path=path,
+            key=context.key,
+            attempt=context.attempt,
+            digest=digest,
+        )
+        mark = self.config.crash_mark
+        if mark and (mark in path or mark.encode() in body):
+            log_event(logger, BACKEND_CRASHING, service=self.config.service)
+            self._crash()
+        await asyncio.sleep(self._times.draw_s(path))
+        children = await self._call_children(path, digest)
+        answer = build_answer(
+            digest,
+            server=self.address,
+            attempt=context.attempt,
+            key=context.key,
+            children=children,
+            filler_bytes=self.config.answer_bytes,
+        )
+        return web.Response(body=answer, content_type="application/json")
+
+    async def _call_children(self, path: str, digest: str) -> tuple[ChildResult, ...]:
+        if self._outbound is None:
+            return ()
+        calls = [call for call in self.config.children if path.startswith(call.prefix)]
+        return tuple([await self._call_child(call, digest) for call in calls])
+
+    async def _call_child(self, call: ChildCall, parent: str) -> ChildResult:
+        """Make one outbound call; a failed one is reported in the answer."""
+        path = f"{call.path}?parent={parent}"
+        headers = {}
+        key = current_request().key
+        if key and call.method != "GET":
+            headers["Idempotency-Key"] = f"{key}.{call.service}"
+        try:
+            async with self._outbound.request(
+                call.method, call.service, path, headers=headers
+            ) as response:
+                body = await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return ChildResult(call.service, 0, False)
+        whole = not check_answer(body, request_digest(call.method, path, b""))
+        return ChildResult(call.service, response.status, whole)
+
+
+async def start_backend(
+    config: BackendConfig, *, crash: Callable[[], None] = exit_at_once
+) -> RunningBackend:
+    """Start a development backend server in this process.
+
+    Parameters
+    ----------
+    config : BackendConfig
+        Behaviour; port 0 takes a free port.
+    crash : callable
+        Called for a request with the crash mark; ends the process by default.
+
+    Returns
+    -------
+    RunningBackend
+        The server, listening and announcing itself; call ``close()`` in the end.
+    """
+    backend = RunningBackend(config, crash=crash)
+    await backend.start()
+    return backend
--- /dev/null
+++ b/damaskproxy/standins/backend_cli.py
@@ -0,0 +1,107 @@
+"""Command line of the development backend server."""
+
+import asyncio
+import signal
+from typing import Annotated
+
+import msgspec
+import typer
+import uvloop
+
+from damaskproxy.events import configure_logging
+from damaskproxy.standins.backend import start_backend
+from damaskproxy.standins.backend_settings import BackendConfig, parse_child
+
+__all__ = ["main"]
+
+app = typer.Typer(add_completion=False)
+
+
+def parse_times(items: list[str]) -> dict[str, float]:
+    """Return service times by path prefix from ``PREFIX=MS`` items.
+
+    Raises
+    ------
+    ValueError
+        If an item has another form.
+    """
+    times = {}
+    for item in items:
+        prefix, equals, value = item.rpartition("=")
+        if not equals or not prefix.startswith("/"):
+            raise ValueError(f"{item!r} is not of the form /PREFIX=MILLISECONDS")
+        times[prefix] = float(value)
+    return times
+
+
+async def serve(config: BackendConfig) -> None:
+    """Run a backend server until it is asked to stop and has drained."""
+    backend = await start_backend(config)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, backend.stop)
+    try:
+        await backend.stopped.wait()
+    finally:
+        await backend.close()
+
+
+@app.command()
+def run(
+    service: Annotated[str, typer.Option(help="Service that it announces.")],
+    node: Annotated[
+        str, typer.Option(help="HOST:PORT of the node's backend listener.")
+    ] = "",
+    host: Annotated[str, typer.Option(help="IP number to listen at.")] = "127.0.0.1",
+    port: Annotated[int, typer.Option(help="Port; 0 takes a free one.")] = 0,
+    slots: Annotated[int, typer.Option(help="Requests that run at once.")] = 16,
+    waiting: Annotated[int, typer.Option(help="Requests that wait for a slot.")] = 256,
+    service_time_ms: Annotated[float, typer.Option(help="Mean service time.")] = 5.0,
+    route_time_ms: Annotated[
+        list[str] | None, typer.Option(help="/PREFIX=MS, mean time of a route.")
+    ] = None,
+    spread: Annotated[float, typer.Option(help="Coefficient of variation.")] = 0.3,
+    straggler_share: Annotated[float, typer.Option(help="Share of stragglers.")] = 0.0,
+    straggler_factor: Annotated[float, typer.Option(help="Least multiplier.")] = 5.0,
+    cold_factor: Annotated[float, typer.Option(help="First request's factor.")] = 1.0,
+    cold_requests: Annotated[int, typer.Option(help="Requests until warm.")] = 0,
+    start_delay_ms: Annotated[float, typer.Option(help="Time to announce.")] = 0.0,
+    slow_every_s: Annotated[float, typer.Option(help="Mean gap of slow moments.")] = 0,
+    slow_for_s: Annotated[float, typer.Option(help="Length of a slow moment.")] = 1.0,
+    slow_factor: Annotated[float, typer.Option(help="Factor while slow.")] = 5.0,
+    load_lag_ms: Annotated[float, typer.Option(help="Age of the load report.")] = 0.0,
+    answer_bytes: Annotated[int, typer.Option(help="Filler in an answer.")] = 256,
+    child: Annotated[
+        list[str] | None,
+        typer.Option(help="'/PREFIX=METHOD SERVICE/PATH', an outbound call."),
+    ] = None,
+    run_log: Annotated[str, typer.Option(help="File that gets a line per run.")] = "",
+    seed: Annotated[int, typer.Option(help="Seed of random choices.")] = 0,
+    log_style: Annotated[str, typer.Option(help="json or terminal.")] = "terminal",
+    log_level: Annotated[str, typer.Option(help="Lowest level printed.")] = "INFO",
+) -> None:
+    """Run a development backend server until SIGTERM or POST /damask/stop."""
+    values = dict(locals())
+    style, level = values.pop("log_style"), values.pop("log_level")
+    children = values.pop("child") or []
+    try:
+        values["children"] = [msgspec.to_builtins(parse_child(c)) for c in children]
+        values["route_time_ms"] = parse_times(values["route_time_ms"] or [])
+        config = msgspec.convert(values, BackendConfig)
+    except ValueError as error:
+        raise typer.BadParameter(str(error)) from None
+    configure_logging(style=style, level=level.upper())
+    try:
+        uvloop.run(serve(config))
+    except OSError as error:
+        typer.echo(f"cannot listen at {host}:{port}: {error}", err=True)
+        raise typer.Exit(1) from None
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
