Add seeded open-loop callers of both meshes

Callers fetch issued keys ahead, resend after unknown or a cut connection under the same key, and report each send and what it brought to an observer.

--- /dev/null
+++ b/damaskproxy/standins/callers.py
@@ -0,0 +1,310 @@
+"""Seeded open-loop callers of a mesh: counters or households."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import aiohttp
+import msgspec
+
+from damaskproxy.common import Outcome
+from damaskproxy.standins.backend_answer import check_answer, request_digest
+from damaskproxy.standins.callers_keys import KeyPool
+from damaskproxy.standins.callers_meshes import Mesh, RequestKind
+
+__all__ = [
+    "CallerConfig",
+    "Callers",
+    "Observer",
+    "PlannedRequest",
+    "Told",
+    "plan_requests",
+]
+
+# A caller waits a little longer than the longest route deadline for an answer.
+ANSWER_TIMEOUT_S = 8.0
+# Reasons the callers give where no node gave one.
+NO_ENTRY = "no-entry-node"
+CONNECTION_CUT = "connection-cut"
+NO_ANSWER = "no-answer"
+NO_KEY = "no-key"
+
+
+@dataclass(frozen=True, slots=True)
+class CallerConfig:
+    """How the callers behave.
+
+    Parameters
+    ----------
+    rate_per_s, duration_s : float
+        Mean rate of first attempts, and the time after which none starts.
+    callers : int
+        Number of callers that the requests are spread over.
+    sends : int
+        Most times that one request is sent, the first included.
+    resend_pause_s : float
+        Pause before a resend, unless the refusal asks for a longer one.
+    body_bytes : int
+        Length of the body of a keyed request.
+    seed : int
+        Seed of the plan and of the choice of entry nodes.
+    """
+
+    rate_per_s: float
+    duration_s: float
+    callers: int = 20
+    sends: int = 5
+    resend_pause_s: float = 0.1
+    body_bytes: int = 256
+    seed: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedRequest:
+    """A request of the plan; `at_s` counts from the start."""
+
+    at_s: float
+    number: int
+    caller: str
+    kind: RequestKind
+    path: str
+    body: bytes
+
+    @property
+    def digest(self) -> str:
+        """Digest that the whole answer to this request carries."""
+        return request_digest(self.kind.method, self.path, self.body)
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What one send of a request brought.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status, 0 without an answer.
+    outcome : Outcome
+        What may be concluded.
+    reason : str
+        Reason of the refusal, empty for an answer.
+    fault : str
+        ``incomplete`` or ``foreign`` for a wrong answer, else empty.
+    cut : bool
+        Whether the connection ended while the request was in flight.
+    answer : bytes
+        Body of the answer.
+    retry_after_s : float
+        Pause that the refusal asks for.
+    """
+
+    status: int
+    outcome: Outcome
+    reason: str = ""
+    fault: str = ""
+    cut: bool = False
+    answer: bytes = b""
+    retry_after_s: float = 0.0
+
+    @property
+    def whole(self) -> bool:
+        """Whether this is the whole answer to the caller's own request."""
+        return 200 <= self.status < 300 and not self.fault
+
+
+class Observer(Protocol):
+    """Records what callers send and are told."""
+
+    def sent(self, request: PlannedRequest, key: str) -> None:
+        """Note that a request leaves the caller, each time it does."""
+
+    def told(self, request: PlannedRequest, key: str, told: Told) -> None:
+        """Note what one send brought."""
+
+
+class Problem(msgspec.Struct, frozen=True):
+    """The fields of a refusal that a caller acts on."""
+
+    reason: str
+    outcome: Outcome
+    retry_after_ms: int = 0
+
+
+def plan_requests(mesh: Mesh, config: CallerConfig) -> Iterator[PlannedRequest]:
+    """Yield the requests of a run; equal arguments give equal plans."""
+    rng = random.Random(config.seed)
+    shares = [kind.share for kind in mesh.mix]
+    at_s = rng.expovariate(config.rate_per_s)
+    number = 0
+    while at_s < config.duration_s:
+        kind = rng.choices(mesh.mix, shares)[0]
+        caller = f"{mesh.caller}-{rng.randrange(config.callers)}"
+        path = kind.path.replace("{n}", str(rng.randrange(10_000)))
+        body = b""
+        if kind.has_key:
+            text = f"{caller} {number} "
+            body = text.ljust(config.body_bytes, ".").encode()
+        yield PlannedRequest(at_s, number, caller, kind, path, body)
+        at_s += rng.expovariate(config.rate_per_s)
+        number += 1
+
+
+def read_told(status: int, body: bytes, digest: str) -> Told:
+    """Return what an HTTP answer tells about the request of `digest`."""
+    if 200 <= status < 300:
+        fault = check_answer(body, digest)
+        return Told(status, Outcome.RUN, fault=fault, answer=body)
+    try:
+        problem = msgspec.json.decode(body, type=Problem)
+    except msgspec.MsgspecError:
+        # Not a refusal of a node: nothing may be concluded.
+        return Told(status, Outcome.UNKNOWN, reason=f"status-{status}", answer=body)
+    pause_s = problem.retry_after_ms / 1000
+    return Told(status, problem.outcome, problem.reason, retry_after_s=pause_s)
+
+
+@dataclass(slots=True)
+class Entries:
+    """Entry nodes that the callers know; a dead one is passed over for a while."""
+
+    urls: Sequence[str]
+    rng: random.Random
+    now_s: Callable[[], float]
+    shun_s: float = 2.0
+    shunned: dict[str, float] = field(default_factory=dict)
+
+    def choose(self) -> str:
+        """Return a random entry node, not a shunned one if there is another."""
+        now_s = self.now_s()
+        open_urls = [url for url in self.urls if self.shunned.get(url, 0) <= now_s]
+        return self.rng.choice(open_urls or list(self.urls))
+
+    def shun(self, url: str) -> None:
+        """Pass over `url` for a while."""
+        self.shunned[url] = self.now_s() + self.shun_s
+
+
+class Callers:
+    """Callers of a mesh that send a plan of requests to its entry nodes.
+
+    Parameters
+    ----------
+    mesh : Mesh
+        Whose callers.
+    config : CallerConfig
+        Rate, plan and resends.
+    entries : sequence of str
+        ``host:port`` of the ``call`` listeners of the entry nodes.
+    observer : Observer
+        Is told of each send and of what it brought.
+    """
+
+    def __init__(
+        self,
+        mesh: Mesh,
+        config: CallerConfig,
+        entries: Sequence[str],
+        observer: Observer,
+        *,
+        now_s: Callable[[], float] = time.monotonic,
+    ):
+        self._mesh = mesh
+        self._config = config
+        self._observer = observer
+        self._now_s = now_s
+        urls = [f"http://{address}" for address in entries]
+        self._entries = Entries(urls, random.Random(config.seed + 1), now_s)
+        self._keys = KeyPool(self._fetch_keys)
+        self._session: aiohttp.ClientSession | None = None
+        self.latencies_s: dict[str, list[float]] = {k.name: [] for k in mesh.mix}
+        self.results: list[tuple[PlannedRequest, Told]] = []
+
+    async def run(self) -> list[tuple[PlannedRequest, Told]]:
+        """Send the plan and return what each request brought in the end."""
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(
+            connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+        ) as self._session:
+            await self._keys.fill()
+            tasks = set()
+            start_s = self._now_s()
+            for request in plan_requests(self._mesh, self._config):
+                await asyncio.sleep(max(0, start_s + request.at_s - self._now_s()))
+                due_s = start_s + request.at_s
+                tasks.add(asyncio.create_task(self._serve(request, due_s)))
+            await asyncio.gather(*tasks)
+            await self._keys.close()
+        return self.results
+
+    async def _serve(self, request: PlannedRequest, due_s: float) -> None:
+        """Send one request until it is settled or the sends are spent."""
+        key = ""
+        if request.kind.has_key:
+            key = await self._keys.take()
+        if key is None:
+            told = Told(0, Outcome.NOT_RUN, NO_KEY)
+        else:
+            told = await self._send_until_settled(request, key)
+        if told.whole:
+            # Counted from the planned time, so that a late sender hides no wait.
+            self.latencies_s[request.kind.name].append(self._now_s() - due_s)
+        self.results.append((request, told))
+
+    async def _send_until_settled(self, request: PlannedRequest, key: str) -> Told:
+        for number in range(self._config.sends):
+            self._observer.sent(request, key)
+            told = await self._send(request, key)
+            self._observer.told(request, key, told)
+            if not self._may_resend(told) or number + 1 == self._config.sends:
+                break
+            await asyncio.sleep(max(self._config.resend_pause_s, told.retry_after_s))
+        return told
+
+    def _may_resend(self, told: Told) -> bool:
+        """Resend after ``unknown``, and where no node took the request."""
+        if told.status == 0:
+            return True
+        return told.outcome is Outcome.UNKNOWN and not told.whole
+
+    async def _send(self, request: PlannedRequest, key: str) -> Told:
+        base = self._entries.choose()
+        url = f"{base}/{request.kind.service}{request.path}"
+        headers = {"Idempotency-Key": key} if key else {}
+        try:
+            async with self._session.request(
+                request.kind.method,
+                url,
+                data=request.body or None,
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S),
+            ) as response:
+                body = await response.read()
+                return read_told(response.status, body, request.digest)
+        except aiohttp.ClientConnectorError:
+            self._entries.shun(base)
+            return Told(0, Outcome.NOT_RUN, NO_ENTRY)
+        except TimeoutError:
+            return Told(0, Outcome.UNKNOWN, NO_ANSWER)
+        except aiohttp.ClientError:
+            self._entries.shun(base)
+            return Told(0, Outcome.UNKNOWN, CONNECTION_CUT, cut=True)
+
+    async def _fetch_keys(self, count: int) -> list[str]:
+        """Return issued keys; tries each entry node at most once."""
+        for _ in self._entries.urls:
+            base = self._entries.choose()
+            try:
+                async with self._session.post(
+                    f"{base}/damask/keys",
+                    params={"count": count},
+                    timeout=aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S),
+                ) as response:
+                    if response.status == 200:
+                        return (await response.json())["keys"]
+            except (aiohttp.ClientError, TimeoutError):
+                pass
+            self._entries.shun(base)
+        return []
