Add admission, balancing and retry decisions

The concurrency limit takes a cut back when throughput fell with it, because high latency alone does not show that fewer calls at once would help. Allowance tokens are only moved or taken; a property test over random call trees checks that retries stay within the root's tokens.

--- /dev/null
+++ b/damaskproxy/admission/__init__.py
@@ -0,0 +1,14 @@
+"""Admission of calls to one backend server: limit, queue, level and long work."""
+
+from damaskproxy.admission.controller import AdmissionController
+from damaskproxy.admission.settings import AdmissionSettings
+from damaskproxy.admission.tickets import LEVEL_COUNT, Permit, Ticket, position_of
+
+__all__ = [
+    "LEVEL_COUNT",
+    "AdmissionController",
+    "AdmissionSettings",
+    "Permit",
+    "Ticket",
+    "position_of",
+]
--- /dev/null
+++ b/damaskproxy/admission/controller.py
@@ -0,0 +1,344 @@
+"""Admission controller of one backend server."""
+
+import asyncio
+import logging
+import math
+from collections.abc import Callable
+
+from damaskproxy.admission import events
+from damaskproxy.admission.costs import RouteCosts
+from damaskproxy.admission.level import AdmissionLevel
+from damaskproxy.admission.limit import ConcurrencyLimit
+from damaskproxy.admission.queue import Waiter, WaitQueue
+from damaskproxy.admission.settings import AdmissionSettings
+from damaskproxy.admission.tickets import LEVEL_COUNT, Permit, Ticket
+from damaskproxy.common import Outcome, Refusal, RefusalReason
+from damaskproxy.common.ids import ORDINAL_COUNT
+from damaskproxy.events import log_event
+from damaskproxy.wire import Load
+
+__all__ = ["AdmissionController"]
+
+logger = logging.getLogger(__name__)
+
+IDLE_SHARE = 0.5
+CALM_SHARE = 0.5
+
+
+class AdmissionController:
+    """Decides which calls run on the backend server and which wait or are refused.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that the backend server says it runs at once.
+    now_s : callable
+        Monotonic clock, seconds.
+    settings : AdmissionSettings, optional
+        Defaults when omitted.
+
+    Notes
+    -----
+    All methods run in the event loop and none blocks. The state changes only in calls
+    to them, so no background task is needed.
+    """
+
+    def __init__(
+        self,
+        slots: int,
+        *,
+        now_s: Callable[[], float],
+        settings: AdmissionSettings | None = None,
+    ):
+        self._settings = settings or AdmissionSettings()
+        self._now_s = now_s
+        self._slots = slots
+        self._limit = ConcurrencyLimit(slots, self._settings)
+        self._level = AdmissionLevel(self._settings)
+        self._costs = RouteCosts(self._settings)
+        self._queue = WaitQueue()
+        self._in_flight = 0
+        self._long_in_flight = 0
+        self._newest_first = False
+        self._latency_s = 0.0
+        self._interval_s = self._settings.interval_ms / 1000
+        self._target_s = self._settings.queue_target_ms / 1000
+        self._window_began_s = now_s()
+        self._reset_window(self._window_began_s)
+
+    def try_acquire(self, ticket: Ticket) -> Permit | Refusal | None:
+        """Decide about a call without waiting.
+
+        Returns
+        -------
+        Permit or Refusal or None
+            None when the call must wait; `acquire` then has to be awaited with
+            ``counted=True``.
+        """
+        now_s = self._now_s()
+        if now_s >= self._window_ends_s:
+            self._review(now_s)
+        position = ticket.priority * ORDINAL_COUNT + ticket.ordinal
+        self._level.arrived(position)
+        if now_s >= ticket.deadline_s:
+            return _refusal(RefusalReason.DEADLINE_PASSED)
+        if now_s >= ticket.start_by_s:
+            return _refusal(RefusalReason.START_BY_PASSED)
+        in_flight = self._in_flight
+        limit = self._limit.value
+        if position >= self._level.value and in_flight >= limit * IDLE_SHARE:
+            return _refusal(RefusalReason.OVERLOAD_LEVEL, self._retry_after_ms())
+        cost = self._costs.get(ticket.route)
+        is_long = ticket.long_work_hint or (cost is not None and cost.is_long)
+        is_free = in_flight < limit and not self._queue
+        if is_free and (not is_long or self._long_may_start(is_short_waiting=False)):
+            return self._grant(ticket.route, is_long, 0.0)
+        return self._refuse_or_wait(ticket, cost, now_s)
+
+    async def acquire(
+        self, ticket: Ticket, *, counted: bool = False
+    ) -> Permit | Refusal:
+        """Wait for a slot.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            The call.
+        counted : bool
+            Whether `try_acquire` has just returned None for this ticket.
+        """
+        if not counted:
+            decision = self.try_acquire(ticket)
+            if decision is not None:
+                return decision
+        waiter = self._enqueue(ticket)
+        timer = self._start_timer(waiter)
+        try:
+            return await waiter.future
+        except asyncio.CancelledError:
+            self._abandon(waiter)
+            raise
+        finally:
+            timer.cancel()
+
+    def release(
+        self,
+        permit: Permit,
+        *,
+        elapsed_s: float,
+        ok: bool,
+        outbound_s: float = 0.0,
+    ) -> None:
+        """Give a slot back and start the next waiting call.
+
+        Parameters
+        ----------
+        permit : Permit
+            From `try_acquire` or `acquire`.
+        elapsed_s : float
+            Time that the backend server took.
+        ok : bool
+            Whether it answered; other times teach nothing about its speed.
+        outbound_s : float
+            Part of `elapsed_s` in which it waited for other services. The limit does
+            not count it: a lower limit here would not make them faster.
+        """
+        if permit.released:
+            return
+        permit.released = True
+        self._in_flight -= 1
+        self._long_in_flight -= permit.is_long
+        now_s = self._now_s()
+        if ok:
+            self._learn(permit, elapsed_s, outbound_s)
+        if now_s >= self._window_ends_s:
+            self._review(now_s)
+        self._start_waiting(now_s)
+
+    def load(self) -> Load:
+        """Return the load that goes back with each answer."""
+        now_s = self._now_s()
+        if now_s >= self._window_ends_s:
+            self._review(now_s)
+        return Load(
+            in_flight=self._in_flight,
+            queued=len(self._queue),
+            limit=self._limit.value,
+            level=self._level.value,
+            latency_ms=self._latency_s * 1000,
+        )
+
+    def set_slots(self, slots: int) -> None:
+        """Follow a new announcement of the backend server."""
+        if slots == self._slots:
+            return
+        log_event(logger, events.SLOTS_CHANGED, before=self._slots, now=slots)
+        self._slots = slots
+        self._limit.set_slots(slots)
+        self._start_waiting(self._now_s())
+
+    def refuse_waiting(self, refusal: Refusal) -> None:
+        """Answer all waiting calls with `refusal`."""
+        for waiter in self._queue.waiters():
+            self._refuse_waiter(waiter, refusal)
+
+    def refuse_expired(self) -> None:
+        """Refuse the waiting calls that can no longer finish in time."""
+        now_s = self._now_s()
+        for waiter in self._queue.waiters():
+            if now_s >= self._latest_start_s(waiter.ticket):
+                self._expire(waiter)
+
+    def _grant(self, route: str, is_long: bool, waited_s: float) -> Permit:
+        self._in_flight += 1
+        self._long_in_flight += is_long
+        self._level.started()
+        if waited_s < self._least_wait_s:
+            self._least_wait_s = waited_s
+        if self._in_flight >= self._limit.value:
+            self._was_full = True
+        return Permit(route, is_long, waited_s)
+
+    def _long_may_start(self, *, is_short_waiting: bool) -> bool:
+        limit = self._limit.value
+        if self._long_in_flight < max(1.0, limit * self._settings.long_share):
+            return True
+        if is_short_waiting:
+            return False
+        reserve = min(limit - 1, math.ceil(limit * self._settings.long_reserve))
+        return self._in_flight < limit - reserve
+
+    def _refuse_or_wait(self, ticket, cost, now_s) -> Refusal | None:
+        if self._settings.expected_time_check and cost is not None:
+            expected_s = self._expected_wait_s(ticket) + cost.median_s
+            if now_s + expected_s > ticket.deadline_s:
+                self._was_refusing = True
+                return _refusal(RefusalReason.OVERLOAD_DEADLINE, self._retry_after_ms())
+        return None
+
+    def _expected_wait_s(self, ticket: Ticket) -> float:
+        newest_first = self._newest_first
+        ahead = self._queue.ahead_of(ticket, newest_first=newest_first) + 1
+        return ahead * self._costs.mean_s / self._limit.value
+
+    def _enqueue(self, ticket: Ticket) -> Waiter:
+        future = asyncio.get_running_loop().create_future()
+        cost = self._costs.get(ticket.route)
+        is_long = ticket.long_work_hint or (cost is not None and cost.is_long)
+        waiter = Waiter(ticket, future, self._now_s(), is_long)
+        self._queue.push(waiter)
+        if len(self._queue) > self._queue_bound():
+            self._was_refusing = True
+            last = self._queue.last(newest_first=self._newest_first)
+            reason = RefusalReason.OVERLOAD_QUEUE_FULL
+            self._refuse_waiter(last, _refusal(reason, self._retry_after_ms()))
+        self._start_waiting(waiter.since_s)
+        return waiter
+
+    def _queue_bound(self) -> float:
+        per_slot = self._limit.value * self._settings.queue_per_slot
+        return max(self._settings.queue_min, per_slot)
+
+    def _start_timer(self, waiter: Waiter) -> asyncio.TimerHandle:
+        delay_s = max(0.0, self._latest_start_s(waiter.ticket) - waiter.since_s)
+        loop = asyncio.get_running_loop()
+        return loop.call_later(delay_s, self._expire, waiter)
+
+    def _latest_start_s(self, ticket: Ticket) -> float:
+        latest_s = min(ticket.deadline_s, ticket.start_by_s)
+        cost = self._costs.get(ticket.route)
+        if self._settings.expected_time_check and cost is not None:
+            latest_s = min(latest_s, ticket.deadline_s - cost.median_s)
+        return latest_s
+
+    def _expire(self, waiter: Waiter) -> None:
+        if not waiter.is_queued:
+            return
+        self._was_refusing = True
+        now_s = self._now_s()
+        reason = RefusalReason.OVERLOAD_DEADLINE
+        if now_s >= waiter.ticket.deadline_s:
+            reason = RefusalReason.DEADLINE_PASSED
+        elif now_s >= waiter.ticket.start_by_s:
+            reason = RefusalReason.START_BY_PASSED
+        self._refuse_waiter(waiter, _refusal(reason))
+
+    def _refuse_waiter(self, waiter: Waiter, refusal: Refusal) -> None:
+        self._queue.remove(waiter)
+        if not waiter.future.done():
+            waiter.future.set_result(refusal)
+
+    def _abandon(self, waiter: Waiter) -> None:
+        """Return what a cancelled call holds, also a permit that it has not seen."""
+        self._queue.remove(waiter)
+        future = waiter.future
+        if future.done() and not future.cancelled():
+            permit = future.result()
+            if isinstance(permit, Permit):
+                self.release(permit, elapsed_s=0.0, ok=False)
+
+    def _start_waiting(self, now_s: float) -> None:
+        while self._queue and self._in_flight < self._limit.value:
+            waiter = self._next_waiter()
+            if waiter is None:
+                return
+            if now_s >= self._latest_start_s(waiter.ticket):
+                self._expire(waiter)
+                continue
+            self._queue.remove(waiter)
+            if waiter.future.done():
+                continue
+            waited_s = now_s - waiter.since_s
+            permit = self._grant(waiter.ticket.route, waiter.is_long, waited_s)
+            waiter.future.set_result(permit)
+
+    def _next_waiter(self) -> Waiter | None:
+        is_short_waiting = self._queue.short_count > 0
+        short_only = not self._long_may_start(is_short_waiting=is_short_waiting)
+        return self._queue.first(newest_first=self._newest_first, short_only=short_only)
+
+    def _learn(self, permit: Permit, elapsed_s: float, outbound_s: float) -> None:
+        cost = self._costs.add(permit.route, elapsed_s)
+        self._latency_s += (elapsed_s - self._latency_s) * 0.1
+        own_s = max(elapsed_s - outbound_s, 0.0)
+        if outbound_s:
+            cost = self._costs.add_own(permit.route, own_s)
+        self._limit.add(cost.median_s / cost.floor_s)
+
+    def _review(self, now_s: float) -> None:
+        """Move limit and level at the end of a window."""
+        least_wait_s = self._least_wait_s
+        overloaded = self._was_refusing or (
+            least_wait_s > self._target_s and self._queue.short_count > 0
+        )
+        calm = not overloaded and (
+            least_wait_s < self._target_s * CALM_SHARE or not self._queue
+        )
+        level_before = self._level.value
+        elapsed_s = now_s - self._window_began_s
+        self._level.review(elapsed_s, overloaded=overloaded, calm=calm)
+        self._limit.review(now_s, saturated=self._was_full)
+        self._newest_first = self._settings.newest_first and overloaded
+        self._log_level(level_before)
+        self._reset_window(now_s)
+
+    def _log_level(self, before: int) -> None:
+        now = self._level.value
+        if now < LEVEL_COUNT <= before:
+            log_event(logger, events.OVERLOAD_BEGAN, level=now)
+        elif before < LEVEL_COUNT <= now:
+            log_event(logger, events.OVERLOAD_ENDED)
+
+    def _reset_window(self, now_s: float) -> None:
+        self._window_began_s = now_s
+        self._window_ends_s = now_s + self._interval_s
+        self._least_wait_s = math.inf
+        self._was_refusing = False
+        self._was_full = self._in_flight >= self._limit.value
+
+    def _retry_after_ms(self) -> int:
+        return self._settings.interval_ms * 2
+
+
+def _refusal(reason: RefusalReason, retry_after_ms: int = 0) -> Refusal:
+    return Refusal(reason, Outcome.NOT_RUN, retry_after_ms)
--- /dev/null
+++ b/damaskproxy/admission/settings.py
@@ -0,0 +1,65 @@
+"""Settings of admission."""
+
+from typing import Annotated
+
+import msgspec
+
+__all__ = ["AdmissionSettings"]
+
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+Duration = Annotated[int, msgspec.Meta(ge=1, le=60_000)]
+
+
+class AdmissionSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of the admission controller of one backend server.
+
+    Parameters
+    ----------
+    adaptive_limit : bool
+        Whether the concurrency limit moves below the announced slots.
+    latency_tolerance : float
+        Ratio of median to lowest latency above which a lower limit is tried.
+    limit_min_samples : int
+        Answers that a decision about the limit needs.
+    queue_per_slot : float
+        Waiting calls allowed for each slot.
+    queue_min : int
+        Waiting calls allowed on a small backend server.
+    interval_ms : int
+        Window in which the queue delay is judged.
+    queue_target_ms : int
+        Queue delay that a whole window must exceed to count as overload.
+    admission_level : bool
+        Whether the level falls under overload.
+    level_headroom : float
+        Share of the measured service rate that a cut of the level leaves unused.
+    level_plateau_ms : int
+        Time after a cut in which the level returns to where it was cut.
+    newest_first : bool
+        Whether standing overload reverses the order within a priority.
+    expected_time_check : bool
+        Whether calls that cannot finish before their deadline are refused.
+    long_factor : float
+        Cost above the median route at which a route counts as long work.
+    long_share : float
+        Share of the slots that long work may hold while short work waits.
+    long_reserve : float
+        Share of the slots that long work beyond its share leaves idle.
+    """
+
+    adaptive_limit: bool = True
+    latency_tolerance: Annotated[float, msgspec.Meta(gt=1)] = 2.0
+    limit_min_samples: Count = 50
+    queue_per_slot: Annotated[float, msgspec.Meta(gt=0)] = 2.0
+    queue_min: Count = 16
+    interval_ms: Duration = 100
+    queue_target_ms: Duration = 15
+    admission_level: bool = True
+    level_headroom: Share = 0.03
+    level_plateau_ms: Duration = 800
+    newest_first: bool = True
+    expected_time_check: bool = True
+    long_factor: Annotated[float, msgspec.Meta(gt=1)] = 8.0
+    long_share: Share = 0.5
+    long_reserve: Share = 0.1
--- /dev/null
+++ b/damaskproxy/admission/tests/test_controller.py
@@ -0,0 +1,69 @@
+import asyncio
+import unittest
+
+from damaskproxy.admission import AdmissionController, Permit, Ticket
+from damaskproxy.common import Outcome, Priority, Refusal, RefusalReason
+
+
+class Clock:
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+def ticket(priority=Priority.NORMAL, ordinal=5, deadline_s=1000.0, **fields):
+    return Ticket(priority, ordinal, fields.pop("route", "r"), deadline_s, **fields)
+
+
+class ControllerTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.controller = AdmissionController(1, now_s=self.clock)
+
+    def test_passed_instants_are_refused_as_not_run(self):
+        late = self.controller.try_acquire(ticket(deadline_s=99.0))
+        self.assertEqual(late.reason, RefusalReason.DEADLINE_PASSED)
+        late = self.controller.try_acquire(ticket(start_by_s=100.0))
+        self.assertEqual(late.reason, RefusalReason.START_BY_PASSED)
+        self.assertIs(late.outcome, Outcome.NOT_RUN)
+
+    async def test_cancellation_after_the_grant_returns_the_slot(self):
+        """A permit that its cancelled call never saw must not leak."""
+        held = self.controller.try_acquire(ticket())
+        waiting = asyncio.create_task(self.controller.acquire(ticket()))
+        await asyncio.sleep(0)
+        self.controller.release(held, elapsed_s=0.01, ok=True)
+        self.assertEqual(self.controller.load().in_flight, 1)
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        self.assertEqual(self.controller.load().in_flight, 0)
+
+    async def test_waiting_calls_start_by_priority_and_ordinal(self):
+        held = self.controller.try_acquire(ticket())
+        started = []
+
+        async def run(priority, ordinal):
+            permit = await self.controller.acquire(ticket(priority, ordinal))
+            self.assertIsInstance(permit, Permit)
+            started.append((priority, ordinal))
+            self.controller.release(permit, elapsed_s=0.01, ok=True)
+
+        keys = [(3, 0), (2, 9), (0, 99), (2, 1), (0, 3)]
+        tasks = [asyncio.create_task(run(*key)) for key in keys]
+        await asyncio.sleep(0)
+        self.controller.release(held, elapsed_s=0.01, ok=True)
+        await asyncio.gather(*tasks)
+        self.assertEqual(started, sorted(keys))
+
+    async def test_refuse_waiting_answers_all(self):
+        self.controller.try_acquire(ticket())
+        tasks = [
+            asyncio.create_task(self.controller.acquire(ticket())) for _ in range(3)
+        ]
+        await asyncio.sleep(0)
+        leaving = Refusal(RefusalReason.LEAVING, Outcome.NOT_RUN)
+        self.controller.refuse_waiting(leaving)
+        self.assertEqual(await asyncio.gather(*tasks), [leaving] * 3)
+        self.assertEqual(self.controller.load().queued, 0)
--- /dev/null
+++ b/damaskproxy/balancing/balancer.py
@@ -0,0 +1,282 @@
+"""Choice of the backend server that runs a call."""
+
+import logging
+import random
+from collections.abc import Callable, Sequence
+from typing import Literal
+
+from damaskproxy.balancing import events
+from damaskproxy.balancing.histogram import LatencyHistogram
+from damaskproxy.balancing.peers import PeerState
+from damaskproxy.balancing.settings import BalancingSettings
+from damaskproxy.common import Outcome, Refusal, RefusalReason
+from damaskproxy.common.ids import ORDINAL_COUNT
+from damaskproxy.events import log_event
+from damaskproxy.wire import Load
+from damaskproxy.world import Member
+
+__all__ = ["Balancer", "CallResult"]
+
+logger = logging.getLogger(__name__)
+
+CallResult = Literal["ok", "refused", "failed"]
+
+_Group = tuple[list[Member], list[Member]]
+
+USUAL_WEIGHT = 0.02
+DEFAULT_LATENCY_S = 0.02
+EARLY_RETRY_AFTER_MS = 200
+HEDGE_REVIEW_ANSWERS = 32
+
+
+class Balancer:
+    """Chooses members by what this node observed of them.
+
+    Parameters
+    ----------
+    data_centre : str
+        Data centre of this node.
+    now_s : callable
+        Monotonic clock, seconds.
+    rng : random.Random
+        Source of the sampled candidates and probes.
+    settings : BalancingSettings, optional
+        Defaults when omitted.
+    """
+
+    def __init__(
+        self,
+        data_centre: str,
+        *,
+        now_s: Callable[[], float],
+        rng: random.Random,
+        settings: BalancingSettings | None = None,
+    ):
+        self._data_centre = data_centre
+        self._now_s = now_s
+        self._rng = rng
+        self._settings = settings or BalancingSettings()
+        self._peers: dict[str, PeerState] = {}
+        self._usual_s: dict[str, float] = {}
+        self._groups: dict[str, tuple[tuple[Member, ...], _Group]] = {}
+        self._routes: dict[tuple[str, str], LatencyHistogram] = {}
+        self._hedge_s: dict[tuple[str, str], float] = {}
+
+    def choose(
+        self,
+        service: str,
+        members: Sequence[Member],
+        *,
+        exclude: frozenset[str] = frozenset(),
+    ) -> Member | Refusal:
+        """Return the member that runs the next call.
+
+        Parameters
+        ----------
+        service : str
+            Service of the call.
+        members : sequence of Member
+            Serving members of the service.
+        exclude : frozenset of str
+            Node ids that were tried before.
+        """
+        now_s = self._now_s()
+        local, remote = self._group(service, members)
+        candidates = self._sample(local, remote, exclude, now_s)
+        if not candidates:
+            candidates = self._fall_back(members, exclude, now_s)
+        if not candidates:
+            return Refusal(RefusalReason.NO_BACKEND, Outcome.NOT_RUN)
+        if len(candidates) == 1:
+            return candidates[0]
+        usual_s = self._usual_s.get(service, DEFAULT_LATENCY_S)
+        return min(candidates, key=lambda m: self._score(m, usual_s, now_s))
+
+    def started(self, member: Member) -> None:
+        """Count a call that is sent to `member`."""
+        peer = self._peer(member)
+        peer.in_flight += 1
+        peer.started_since_load += 1
+
+    def finished(
+        self,
+        member: Member,
+        *,
+        elapsed_s: float,
+        result: CallResult,
+        load: Load | None,
+        route: str = "",
+    ) -> None:
+        """Learn from the end of a call.
+
+        Parameters
+        ----------
+        member : Member
+            Where it ran.
+        elapsed_s : float
+            Time since `started`.
+        result : {"ok", "refused", "failed"}
+            Answered, refused before execution, or died without an answer.
+        load : Load or None
+            Report that came with the answer.
+        route : str
+            Route under which the hedge delay is learned.
+        """
+        peer = self._peer(member)
+        now_s = self._now_s()
+        peer.in_flight = max(0, peer.in_flight - 1)
+        if load is not None:
+            peer.observe_load(load, now_s)
+        if result == "ok":
+            peer.answers += 1
+            peer.failures = peer.ejections = 0
+            peer.observe_latency(elapsed_s, now_s)
+            self._learn(member.service, route, elapsed_s)
+        elif result == "failed":
+            self._count_failure(member, peer, now_s)
+
+    def early_refusal(
+        self, member: Member, priority: int, ordinal: int
+    ) -> Refusal | None:
+        """Refuse a call that `member` would refuse by its last reported level."""
+        peer = self._peers.get(member.node_id)
+        if peer is None or peer.load is None or not self._settings.early_refusal:
+            return None
+        if priority * ORDINAL_COUNT + ordinal < peer.load.level:
+            return None
+        if not self._is_fresh(peer, self._now_s()):
+            return None
+        if self._rng.random() < self._settings.probe_share:
+            return None
+        return Refusal(
+            RefusalReason.OVERLOAD_EARLY, Outcome.NOT_RUN, EARLY_RETRY_AFTER_MS
+        )
+
+    def hedge_delay_s(self, service: str, route: str) -> float | None:
+        """Return when a second copy of a slow call may start, None while unknown."""
+        return self._hedge_s.get((service, route))
+
+    def forget(self, node_id: str) -> None:
+        """Drop what was seen of a member that has left."""
+        self._peers.pop(node_id, None)
+
+    def _group(self, service: str, members: Sequence[Member]) -> _Group:
+        """Return local and remote members, kept while `members` is the same tuple.
+
+        Notes
+        -----
+        The first set of a service counts as warm; later members start slowly.
+        """
+        known = self._groups.get(service)
+        if known is not None and known[0] is members:
+            return known[1]
+        warm = self._settings.slow_start_answers if known is None else 0
+        for member in members:
+            peer = self._peers.get(member.node_id)
+            if peer is None or peer.incarnation != member.incarnation:
+                self._peers[member.node_id] = PeerState(member.incarnation, warm)
+        local = [m for m in members if m.data_centre == self._data_centre]
+        remote = [m for m in members if m.data_centre != self._data_centre]
+        if members:
+            self._groups[service] = (tuple(members), (local, remote))
+        return local, remote
+
+    def _peer(self, member: Member) -> PeerState:
+        peer = self._peers.get(member.node_id)
+        if peer is None:
+            peer = self._peers[member.node_id] = PeerState(member.incarnation, 0)
+        return peer
+
+    def _sample(self, local, remote, exclude, now_s) -> list[Member]:
+        """Return a few usable members, more of them local than remote."""
+        count = self._settings.candidates
+        from_local = min(len(local), max(1, count - 1))
+        picked = self._pick(local, from_local)
+        picked += self._pick(remote, count - from_local)
+        return [
+            member
+            for member in picked
+            if member.node_id not in exclude
+            and now_s >= self._peers[member.node_id].ejected_until_s
+            and self._passes_slow_start(member)
+        ]
+
+    def _pick(self, members: list[Member], count: int) -> list[Member]:
+        """Return `count` random members; faster than `random.sample` for a few."""
+        total = len(members)
+        if count >= total:
+            return list(members)
+        indices: set[int] = set()
+        while len(indices) < count:
+            indices.add(int(self._rng.random() * total))
+        return [members[index] for index in indices]
+
+    def _fall_back(self, members, exclude, now_s) -> list[Member]:
+        """Return members when no sampled one is usable, the best kind that exists."""
+        usable = [member for member in members if member.node_id not in exclude]
+        allowed = [m for m in usable if now_s >= self._peer(m).ejected_until_s]
+        warm = [member for member in allowed if self._passes_slow_start(member)]
+        return warm or allowed or usable
+
+    def _passes_slow_start(self, member: Member) -> bool:
+        warmth = self._warmth(member)
+        return warmth >= 1 or self._rng.random() < warmth
+
+    def _warmth(self, member: Member) -> float:
+        settings = self._settings
+        done = self._peers[member.node_id].answers / settings.slow_start_answers
+        return max(settings.slow_start_share, done)
+
+    def _score(self, member: Member, usual_s: float, now_s: float) -> float:
+        peer = self._peers[member.node_id]
+        decay_s = self._settings.latency_decay_ms / 1000
+        latency_s = peer.expected_latency_s(usual_s, now_s, decay_s)
+        busy, limit = peer.in_flight, max(1, member.slots)
+        if self._is_fresh(peer, now_s):
+            load = peer.load
+            reported = load.in_flight + load.queued + peer.started_since_load
+            busy, limit = max(busy, reported), max(1, load.limit)
+        score = latency_s * (busy + 1) / limit
+        if member.data_centre != self._data_centre:
+            score *= self._settings.remote_factor
+        return score
+
+    def _is_fresh(self, peer: PeerState, now_s: float) -> bool:
+        return now_s - peer.load_at_s <= self._settings.load_fresh_ms / 1000
+
+    def _learn(self, service: str, route: str, elapsed_s: float) -> None:
+        usual_s = self._usual_s.get(service, elapsed_s)
+        usual_s += (elapsed_s - usual_s) * USUAL_WEIGHT
+        self._usual_s[service] = usual_s
+        key = (service, route)
+        histogram = self._routes.get(key)
+        if histogram is None:
+            histogram = self._routes[key] = LatencyHistogram()
+        histogram.add(elapsed_s)
+        enough = histogram.total >= self._settings.hedge_min_samples
+        if enough and histogram.total % HEDGE_REVIEW_ANSWERS == 0:
+            share = self._settings.hedge_percentile
+            self._hedge_s[key] = histogram.percentile_s(share)
+
+    def _count_failure(self, member: Member, peer: PeerState, now_s: float) -> None:
+        peer.failures += 1
+        settings = self._settings
+        if peer.failures < settings.ejection_failures or now_s < peer.ejected_until_s:
+            return
+        if not self._may_eject(member.service, now_s):
+            return
+        ejection_ms = settings.ejection_ms * 2**peer.ejections
+        ejection_ms = min(ejection_ms, settings.ejection_max_ms)
+        peer.ejected_until_s = now_s + ejection_ms / 1000
+        peer.ejections = min(peer.ejections + 1, 16)
+        peer.failures = 0
+        peer.answers = 0
+        log_event(
+            logger, events.MEMBER_EJECTED, node=member.node_id, ejection_ms=ejection_ms
+        )
+
+    def _may_eject(self, service: str, now_s: float) -> bool:
+        """Tell whether one more ejection stays within the share of the service."""
+        members = self._groups[service][0] if service in self._groups else ()
+        ejected = 1 + sum(now_s < self._peer(m).ejected_until_s for m in members)
+        return ejected <= len(members) * self._settings.ejected_share_max
--- /dev/null
+++ b/damaskproxy/balancing/events.py
@@ -0,0 +1,14 @@
+"""Numbered events of balancing, 7100 to 7199."""
+
+import logging
+
+from damaskproxy.events import define
+
+__all__ = ["MEMBER_EJECTED"]
+
+MEMBER_EJECTED = define(
+    7101,
+    "member-ejected",
+    logging.WARNING,
+    "A member failed several times in a row and gets no calls for a while.",
+)
--- /dev/null
+++ b/damaskproxy/retries/tests/test_allowance.py
@@ -0,0 +1,97 @@
+"""Bounds on retries over random call trees."""
+
+import random
+import unittest
+
+from hypothesis import given, settings, strategies as st
+from nose2.tools import params
+
+from damaskproxy.retries import Allowance, RetryRatio, RetrySettings
+
+MAX_DEPTH = 8
+
+
+class CallTree:
+    """Runs one root request through a random call tree and counts its retries."""
+
+    def __init__(self, rng, fanout, failing, losing):
+        self.rng = rng
+        self.fanout = fanout
+        self.failing = failing
+        self.losing = losing
+        self.retries = 0
+
+    def run(self, tokens, depth):
+        """Return the tokens that the answer reports as left, None when it is lost."""
+        allowance = Allowance(tokens)
+        children = self.rng.randint(0, self.fanout) if depth < MAX_DEPTH else 0
+        open_loans = []
+        for _ in range(children):
+            open_loans.append(allowance.lend(self.rng.randint(0, tokens + 1)))
+        for loan in open_loans:
+            allowance.give_back(self.attempts(loan, depth + 1))
+        return allowance.tokens
+
+    def attempts(self, tokens, depth):
+        """Call a child until it answers or the loan is spent; return what is left."""
+        allowance = Allowance(tokens)
+        while True:
+            lent = allowance.lend(allowance.tokens)
+            left = self.run(lent, depth)
+            if self.rng.random() >= self.losing:
+                allowance.give_back(left)
+            if self.rng.random() >= self.failing or not allowance.take():
+                return allowance.tokens
+            self.retries += 1
+
+
+class AllowanceTest(unittest.TestCase):
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(
+        seed=st.integers(0, 2**32),
+        tokens=st.integers(0, 5),
+        fanout=st.integers(0, 3),
+        failing=st.floats(0, 1),
+        losing=st.floats(0, 1),
+        resends=st.integers(0, 4),
+    )
+    def test_a_tree_never_retries_more_than_its_root_may(
+        self, seed, tokens, fanout, failing, losing, resends
+    ):
+        """Lost answers, parallel children and resends must not add retries.
+
+        A resend of the same key joins the root's entry, so it shares its allowance.
+        """
+        fanout = min(fanout, 2 if tokens > 2 else 3)
+        tree = CallTree(random.Random(seed), fanout, failing, losing)
+        root = Allowance(tokens)
+        for _ in range(1 + resends):
+            loan = root.lend(root.tokens)
+            root.give_back(tree.attempts(loan, MAX_DEPTH - 4))
+        self.assertLessEqual(tree.retries + root.tokens, tokens)
+
+    @params((0, 0, 0), (3, 2, 2), (3, 9, 3), (3, -1, 0))
+    def test_lending(self, tokens, asked, moved):
+        allowance = Allowance(tokens)
+        self.assertEqual(allowance.lend(asked), moved)
+        allowance.give_back(99)
+        self.assertEqual(allowance.tokens, tokens)
+
+    def test_negative_tokens_are_an_error(self):
+        with self.assertRaises(ValueError):
+            Allowance(-1)
+
+
+class RetryRatioTest(unittest.TestCase):
+    @params((0, 10), (100, 10), (1, 10))
+    def test_saved_retries_are_bounded(self, first_attempts, allowed):
+        ratio = RetryRatio()
+        for _ in range(first_attempts):
+            ratio.first_attempt("s")
+        self.assertEqual(sum(ratio.allow("s") for _ in range(50)), allowed)
+
+    def test_services_do_not_share(self):
+        ratio = RetryRatio(RetrySettings(saved_max=1))
+        self.assertTrue(ratio.allow("a"))
+        self.assertFalse(ratio.allow("a"))
+        self.assertTrue(ratio.allow("b"))
