Add stand-ins of the table service and the object store

Tests and the demo need the platform's services on loopback, with their outages: down, slow, and answers lost before or after a write applied. A delayed write goes on when its client closes the connection, as in a real service, so that clients cannot take a timeout for "not applied".

--- /dev/null
+++ b/damaskproxy/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's table service and object store."""
--- /dev/null
+++ b/damaskproxy/standins/__init__.py
@@ -0,0 +1,14 @@
+"""Development stand-ins of the platform's services and of backend servers."""
+
+from damaskproxy.standins.faults import Faults, Lose
+from damaskproxy.standins.objects import RunningObjects, start_objects
+from damaskproxy.standins.table import RunningTable, start_table
+
+__all__ = [
+    "Faults",
+    "Lose",
+    "RunningObjects",
+    "RunningTable",
+    "start_objects",
+    "start_table",
+]
--- /dev/null
+++ b/damaskproxy/standins/objects.py
@@ -0,0 +1,109 @@
+"""Development stand-in of the platform's object store."""
+
+from dataclasses import dataclass, field
+
+import msgspec
+from aiohttp import web
+
+from damaskproxy.standins.faults import Faults, add_fault_routes, run_write
+from damaskproxy.standins.serving import close_site, start_site
+from damaskproxy.world import Address
+
+__all__ = ["ObjectCounts", "RunningObjects", "start_objects"]
+
+MAX_OBJECT_BYTES = 64 * 1024 * 1024
+
+
+class ObjectCounts(msgspec.Struct):
+    """Requests since the start, without refused ones."""
+
+    gets: int = 0
+    puts: int = 0
+
+
+@dataclass(slots=True)
+class RunningObjects:
+    """An object store inside this process.
+
+    Parameters
+    ----------
+    address : Address
+        Where it listens.
+    faults : Faults
+        Fault controls; assign the fields directly.
+    objects : dict of str to bytes
+        Content.
+    counts : ObjectCounts
+        Requests since the start.
+    """
+
+    address: Address
+    faults: Faults
+    objects: dict[str, bytes]
+    counts: ObjectCounts
+    runner: web.AppRunner = field(repr=False)
+
+    @property
+    def url(self) -> str:
+        """Base URL for the client."""
+        return f"http://{self.address}"
+
+    async def close(self) -> None:
+        """Stop listening; connections are refused from then on."""
+        await close_site(self.runner)
+
+
+def make_objects_app(
+    objects: dict[str, bytes], counts: ObjectCounts, faults: Faults
+) -> web.Application:
+    """Return the application that serves `objects`."""
+
+    async def get(request):
+        counts.gets += 1
+        value = objects.get(request.match_info["name"])
+        if value is None:
+            return web.Response(status=404)
+        return web.Response(body=value, content_type="application/octet-stream")
+
+    async def put(request):
+        value = await request.read()
+
+        async def apply():
+            counts.puts += 1
+            objects[request.match_info["name"]] = value
+            return web.Response(status=204)
+
+        return await run_write(request, faults, apply)
+
+    async def show_counts(_request):
+        return web.json_response(body=msgspec.json.encode(counts))
+
+    app = web.Application(client_max_size=MAX_OBJECT_BYTES)
+    add_fault_routes(app, faults)
+    app.router.add_get("/objects/{name:.+}", get)
+    app.router.add_put("/objects/{name:.+}", put)
+    app.router.add_get("/counts", show_counts)
+    return app
+
+
+async def start_objects(host: str = "127.0.0.1", port: int = 0) -> RunningObjects:
+    """Start an object store in the running event loop.
+
+    Parameters
+    ----------
+    host : str
+        IP number to listen on.
+    port : int
+        Port, 0 for a free one.
+
+    Returns
+    -------
+    RunningObjects
+        The store; the caller closes it.
+    """
+    objects: dict[str, bytes] = {}
+    counts = ObjectCounts()
+    faults = Faults()
+    app = make_objects_app(objects, counts, faults)
+    runner, address = await start_site(app, host, port)
+    return RunningObjects(address, faults, objects, counts, runner)
--- /dev/null
+++ b/damaskproxy/standins/serving.py
@@ -0,0 +1,41 @@
+"""Starting and stopping of the HTTP servers of the stand-ins."""
+
+import asyncio
+import signal
+
+from aiohttp import web
+
+from damaskproxy.world import Address
+
+__all__ = ["close_site", "serve_until_signal", "start_site"]
+
+SHUTDOWN_TIMEOUT_S = 0.5
+
+
+async def start_site(
+    app: web.Application, host: str, port: int
+) -> tuple[web.AppRunner, Address]:
+    """Serve `app` and return its runner with the bound address."""
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
+    await runner.setup()
+    try:
+        await web.TCPSite(runner, host, port).start()
+    except OSError:
+        await runner.cleanup()
+        raise
+    bound_host, bound_port = runner.addresses[0][:2]
+    return runner, Address(bound_host, bound_port)
+
+
+async def close_site(runner: web.AppRunner) -> None:
+    """Stop listening and close the connections."""
+    await runner.cleanup()
+
+
+async def serve_until_signal() -> None:
+    """Return when the process gets SIGINT or SIGTERM."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
