--- /dev/null
+++ b/damaskproxy/platform/tests/test_clients.py
@@ -0,0 +1,160 @@
+"""The clients keep the contract and tell "not applied" from "may be applied"."""
+
+import asyncio
+import unittest
+
+import msgspec
+from aiohttp import web
+from nose2.tools import params
+
+from damaskproxy.platform import (
+    ObjectStoreError,
+    PlatformSettings,
+    TableRejected,
+    TableUnavailable,
+    TableUnknown,
+    open_objects,
+    open_table,
+)
+from damaskproxy.platform.tests.contract import ObjectStoreContract, TableContract
+from damaskproxy.standins import Lose, start_objects, start_table
+from damaskproxy.standins.serving import start_site
+
+UNUSED_URL = "http://127.0.0.1:9"
+
+
+def settings(url, **changes):
+    return PlatformSettings(table_url=url, objects_url=url, **changes)
+
+
+class StandInTable(unittest.IsolatedAsyncioTestCase):
+    async def open_table(self, **changes):
+        self.running = await start_table()
+        self.addAsyncCleanup(self.running.close)
+        table = open_table(settings(self.running.url, **changes))
+        self.addAsyncCleanup(table.close)
+        return table
+
+
+class TableContractTests(TableContract, StandInTable):
+    """The stand-in and the client together keep the contract."""
+
+
+class ObjectStoreContractTests(ObjectStoreContract, unittest.IsolatedAsyncioTestCase):
+    """The stand-in and the client together keep the contract."""
+
+    async def open_objects(self):
+        self.running = await start_objects()
+        self.addAsyncCleanup(self.running.close)
+        objects = open_objects(settings(self.running.url))
+        self.addAsyncCleanup(objects.close)
+        return objects
+
+    @params(
+        ("down", {"down": True}, ("get", "put"), b"old"),
+        ("slow", {"delay_ms": 600_000}, ("get", "put"), b"old"),
+        ("put lost before", {"lose": Lose.BEFORE}, ("put",), b"old"),
+        ("put lost after", {"lose": Lose.AFTER}, ("put",), b"new"),
+    )
+    async def test_faults(self, _name, faults, failing, left):
+        await self.objects.put("a", b"old")
+        for name, value in faults.items():
+            setattr(self.running.faults, name, value)
+        hasty = open_objects(settings(self.running.url, timeout_ms=20))
+        self.addAsyncCleanup(hasty.close)
+        calls = {"get": lambda: hasty.get("a"), "put": lambda: hasty.put("a", b"new")}
+        for name in failing:
+            with self.assertRaises(ObjectStoreError):
+                await calls[name]()
+        self.running.faults.clear()
+        self.assertEqual(await self.objects.get("a"), left)
+
+
+class TableFaultTests(StandInTable):
+    """Guards against reporting a commit as refused that was applied."""
+
+    @params(
+        ("down", {"down": True}, TableUnavailable, TableUnavailable, False),
+        ("slow", {"delay_ms": 50}, TableUnknown, TableUnavailable, True),
+        ("lost before", {"lose": Lose.BEFORE}, TableUnknown, None, False),
+        ("lost after", {"lose": Lose.AFTER}, TableUnknown, None, True),
+    )
+    async def test_faults(self, _name, faults, commit_error, read_error, applied):
+        table = await self.open_table(timeout_ms=20)
+        for name, value in faults.items():
+            setattr(self.running.faults, name, value)
+        with self.assertRaises(commit_error):
+            await table.commit({"a": 0}, {"a": b"1"})
+        if read_error:
+            with self.assertRaises(read_error):
+                await table.read(["a"])
+        self.running.faults.clear()
+        for _ in range(1000):
+            # The delayed commit is applied after the client has given up on it.
+            if not applied or self.running.rows.rows:
+                break
+            await asyncio.sleep(0.002)
+        self.assertEqual(bool(await table.read(["a"])), applied)
+
+    async def test_refused_connection(self):
+        table = await self.open_table()
+        await self.running.close()
+        for operation in (table.commit({}, {"a": b"1"}), table.read(["a"])):
+            with self.assertRaises(TableUnavailable):
+                await operation
+
+    async def test_loss_count(self):
+        table = await self.open_table()
+        self.running.faults.lose, self.running.faults.lose_count = Lose.AFTER, 1
+        with self.assertRaises(TableUnknown):
+            await table.commit({}, {"a": b"1"})
+        self.assertTrue(await table.commit({"a": 1}, {"a": b"2"}))
+
+    @params(
+        (200, b"not json", TableUnknown, TableUnavailable),
+        (409, b"{}", TableUnknown, TableUnavailable),
+        (502, b"bad gateway", TableUnknown, TableUnavailable),
+        (503, b"{}", TableUnknown, TableUnavailable),
+        (503, b'{"error": "x", "applied": false}', TableUnavailable, TableUnavailable),
+        (413, b'{"error": "x", "applied": false}', TableRejected, TableRejected),
+        (404, b"not found", TableUnknown, TableRejected),
+        (307, b"", TableUnknown, TableRejected),
+    )
+    async def test_strange_answers(self, status, body, commit_error, read_error):
+        async def answer(_request):
+            return web.Response(status=status, body=body, headers={"Location": "/x"})
+
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", answer)
+        runner, address = await start_site(app, "127.0.0.1", 0)
+        self.addAsyncCleanup(runner.cleanup)
+        table = open_table(settings(f"http://{address}"))
+        self.addAsyncCleanup(table.close)
+        with self.assertRaises(commit_error):
+            await table.commit({}, {"a": b"1"})
+        with self.assertRaises(read_error):
+            await table.read(["a"])
+
+    async def test_wait_for_a_place_is_not_sent(self):
+        """A commit that got no place behind slow ones was never sent."""
+        table = await self.open_table(timeout_ms=10, max_concurrent=1)
+        await table._exchange._places.acquire()
+        with self.assertRaises(TableUnavailable):
+            await table.commit({}, {"a": b"1"})
+        self.assertEqual(self.running.rows.rows, {})
+
+
+class SettingsTests(unittest.TestCase):
+    """Guards against settings that fail only when the first request is sent."""
+
+    @params(
+        {"table_url": "127.0.0.1:7101"},
+        {"objects_url": "http://"},
+        {"timeout_ms": 0},
+        {"max_concurrent": 0},
+        {"retries": 3},
+    )
+    def test_invalid(self, changes):
+        fields = {"table_url": UNUSED_URL, "objects_url": UNUSED_URL} | changes
+        with self.assertRaises(msgspec.ValidationError):
+            msgspec.convert(fields, PlatformSettings)
--- a/damaskproxy/standins/serving.py
+++ b/damaskproxy/standins/serving.py
@@ -9,7 +9,7 @@
 
 __all__ = ["close_site", "serve_until_signal", "start_site"]
 
-SHUTDOWN_TIMEOUT_S = 0.5
+SHUTDOWN_TIMEOUT_S = 0.05
 
 
 async def start_site(
