Add the ledger of non-idempotent requests

Issued keys, the ledger that dispatches a key at most once and the guard of the target node had no code, and other packages need their interfaces.

The ledger counts the retries of a key over all its submissions, remembers the ids of submissions so that a late copy of a refused one cannot run, and says not-run only while no attempt of the key can have started. Records outlive their keys by 5 min of clock difference.

--- /dev/null
+++ b/damaskproxy/ledger/events.py
@@ -0,0 +1,56 @@
+"""Log events of the ledger."""
+
+import logging
+
+from damaskproxy.events import define
+
+__all__ = [
+    "ADOPTED",
+    "ADOPTION_REFUSED",
+    "DISPATCH_FAILED",
+    "ENTRIES_FULL",
+    "FROZEN",
+    "HANDED_OVER",
+    "HEIR_LOST",
+    "OUTCOMES_DROPPED",
+    "OUTCOMES_RESUMED",
+    "OUTCOMES_UNAVAILABLE",
+    "PIN_UNAVAILABLE",
+]
+
+FROZEN = define(
+    6001, "ledger-frozen", logging.INFO, "The ledger starts no further attempts."
+)
+ADOPTED = define(
+    6002, "ledger-adopted", logging.INFO, "This node holds the ledger of another node."
+)
+ADOPTION_REFUSED = define(
+    6003, "ledger-adoption-refused", logging.WARNING, "A hand-over was refused."
+)
+HANDED_OVER = define(
+    6004, "ledger-handed-over", logging.INFO, "An heir confirmed the hand-over."
+)
+HEIR_LOST = define(
+    6005, "ledger-heir-lost", logging.WARNING, "An heir did not confirm the hand-over."
+)
+ENTRIES_FULL = define(
+    6006, "ledger-full", logging.ERROR, "A new key was refused: no room for its record."
+)
+DISPATCH_FAILED = define(
+    6007, "ledger-dispatch-failed", logging.ERROR, "A dispatch raised an exception."
+)
+OUTCOMES_UNAVAILABLE = define(
+    6010, "outcomes-unavailable", logging.WARNING, "Outcomes wait for the table."
+)
+OUTCOMES_RESUMED = define(
+    6011, "outcomes-resumed", logging.INFO, "Outcomes are written again."
+)
+OUTCOMES_DROPPED = define(
+    6012,
+    "outcomes-dropped",
+    logging.ERROR,
+    "Waiting outcomes exceeded their bound; the oldest were dropped.",
+)
+PIN_UNAVAILABLE = define(
+    6020, "pin-unavailable", logging.WARNING, "A caller-chosen key was not resolved."
+)
--- /dev/null
+++ b/damaskproxy/ledger/inheritance.py
@@ -0,0 +1,117 @@
+"""Ledgers that other nodes hand over to this one."""
+
+import logging
+from collections.abc import Sequence
+
+from damaskproxy.events import log_event
+from damaskproxy.ledger import events
+from damaskproxy.ledger.books import Books, Issuer
+from damaskproxy.ledger.entries import LedgerEntry
+from damaskproxy.ledger.keys import IssuedKey, KeyRing
+from damaskproxy.ledger.settings import LedgerSettings
+
+__all__ = ["Inheritance"]
+
+logger = logging.getLogger(__name__)
+
+STAGED_MAX = 16
+DONE_MAX = 1000
+
+
+class Inheritance:
+    """Staged and completed hand-overs to this node.
+
+    Parameters
+    ----------
+    books : Books
+        Receives the entries.
+    key_ring : KeyRing
+        Verifies the keys of the entries.
+    incarnation : int
+        This node's incarnation.
+    settings : LedgerSettings
+        Bounds; inherited entries may fill the memory up to twice ``entries_max``.
+    """
+
+    def __init__(
+        self,
+        books: Books,
+        key_ring: KeyRing,
+        *,
+        incarnation: int,
+        settings: LedgerSettings,
+    ):
+        self._books = books
+        self._key_ring = key_ring
+        self._incarnation = incarnation
+        self._entries_max = 2 * settings.entries_max
+        self._staged: dict[str, dict[str, LedgerEntry]] = {}
+        self._done: dict[str, None] = {}
+
+    def is_done(self, handover_id: str) -> bool:
+        """Tell whether the hand-over was adopted by this incarnation."""
+        return bool(handover_id) and handover_id in self._done
+
+    def stage(self, handover_id: str, entries: Sequence[LedgerEntry]) -> bool:
+        """Keep a part of a hand-over; repeated parts change nothing."""
+        staged = self._staged.get(handover_id, {})
+        merged = staged | {entry.key: entry for entry in entries}
+        if self._books.count + len(merged) > self._entries_max:
+            self._staged.pop(handover_id, None)
+            return self._refuse(handover_id, "no room for the entries")
+        self._staged[handover_id] = merged
+        while len(self._staged) > STAGED_MAX:
+            # An abandoned hand-over; its sender starts again when it is refused.
+            del self._staged[next(iter(self._staged))]
+        return True
+
+    def adopt(
+        self,
+        issuer: Issuer,
+        entries: Sequence[LedgerEntry],
+        sealed: bool,
+        *,
+        handover_id: str,
+        entry_count: int | None,
+        heir_incarnation: int | None,
+    ) -> bool:
+        """Activate a hand-over; see ``Ledger.adopt``."""
+        if heir_incarnation not in (None, self._incarnation):
+            return self._refuse(handover_id, "meant for another incarnation")
+        if not self.stage(handover_id, entries):
+            return False
+        staged = self._staged[handover_id]
+        if entry_count not in (None, len(staged)):
+            return self._refuse(handover_id, "some entries are missing")
+        parsed = {key: self._key_ring.parse_any_age(key) for key in staged}
+        if not all(_belongs(issued, issuer) for issued in parsed.values()):
+            return self._refuse(handover_id, "an entry has a key of another issuer")
+        book = self._books.open(issuer, sealed=sealed)
+        for key, entry in staged.items():
+            self._books.merge(book, parsed[key], entry)
+        self._complete(handover_id)
+        log_event(
+            logger,
+            events.ADOPTED,
+            node=issuer[0],
+            incarnation=issuer[1],
+            entries=len(staged),
+            sealed=sealed,
+        )
+        return True
+
+    def _complete(self, handover_id: str) -> None:
+        del self._staged[handover_id]
+        if not handover_id:
+            return
+        self._done[handover_id] = None
+        if len(self._done) > DONE_MAX:
+            del self._done[next(iter(self._done))]
+
+    def _refuse(self, handover_id: str, cause: str) -> bool:
+        log_event(logger, events.ADOPTION_REFUSED, handover=handover_id, cause=cause)
+        return False
+
+
+def _belongs(issued: object, issuer: Issuer) -> bool:
+    return isinstance(issued, IssuedKey) and issued.issuer == issuer
--- /dev/null
+++ b/damaskproxy/ledger/retrying.py
@@ -0,0 +1,48 @@
+"""Which refusals another attempt may overcome."""
+
+from collections.abc import Sequence
+
+from damaskproxy.common import RefusalReason
+from damaskproxy.wire import Refused
+
+__all__ = ["may_retry", "never_retry"]
+
+NOT_STARTED = frozenset(
+    {
+        RefusalReason.LEAVING,
+        RefusalReason.NOT_READY,
+        RefusalReason.ISOLATED,
+        RefusalReason.STOPPING,
+        RefusalReason.BACKEND_UNREACHABLE,
+        RefusalReason.BACKEND_SHED,
+        RefusalReason.NO_BACKEND,
+    }
+)
+OVERLOAD = frozenset(
+    {
+        RefusalReason.OVERLOAD_QUEUE_FULL,
+        RefusalReason.OVERLOAD_LEVEL,
+        RefusalReason.OVERLOAD_DEADLINE,
+        RefusalReason.OVERLOAD_EARLY,
+    }
+)
+
+
+def may_retry(refusals: Sequence[Refused]) -> bool:
+    """Tell whether another attempt follows the last of `refusals`.
+
+    Parameters
+    ----------
+    refusals : sequence of Refused
+        Not-run refusals of one submission, oldest first. An overload is retried once,
+        because its cause is often common to all servers.
+    """
+    last = refusals[-1].reason
+    if last in OVERLOAD:
+        return sum(refused.reason in OVERLOAD for refused in refusals) == 1
+    return last in NOT_STARTED
+
+
+def never_retry(_refusals: Sequence[Refused]) -> bool:
+    """Leave retries to the dispatcher."""
+    return False
--- /dev/null
+++ b/damaskproxy/ledger/settings.py
@@ -0,0 +1,80 @@
+"""Settings of the ledger of non-idempotent requests."""
+
+from typing import Annotated
+
+import msgspec
+
+__all__ = ["LedgerSettings"]
+
+HOUR_MS = 3_600_000
+MINUTE_MS = 60_000
+
+Positive = msgspec.Meta(ge=1)
+
+
+class LedgerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Retention, bounds and write intervals of the ledger.
+
+    Parameters
+    ----------
+    key_lifetime_ms : int
+        Time from the issue of a key to its expiry.
+    clock_margin_ms : int
+        Records outlive their keys by this much, so that a node whose wall clock is
+        behind by less still finds them.
+    body_retention_ms : int
+        Time that the body of an answer stays in memory after completion.
+    entries_max : int
+        Records in memory; a new key beyond it is refused.
+    bodies_max_bytes : int
+        Answer headers and bodies in memory; the oldest leave first.
+    attempt_memory_ms : int
+        Time that the ids of submissions and attempts are remembered. It exceeds the
+        longest delay after which a duplicate of a frame may still arrive.
+    attempts_max : int
+        Ids remembered at once; an attempt beyond it is refused with outcome unknown.
+    flush_interval_ms : int
+        Time between two commits of outcomes. 30 s keeps 5,000 nodes at 167 commits/s.
+    flush_rows_max : int
+        Rows of one commit.
+    bucket_serials : int
+        Serial numbers that share one outcome row.
+    inline_body_max_bytes : int
+        Answers above it have an outcome row of their own.
+    pending_max : int
+        Outcomes that wait for the table.
+    pending_max_bytes : int
+        Their bodies; above it the oldest outcomes wait without body.
+    backoff_max_ms : int
+        Longest pause after failures of the table.
+    pin_timeout_ms : int
+        Time that the table may take for a caller-chosen key.
+    pin_cache_max : int
+        Resolved caller-chosen keys in memory.
+    handover_entries_max : int
+        Entries of one hand-over message.
+    handover_attempts : int
+        Tries per heir and message before the heir counts as dead.
+    handover_pause_ms : int
+        Pause before a message to an heir is repeated.
+    """
+
+    key_lifetime_ms: Annotated[int, Positive] = 24 * HOUR_MS
+    clock_margin_ms: Annotated[int, msgspec.Meta(ge=0)] = 5 * MINUTE_MS
+    body_retention_ms: Annotated[int, Positive] = 15 * MINUTE_MS
+    entries_max: Annotated[int, Positive] = 100_000
+    bodies_max_bytes: Annotated[int, Positive] = 16 << 20
+    attempt_memory_ms: Annotated[int, Positive] = 10 * MINUTE_MS
+    attempts_max: Annotated[int, Positive] = 50_000
+    flush_interval_ms: Annotated[int, Positive] = 30_000
+    flush_rows_max: Annotated[int, Positive] = 32
+    bucket_serials: Annotated[int, Positive] = 64
+    inline_body_max_bytes: Annotated[int, Positive] = 8 << 10
+    pending_max: Annotated[int, Positive] = 50_000
+    pending_max_bytes: Annotated[int, Positive] = 8 << 20
+    backoff_max_ms: Annotated[int, Positive] = 2 * MINUTE_MS
+    pin_timeout_ms: Annotated[int, Positive] = 1_000
+    pin_cache_max: Annotated[int, Positive] = 10_000
+    handover_entries_max: Annotated[int, Positive] = 500
+    handover_attempts: Annotated[int, Positive] = 5
+    handover_pause_ms: Annotated[int, Positive] = 200
