--- /dev/null
+++ b/damaskproxy/membership/neighbours.py
@@ -0,0 +1,150 @@
+"""Tasks that probe and inform the neighbours of this node."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Iterable
+
+from damaskproxy.membership.settings import MembershipSettings
+
+__all__ = ["MAX_PUSHED", "Neighbours"]
+
+# Bounds the size of one push; the rest follows with the next one.
+MAX_PUSHED = 500
+MS_PER_S = 1_000
+JITTER_SHARE = 0.1
+
+
+class Outbox:
+    """Updates that one neighbour shall receive."""
+
+    def __init__(self):
+        self._pending: dict[str, None] = {}
+        self._ready = asyncio.Event()
+
+    def add(self, node_ids: Iterable[str]) -> None:
+        """Queue the current records of some members; without any, only an exchange."""
+        self._pending.update(dict.fromkeys(node_ids))
+        self._ready.set()
+
+    async def wait(self) -> None:
+        """Wait until there is something to send."""
+        await self._ready.wait()
+
+    def take(self) -> list[str]:
+        """Return and remove what is sent next."""
+        taken = list(self._pending)[:MAX_PUSHED]
+        for node_id in taken:
+            del self._pending[node_id]
+        if not self._pending:
+            self._ready.clear()
+        return taken
+
+
+class Neighbours:
+    """Successors and links of this node, each with a task to probe and one to push.
+
+    A push does not wait behind a probe that runs into its timeout, hence two tasks.
+
+    Parameters
+    ----------
+    settings : MembershipSettings
+        Intervals.
+    select : callable
+        Returns the ids of the successors and of the links.
+    probe : callable
+        Probes a member.
+    push : callable
+        Sends some records to a member.
+    sleep : callable
+        Coroutine function that sleeps for some seconds.
+    rng : random.Random
+        Jitter of the probes.
+    """
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        *,
+        select: Callable[[], tuple[list[str], list[str]]],
+        probe: Callable[[str], Awaitable[None]],
+        push: Callable[[str, list[str]], Awaitable[None]],
+        sleep: Callable[[float], Awaitable[None]],
+        rng: random.Random,
+    ):
+        self._successor_interval_s = settings.probe_interval_ms / MS_PER_S
+        self._link_interval_s = settings.link_interval_ms / MS_PER_S
+        self._push_interval_s = settings.push_interval_ms / MS_PER_S
+        self._select = select
+        self._probe = probe
+        self._push = push
+        self._sleep = sleep
+        self._rng = rng
+        self._changed = True
+        self._successors: frozenset[str] = frozenset()
+        self._outboxes: dict[str, Outbox] = {}
+        self._tasks: dict[str, tuple[asyncio.Task, asyncio.Task]] = {}
+
+    def ring_changed(self) -> None:
+        """Select the neighbours anew at the next use."""
+        self._changed = True
+
+    def ids(self) -> list[str]:
+        """Return the ids of the current neighbours."""
+        if self._changed:
+            self._changed = False
+            self._choose()
+        return list(self._outboxes)
+
+    def _choose(self) -> None:
+        successors, links = self._select()
+        self._successors = frozenset(successors)
+        held = self._outboxes
+        self._outboxes = {
+            node_id: held.get(node_id) or Outbox() for node_id in [*successors, *links]
+        }
+
+    def push(self, node_ids: Iterable[str], source: str = "") -> None:
+        """Queue records for every neighbour but the one they came from."""
+        for neighbour in self.ids():
+            if neighbour != source:
+                self._outboxes[neighbour].add(node_ids)
+
+    def tend(self, group: asyncio.TaskGroup) -> None:
+        """Start the tasks of new neighbours and end those of former ones."""
+        wanted = self.ids()
+        for node_id in self._tasks.keys() - set(wanted):
+            for task in self._tasks.pop(node_id):
+                task.cancel()
+        for node_id in wanted:
+            if node_id not in self._tasks:
+                self._tasks[node_id] = (
+                    group.create_task(self._probe_loop(node_id)),
+                    group.create_task(
+                        self._push_loop(node_id, self._outboxes[node_id])
+                    ),
+                )
+
+    def stop(self) -> None:
+        """End all tasks."""
+        for pair in self._tasks.values():
+            for task in pair:
+                task.cancel()
+        self._tasks.clear()
+
+    def _interval_s(self, node_id: str) -> float:
+        if node_id in self._successors:
+            return self._successor_interval_s
+        return self._link_interval_s
+
+    async def _probe_loop(self, node_id: str) -> None:
+        await self._sleep(self._rng.random() * self._interval_s(node_id))
+        while True:
+            await self._probe(node_id)
+            jitter = 1 + JITTER_SHARE * (2 * self._rng.random() - 1)
+            await self._sleep(self._interval_s(node_id) * jitter)
+
+    async def _push_loop(self, node_id: str, outbox: Outbox) -> None:
+        while True:
+            await outbox.wait()
+            await self._push(node_id, outbox.take())
+            await self._sleep(self._push_interval_s)
--- /dev/null
+++ b/damaskproxy/membership/own.py
@@ -0,0 +1,91 @@
+"""The record of this node and its defence against wrong claims about it."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import replace
+
+from damaskproxy.events import log_event
+from damaskproxy.membership import events
+from damaskproxy.membership.messages import Mark, MemberRecord, Status, from_record
+from damaskproxy.world import Member
+
+__all__ = ["OwnRecord"]
+
+# Two processes with the same id would outbid each other without a pause.
+OUTBID_INTERVAL_S = 1.0
+
+_log = logging.getLogger(__name__)
+
+
+class OwnRecord:
+    """Record of this node; nobody else may change it.
+
+    Parameters
+    ----------
+    member : Member
+        First record.
+    now_s : callable
+        Monotonic clock.
+    on_change : callable
+        Called with each new record.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        *,
+        now_s: Callable[[], float],
+        on_change: Callable[[Member], None],
+    ):
+        self.member = member
+        self._now_s = now_s
+        self._on_change = on_change
+        self._outbid_s = float("-inf")
+
+    def update(self, **changes) -> None:
+        """Change fields of the record; its version rises if anything differs."""
+        changed = replace(self.member, **changes)
+        if changed != self.member:
+            self._set(replace(changed, version=changed.version + 1))
+
+    def _set(self, member: Member) -> None:
+        self.member = member
+        self._on_change(member)
+
+    def hear(self, claim: Mark | MemberRecord) -> None:
+        """React to what another node believes about this one.
+
+        A suspicion is refuted with a higher version. A claim of death, or a record of
+        another life of this node that is not older, is answered with a higher
+        incarnation.
+        """
+        own = self.member
+        if (claim.incarnation, claim.version) < own.order:
+            return
+        if claim.status is Status.ALIVE:
+            self._hear_alive(claim)
+        elif claim.status is Status.SUSPECT and claim.incarnation == own.incarnation:
+            log_event(_log, events.REFUTED, version=claim.version)
+            self._set(replace(own, version=claim.version + 1))
+        else:
+            log_event(_log, events.REJOINED, incarnation=claim.incarnation)
+            self._outbid(claim.incarnation)
+
+    def _hear_alive(self, claim: Mark | MemberRecord) -> None:
+        own = self.member
+        same_version = (claim.incarnation, claim.version) == own.order
+        if same_version and (isinstance(claim, Mark) or from_record(claim) == own):
+            return
+        now_s = self._now_s()
+        if now_s - self._outbid_s < OUTBID_INTERVAL_S:
+            return
+        self._outbid_s = now_s
+        if isinstance(claim, MemberRecord) and claim.control != (
+            own.control.host,
+            own.control.port,
+        ):
+            log_event(_log, events.SAME_NODE_ID, control=claim.control)
+        self._outbid(claim.incarnation)
+
+    def _outbid(self, incarnation: int) -> None:
+        self._set(replace(self.member, incarnation=incarnation + 1, version=0))
--- /dev/null
+++ b/damaskproxy/membership/records.py
@@ -0,0 +1,342 @@
+"""Member list of one node with its indexes and digests."""
+
+import struct
+from array import array
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from damaskproxy.membership.hashing import digest_of, ring_position
+from damaskproxy.membership.messages import (
+    BUCKET_COUNT,
+    Mark,
+    MemberRecord,
+    Status,
+    from_record,
+    to_record as encode_member,
+)
+from damaskproxy.membership.ring import Ring
+from damaskproxy.world import Member, MemberState
+
+__all__ = ["Entry", "MemberList"]
+
+BUCKET_SHIFT = 56
+KEY_FORMAT = struct.Struct(">QQB")
+MS_PER_S = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """What one node believes about a member.
+
+    Parameters
+    ----------
+    member : Member
+        Newest known record.
+    status : Status
+        Belief about the process.
+    since_s : float
+        When the status began; for a dead or stopped member, on the local clock, when
+        the first node noticed.
+    digest : int
+        Hash of the id, the version and the status.
+    """
+
+    member: Member
+    status: Status
+    since_s: float
+    digest: int
+
+    @property
+    def is_live(self) -> bool:
+        """Whether the member takes part: neither dead nor stopped."""
+        return (
+            self.status is not Status.DEAD
+            and self.member.state is not MemberState.STOPPED
+        )
+
+    @property
+    def key(self) -> tuple[int, int, int]:
+        """Order among the beliefs about one member, newest highest."""
+        return (self.member.incarnation, self.member.version, self.status)
+
+    @property
+    def mark(self) -> Mark:
+        """Version and status without the record."""
+        member = self.member
+        return Mark(member.node_id, member.incarnation, member.version, self.status)
+
+
+def _entry(member: Member, status: Status, since_s: float) -> Entry:
+    key = KEY_FORMAT.pack(member.incarnation, member.version, status)
+    return Entry(member, status, since_s, digest_of(member.node_id.encode() + key))
+
+
+def bucket_of(node_id: str) -> int:
+    """Return the number of the bucket that holds a member."""
+    return ring_position(node_id) >> BUCKET_SHIFT
+
+
+class MemberList:
+    """All known members, ordered by ``(incarnation, version, status)`` each.
+
+    Parameters
+    ----------
+    now_s : callable
+        Monotonic clock.
+    memory_s : float
+        Time for which dead and stopped members are remembered.
+    on_change : callable
+        Called with each entry that is new or replaces an older one, and the older one.
+
+    Notes
+    -----
+    A claim that a live member is dead is taken as a suspicion, with a timer of its own.
+    When two halves of the mesh meet after a partition, each has declared the other
+    dead; without this rule those claims would remove healthy members for a while.
+    """
+
+    def __init__(
+        self,
+        *,
+        now_s: Callable[[], float],
+        memory_s: float,
+        on_change: Callable[[Entry, Entry | None], None] = lambda entry, old: None,
+    ):
+        self._now_s = now_s
+        self._memory_s = memory_s
+        self._on_change = on_change
+        self._entries: dict[str, Entry] = {}
+        self._buckets: list[set[str]] = [set() for _ in range(BUCKET_COUNT)]
+        self._digests = array("Q", bytes(8 * BUCKET_COUNT))
+        self._serving: dict[str, dict[str, Member]] = {}
+        self._serving_members: dict[str, tuple[Member, ...]] = {}
+        self._live_members: tuple[Member, ...] | None = None
+        self.ring = Ring()
+        self.digest = 0
+        self.suspects: dict[str, float] = {}
+        self.gone: dict[str, float] = {}
+        self.dead: set[str] = set()
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def get(self, node_id: str) -> Entry | None:
+        """Return what is known about a member, also after its death or stop."""
+        return self._entries.get(node_id)
+
+    def live(self) -> tuple[Member, ...]:
+        """Return the members that are neither dead nor stopped."""
+        if self._live_members is None:
+            entries = self._entries.values()
+            self._live_members = tuple(e.member for e in entries if e.is_live)
+        return self._live_members
+
+    def serving(self, service: str) -> tuple[Member, ...]:
+        """Return the live members that serve a service."""
+        return self._serving_members.get(service, ())
+
+    @property
+    def stopped_count(self) -> int:
+        """Number of remembered members that left gracefully."""
+        return len(self.gone) - len(self.dead)
+
+    def dead_ids(self) -> list[str]:
+        """Return the ids of the remembered members that died without a stop."""
+        return list(self.dead)
+
+    def record(self, node_id: str) -> MemberRecord:
+        """Return the record of a known member as it is sent."""
+        entry = self._entries[node_id]
+        age_ms = 0
+        if not entry.is_live:
+            age_ms = max(0, int((self._now_s() - entry.since_s) * MS_PER_S))
+        return encode_member(entry.member, entry.status, age_ms)
+
+    def merge(self, record: MemberRecord) -> bool:
+        """Take over a record if it is news.
+
+        Parameters
+        ----------
+        record : MemberRecord
+            Record of a member other than this node.
+
+        Returns
+        -------
+        bool
+            Whether it changed the list.
+        """
+        status = record.status
+        if record.state is MemberState.STOPPED:
+            status = Status.ALIVE
+        held = self._entries.get(record.node_id)
+        if held is not None and not self._is_news(record, status, held):
+            return False
+        if held is None and record.age_ms >= self._memory_s * MS_PER_S:
+            return False
+        return self._believe(
+            from_record(record), status, held, record.age_ms / MS_PER_S
+        )
+
+    def merge_mark(self, mark: Mark) -> bool:
+        """Take over the status in `mark` if the record of that version is known."""
+        held = self._entries.get(mark.node_id)
+        if held is None or held.member.state is MemberState.STOPPED:
+            return False
+        if (mark.incarnation, mark.version) != held.member.order:
+            return False
+        if not self._is_news(mark, mark.status, held):
+            return False
+        return self._believe(held.member, mark.status, held, 0.0)
+
+    @staticmethod
+    def _is_news(claim: MemberRecord | Mark, status: Status, held: Entry) -> bool:
+        return (claim.incarnation, claim.version, status) > held.key
+
+    def _believe(
+        self, member: Member, status: Status, held: Entry | None, age_s: float
+    ) -> bool:
+        if status is Status.DEAD and held is not None and held.is_live:
+            status = Status.SUSPECT
+            if held.status is Status.SUSPECT and held.member.order == member.order:
+                return False
+        self.put(member, status, age_s)
+        return True
+
+    def put(self, member: Member, status: Status, age_s: float = 0.0) -> None:
+        """Store a record and update every index."""
+        node_id = member.node_id
+        old = self._entries.get(node_id)
+        entry = _entry(member, status, self._now_s() - age_s)
+        self._entries[node_id] = entry
+        self._index_digest(node_id, entry, old)
+        self._index_ring(node_id, entry, old)
+        self._index_serving(entry, old)
+        self._index_timers(node_id, entry)
+        self._on_change(entry, old)
+
+    def _index_digest(self, node_id: str, entry: Entry, old: Entry | None) -> None:
+        change = entry.digest ^ (old.digest if old else 0)
+        bucket = bucket_of(node_id)
+        self._digests[bucket] ^= change
+        self.digest ^= change
+        self._buckets[bucket].add(node_id)
+
+    def _index_ring(self, node_id: str, entry: Entry, old: Entry | None) -> None:
+        was_live = old is not None and old.is_live
+        if entry.is_live or was_live:
+            self._live_members = None
+        if entry.is_live and not was_live:
+            self.ring.add(node_id)
+        elif was_live and not entry.is_live:
+            self.ring.remove(node_id)
+
+    def _index_serving(self, entry: Entry, old: Entry | None) -> None:
+        if old is not None and self._serves(old):
+            self._drop_serving(old.member)
+        if self._serves(entry):
+            service = entry.member.service
+            table = self._serving.setdefault(service, {})
+            table[entry.member.node_id] = entry.member
+            self._serving_members[service] = tuple(table.values())
+
+    @staticmethod
+    def _serves(entry: Entry) -> bool:
+        return (
+            entry.is_live
+            and entry.member.state is MemberState.SERVING
+            and entry.member.service != ""
+        )
+
+    def _drop_serving(self, member: Member) -> None:
+        table = self._serving[member.service]
+        del table[member.node_id]
+        self._serving_members[member.service] = tuple(table.values())
+        if not table:
+            del self._serving[member.service]
+            del self._serving_members[member.service]
+
+    def _index_timers(self, node_id: str, entry: Entry) -> None:
+        self.suspects.pop(node_id, None)
+        self.gone.pop(node_id, None)
+        self.dead.discard(node_id)
+        if not entry.is_live:
+            self.gone[node_id] = entry.since_s
+            if entry.status is Status.DEAD:
+                self.dead.add(node_id)
+        elif entry.status is Status.SUSPECT:
+            self.suspects[node_id] = entry.since_s
+
+    def restart_suspicions(self) -> None:
+        """Give every suspect its whole time again."""
+        now_s = self._now_s()
+        for node_id in self.suspects:
+            self.suspects[node_id] = now_s
+
+    def bury(self, before_s: float) -> list[Member]:
+        """Declare dead the members that have been suspect since before `before_s`."""
+        late = [key for key, since_s in self.suspects.items() if since_s <= before_s]
+        for node_id in late:
+            self.put(self._entries[node_id].member, Status.DEAD)
+        return [self._entries[node_id].member for node_id in late]
+
+    def forget(self) -> None:
+        """Drop the members that died or stopped longer ago than they are remembered."""
+        before_s = self._now_s() - self._memory_s
+        late = [key for key, since_s in self.gone.items() if since_s <= before_s]
+        for node_id in late:
+            bucket = bucket_of(node_id)
+            digest = self._entries.pop(node_id).digest
+            self._digests[bucket] ^= digest
+            self.digest ^= digest
+            self._buckets[bucket].discard(node_id)
+            del self.gone[node_id]
+            self.dead.discard(node_id)
+
+    def bucket_digests(self) -> bytes:
+        """Return the digests of all buckets, 8 bytes each."""
+        return struct.pack(f">{BUCKET_COUNT}Q", *self._digests)
+
+    def differing_buckets(self, digests: bytes) -> list[int]:
+        """Return the buckets whose digest differs from those of a peer."""
+        if len(digests) != 8 * BUCKET_COUNT:
+            return []
+        theirs = struct.unpack(f">{BUCKET_COUNT}Q", digests)
+        return [i for i in range(BUCKET_COUNT) if theirs[i] != self._digests[i]]
+
+    def marks(self, buckets: Iterable[int]) -> list[Mark]:
+        """Return the versions of all members in some buckets."""
+        return [
+            self._entries[node_id].mark
+            for bucket in buckets
+            for node_id in self._buckets[bucket]
+        ]
+
+    def compare(
+        self, buckets: Iterable[int], marks: Iterable[Mark]
+    ) -> tuple[list[str], list[str]]:
+        """Compare the versions of a peer with the own ones.
+
+        Parameters
+        ----------
+        buckets : iterable of int
+            Buckets that are compared.
+        marks : iterable of Mark
+            All members that the peer has in these buckets.
+
+        Returns
+        -------
+        newer : list of str
+            Members of which this node knows more.
+        older : list of str
+            Members of which the peer knows more.
+        """
+        theirs = {m.node_id: (m.incarnation, m.version, m.status) for m in marks}
+        ours = {
+            node_id: self._entries[node_id].key
+            for bucket in buckets
+            for node_id in self._buckets[bucket]
+        }
+        nothing = (-1, -1, -1)
+        newer = [i for i, key in ours.items() if key > theirs.get(i, nothing)]
+        older = [i for i, key in theirs.items() if key > ours.get(i, nothing)]
+        return newer, older
