Add pins, outcome write-behind and the hand-over of ledgers

A caller-chosen key needs one issued key for the whole mesh, and the records of a node must survive its planned stop and, where possible, its crash.

Pins insert conditionally and read back after a lost answer. A hand-over stages the entries first, so that only an heir whose activation may have succeeded makes the next heir sealed. Messages name the incarnation of the heir: a restarted heir must not adopt what its predecessor has already dispatched.

--- a/damaskproxy/ledger/__init__.py
+++ b/damaskproxy/ledger/__init__.py
@@ -1,28 +1,51 @@
 """At-most-once execution of non-idempotent requests."""
 
-from damaskproxy.ledger.entries import LedgerEntry, fingerprint_of
+from damaskproxy.ledger.entries import LedgerEntry, answer_of_entry, fingerprint_of
 from damaskproxy.ledger.guard import (
     AttemptGuard,
     AttemptState,
     AttemptTicket,
     Repeated,
 )
+from damaskproxy.ledger.handover import (
+    Handover,
+    HandoverStep,
+    Heir,
+    HeirChoice,
+    hand_over,
+    receive_handover,
+)
 from damaskproxy.ledger.keys import IssuedKey, KeyRing
 from damaskproxy.ledger.ledger import Ledger
+from damaskproxy.ledger.outcomes import OutcomeUnavailable, OutcomeWriter
+from damaskproxy.ledger.pins import Pins, ScopedKeys
 from damaskproxy.ledger.retrying import may_retry, never_retry
 from damaskproxy.ledger.settings import LedgerSettings
+from damaskproxy.ledger.tables import TableErrors
 
 __all__ = [
     "AttemptGuard",
     "AttemptState",
     "AttemptTicket",
+    "Handover",
+    "HandoverStep",
+    "Heir",
+    "HeirChoice",
     "IssuedKey",
     "KeyRing",
     "Ledger",
     "LedgerEntry",
     "LedgerSettings",
+    "OutcomeUnavailable",
+    "OutcomeWriter",
+    "Pins",
     "Repeated",
+    "ScopedKeys",
+    "TableErrors",
+    "answer_of_entry",
     "fingerprint_of",
+    "hand_over",
     "may_retry",
     "never_retry",
+    "receive_handover",
 ]
--- /dev/null
+++ b/damaskproxy/ledger/attempts.py
@@ -0,0 +1,119 @@
+"""Attempts of one key, from the first dispatch to a reply that ends them."""
+
+import logging
+from collections.abc import Awaitable, Callable, Sequence
+
+import msgspec
+
+from damaskproxy.common import Outcome, Refusal, RefusalReason
+from damaskproxy.events import log_event
+from damaskproxy.ledger import events
+from damaskproxy.ledger.books import Record
+from damaskproxy.ledger.entries import refused_of
+from damaskproxy.wire import Answer, Call, Purpose, Refused
+
+__all__ = ["AttemptRunner", "Dispatch", "refuse"]
+
+Dispatch = Callable[[Call], Awaitable[Answer | Refused]]
+
+logger = logging.getLogger(__name__)
+
+
+class AttemptRunner:
+    """Dispatches a call until an attempt may have started or no retry is left.
+
+    Parameters
+    ----------
+    now_s : callable
+        Monotonic clock.
+    new_attempt_id : callable
+        Returns the id of a new attempt.
+    retry : callable
+        Tells whether another attempt follows the last of some not-run refusals.
+    """
+
+    def __init__(
+        self,
+        *,
+        now_s: Callable[[], float],
+        new_attempt_id: Callable[[], str],
+        retry: Callable[[Sequence[Refused]], bool],
+    ):
+        self._now_s = now_s
+        self._new_attempt_id = new_attempt_id
+        self._retry = retry
+
+    async def run(
+        self,
+        call: Call,
+        dispatch: Dispatch,
+        record: Record,
+        finish: Callable[[Answer | Refused], None],
+    ) -> Answer | Refused:
+        """Run the attempts of `call` and pass the last reply to `finish`."""
+        arrived_s = self._now_s()
+        start_by_s = arrived_s + min(call.start_by_ms, call.deadline_ms) / 1000
+        deadline_s = arrived_s + call.deadline_ms / 1000
+        refusals: list[Refused] = []
+        # Holds while a dispatch is in progress, in case this task is cancelled.
+        unfinished = refuse(call, RefusalReason.STOPPING, Outcome.UNKNOWN)
+        result: Answer | Refused = unfinished
+        try:
+            while True:
+                result = unfinished
+                result = await self._once(
+                    call, dispatch, record, deadline_s, start_by_s
+                )
+                if not self._retries(result, record, refusals):
+                    return result
+                record.tokens_left -= 1
+        finally:
+            finish(result)
+
+    async def _once(
+        self,
+        call: Call,
+        dispatch: Dispatch,
+        record: Record,
+        deadline_s: float,
+        start_by_s: float,
+    ) -> Answer | Refused:
+        now_s = self._now_s()
+        if now_s >= start_by_s:
+            return refuse(call, RefusalReason.START_BY_PASSED, Outcome.NOT_RUN)
+        attempt = msgspec.structs.replace(
+            call,
+            attempt_id=self._new_attempt_id(),
+            purpose=Purpose.RUN,
+            deadline_ms=_budget_ms(deadline_s - now_s),
+            start_by_ms=_budget_ms(start_by_s - now_s),
+            retry_tokens=record.tokens_left,
+        )
+        try:
+            result = await dispatch(attempt)
+        except Exception:
+            log_event(logger, events.DISPATCH_FAILED, exc_info=True)
+            result = refuse(call, RefusalReason.PEER_LOST, Outcome.UNKNOWN)
+        record.tokens_left = min(record.tokens_left, result.tokens_left)
+        return result
+
+    def _retries(
+        self, result: Answer | Refused, record: Record, refusals: list[Refused]
+    ) -> bool:
+        if isinstance(result, Answer) or result.outcome is not Outcome.NOT_RUN:
+            return False
+        refusals.append(result)
+        if record.tokens_left == 0 or record.attempt.waiters == 0:
+            return False
+        return self._retry(refusals)
+
+
+def refuse(
+    call: Call, reason: RefusalReason, outcome: Outcome, **fields: object
+) -> Refused:
+    """Return a refusal addressed to `call`."""
+    return refused_of(call, Refusal(reason, outcome, **fields))
+
+
+def _budget_ms(seconds: float) -> int:
+    return max(0, int(seconds * 1000))
--- a/damaskproxy/ledger/books.py
+++ b/damaskproxy/ledger/books.py
@@ -11,7 +11,7 @@
 from damaskproxy.ledger.settings import LedgerSettings
 from damaskproxy.wire.messages import Headers
 
-__all__ = ["Attempt", "Book", "Books", "Issuer", "Record"]
+__all__ = ["Attempt", "Book", "Books", "Issuer", "Record", "entry_of"]
 
 Issuer = tuple[str, int]
 EXPIRY_BUCKET_S = 60
@@ -48,6 +48,21 @@
         return headers + len(self.body or b"")
 
 
+def entry_of(key: str, record: Record) -> LedgerEntry:
+    """Return `record` in the form that travels."""
+    return LedgerEntry(
+        key,
+        record.fingerprint,
+        record.outcome,
+        record.completed_s,
+        record.tokens_left,
+        record.status,
+        record.headers or [],
+        record.body,
+        record.reason,
+    )
+
+
 @dataclass(slots=True, eq=False)
 class Book:
     """Records of one issuer.
--- a/damaskproxy/ledger/events.py
+++ b/damaskproxy/ledger/events.py
@@ -13,6 +13,7 @@
     "HANDED_OVER",
     "HEIR_LOST",
     "OUTCOMES_DROPPED",
+    "OUTCOMES_MALFORMED",
     "OUTCOMES_RESUMED",
     "OUTCOMES_UNAVAILABLE",
     "PIN_UNAVAILABLE",
@@ -51,6 +52,9 @@
     logging.ERROR,
     "Waiting outcomes exceeded their bound; the oldest were dropped.",
 )
+OUTCOMES_MALFORMED = define(
+    6013, "outcomes-malformed", logging.ERROR, "A row of outcomes cannot be decoded."
+)
 PIN_UNAVAILABLE = define(
     6020, "pin-unavailable", logging.WARNING, "A caller-chosen key was not resolved."
 )
--- /dev/null
+++ b/damaskproxy/ledger/handover.py
@@ -0,0 +1,253 @@
+"""Hand-over of a ledger to an heir before a planned stop."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+
+import msgspec
+
+from damaskproxy.events import log_event
+from damaskproxy.ledger import events
+from damaskproxy.ledger.books import Issuer
+from damaskproxy.ledger.entries import LedgerEntry
+from damaskproxy.ledger.ledger import Ledger
+from damaskproxy.ledger.settings import LedgerSettings
+
+__all__ = [
+    "Handover",
+    "HandoverStep",
+    "Heir",
+    "HeirChoice",
+    "hand_over",
+    "receive_handover",
+]
+
+logger = logging.getLogger(__name__)
+
+PART_MAX_BYTES = 1 << 20
+
+
+class HandoverStep(StrEnum):
+    """Step of a hand-over."""
+
+    STAGE = "stage"
+    ACTIVATE = "activate"
+
+
+class Handover(msgspec.Struct, frozen=True):
+    """Message to an heir.
+
+    Parameters
+    ----------
+    handover_id : str
+        The same in all messages about one book to one heir.
+    node_id, incarnation : str, int
+        Issuer of the keys of the book.
+    entries : list of LedgerEntry
+        A part of the book.
+    sealed : bool
+        Whether the heir answers from records only.
+    step : HandoverStep
+        Staged entries have no effect before the activation.
+    entry_count : int
+        Entries of the whole book, checked at the activation.
+    heir_incarnation : int, optional
+        Incarnation of the heir that is meant.
+    """
+
+    handover_id: str
+    node_id: str
+    incarnation: int
+    entries: list[LedgerEntry] = []
+    sealed: bool = False
+    step: HandoverStep = HandoverStep.ACTIVATE
+    entry_count: int | None = None
+    heir_incarnation: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Heir:
+    """A node that may take over, at one incarnation."""
+
+    node_id: str
+    incarnation: int
+
+
+@dataclass(frozen=True, slots=True)
+class HeirChoice:
+    """The heir that confirmed, and whether the node's own book is sealed there."""
+
+    heir: Heir
+    sealed: bool
+
+
+Send = Callable[[Heir, Handover], Awaitable[bool]]
+ChooseHeir = Callable[[frozenset[Heir]], Heir | None]
+
+
+def receive_handover(ledger: Ledger, message: Handover) -> bool:
+    """Apply a message on the heir, and tell whether it is accepted."""
+    if message.step is HandoverStep.STAGE:
+        return ledger.stage(message.handover_id, message.entries)
+    return ledger.adopt(
+        message.node_id,
+        message.incarnation,
+        message.entries,
+        message.sealed,
+        handover_id=message.handover_id,
+        entry_count=message.entry_count,
+        heir_incarnation=message.heir_incarnation,
+    )
+
+
+async def hand_over(
+    ledger: Ledger,
+    own_issuer: Issuer,
+    *,
+    choose_heir: ChooseHeir,
+    send: Send,
+    settings: LedgerSettings | None = None,
+) -> HeirChoice:
+    """Freeze `ledger`, wait for its attempts and give all its books to one heir.
+
+    Parameters
+    ----------
+    ledger : Ledger
+        Ledger of the node that stops.
+    own_issuer : tuple of str and int
+        Node id and incarnation of that node.
+    choose_heir : callable
+        Returns a candidate that is not among the given ones, None when there is none.
+    send : callable
+        Delivers a message and returns whether the heir accepted it. An exception
+        means that the heir may have accepted it.
+    settings : LedgerSettings
+        Size of messages, tries and pauses.
+
+    Returns
+    -------
+    HeirChoice
+        Only after the heir has confirmed every book; without heir it goes on trying.
+
+    Notes
+    -----
+    An heir whose activation may have succeeded holds the right to dispatch. Any other
+    heir then gets that book sealed. An heir that was lost while entries were staged
+    holds no right, and the next one gets the book unsealed.
+    """
+    settings = settings or LedgerSettings()
+    ledger.freeze()
+    await ledger.idle()
+    handover = _Procedure(ledger, send, settings)
+    tried: set[Heir] = set()
+    while True:
+        heir = choose_heir(frozenset(tried))
+        if heir is None:
+            tried.clear()
+            await asyncio.sleep(settings.handover_pause_ms / 1000)
+            continue
+        tried.add(heir)
+        if await handover.give_all(heir):
+            sealed = handover.is_sealed_for(own_issuer, heir)
+            log_event(logger, events.HANDED_OVER, heir=heir.node_id, sealed=sealed)
+            return HeirChoice(heir, sealed)
+        log_event(logger, events.HEIR_LOST, heir=heir.node_id)
+
+
+class _Procedure:
+    """Remembers which heir may hold the right to dispatch for each book."""
+
+    def __init__(self, ledger: Ledger, send: Send, settings: LedgerSettings):
+        self._ledger = ledger
+        self._send = send
+        self._settings = settings
+        self._right: dict[Issuer, Heir] = {}
+
+    def is_sealed_for(self, issuer: Issuer, heir: Heir) -> bool:
+        """Tell whether another heir may hold the right for the book."""
+        inherited_sealed = dict(self._ledger.issuers())[issuer]
+        return inherited_sealed or self._right.get(issuer, heir) != heir
+
+    async def give_all(self, heir: Heir) -> bool:
+        """Stage all books, then activate them."""
+        books = [issuer for issuer, _ in self._ledger.issuers()]
+        for issuer in books:
+            for message in self._stage_messages(issuer, heir):
+                if not await self._deliver(heir, message):
+                    return False
+        for issuer in books:
+            if not await self._activate(issuer, heir):
+                return False
+        return True
+
+    def _stage_messages(self, issuer: Issuer, heir: Heir) -> Iterable[Handover]:
+        entries = self._ledger.snapshot(issuer)
+        for part in _parts(entries, self._settings.handover_entries_max):
+            yield self._message(issuer, heir, HandoverStep.STAGE, entries=part)
+
+    async def _activate(self, issuer: Issuer, heir: Heir) -> bool:
+        message = self._message(
+            issuer,
+            heir,
+            HandoverStep.ACTIVATE,
+            entry_count=len(self._ledger.snapshot(issuer)),
+            sealed=self.is_sealed_for(issuer, heir),
+        )
+        held_before = self._right.get(issuer)
+        if not message.sealed:
+            self._right[issuer] = heir
+        answers: list[bool | None] = []
+        confirmed = await self._deliver(heir, message, answers)
+        if held_before is None and not confirmed and None not in answers:
+            # Each try was refused explicitly, so the right was never given.
+            self._right.pop(issuer, None)
+        return confirmed
+
+    def _message(
+        self, issuer: Issuer, heir: Heir, step: HandoverStep, **fields: object
+    ) -> Handover:
+        node_id, incarnation = issuer
+        handover_id = f"{node_id}/{incarnation}>{heir.node_id}/{heir.incarnation}"
+        return Handover(
+            handover_id,
+            node_id,
+            incarnation,
+            step=step,
+            heir_incarnation=heir.incarnation,
+            **fields,
+        )
+
+    async def _deliver(
+        self, heir: Heir, message: Handover, answers: list[bool | None] | None = None
+    ) -> bool:
+        answers = [] if answers is None else answers
+        for _ in range(self._settings.handover_attempts):
+            try:
+                accepted = await self._send(heir, message)
+            except Exception as error:
+                logger.debug("hand-over message to %s: %r", heir.node_id, error)
+                answers.append(None)
+                await asyncio.sleep(self._settings.handover_pause_ms / 1000)
+                continue
+            answers.append(accepted)
+            return accepted
+        return False
+
+
+def _parts(entries: list[LedgerEntry], entries_max: int) -> Iterable[list[LedgerEntry]]:
+    """Split `entries` so that no message grows beyond a megabyte without need."""
+    part: list[LedgerEntry] = []
+    size_bytes = 0
+    for entry in entries:
+        full = (
+            len(part) >= entries_max or size_bytes + entry.size_bytes > PART_MAX_BYTES
+        )
+        if part and full:
+            yield part
+            part, size_bytes = [], 0
+        part.append(entry)
+        size_bytes += entry.size_bytes
+    if part:
+        yield part
--- a/damaskproxy/ledger/inheritance.py
+++ b/damaskproxy/ledger/inheritance.py
@@ -1,7 +1,7 @@
 """Ledgers that other nodes hand over to this one."""
 
 import logging
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from damaskproxy.events import log_event
 from damaskproxy.ledger import events
@@ -29,6 +29,8 @@
         Verifies the keys of the entries.
     incarnation : int
         This node's incarnation.
+    on_outcome : callable
+        Receives the inherited answers, which the previous holder may not have written.
     settings : LedgerSettings
         Bounds; inherited entries may fill the memory up to twice ``entries_max``.
     """
@@ -40,10 +42,12 @@
         *,
         incarnation: int,
         settings: LedgerSettings,
+        on_outcome: Callable[[LedgerEntry], None],
     ):
         self._books = books
         self._key_ring = key_ring
         self._incarnation = incarnation
+        self._on_outcome = on_outcome
         self._entries_max = 2 * settings.entries_max
         self._staged: dict[str, dict[str, LedgerEntry]] = {}
         self._done: dict[str, None] = {}
@@ -89,6 +93,8 @@
         book = self._books.open(issuer, sealed=sealed)
         for key, entry in staged.items():
             self._books.merge(book, parsed[key], entry)
+            if entry.body is not None:
+                self._on_outcome(entry)
         self._complete(handover_id)
         log_event(
             logger,
--- a/damaskproxy/ledger/ledger.py
+++ b/damaskproxy/ledger/ledger.py
@@ -3,13 +3,15 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Sequence
+from functools import partial
 
 import msgspec
 
-from damaskproxy.common import DamaskError, Outcome, Refusal, RefusalReason
+from damaskproxy.common import DamaskError, Outcome, RefusalReason
 from damaskproxy.events import log_event
 from damaskproxy.ledger import events
-from damaskproxy.ledger.books import Attempt, Book, Books, Issuer, Record
+from damaskproxy.ledger.attempts import AttemptRunner, Dispatch, refuse
+from damaskproxy.ledger.books import Attempt, Book, Books, Issuer, Record, entry_of
 from damaskproxy.ledger.entries import (
     LedgerEntry,
     answer_of_entry,
@@ -22,11 +24,10 @@
 from damaskproxy.ledger.recent import RecentIds
 from damaskproxy.ledger.retrying import may_retry
 from damaskproxy.ledger.settings import LedgerSettings
-from damaskproxy.wire import Answer, Call, Purpose, Refused
+from damaskproxy.wire import Answer, Call, Refused
 
 __all__ = ["Dispatch", "Ledger", "ReadOutcome"]
 
-Dispatch = Callable[[Call], Awaitable[Answer | Refused]]
 ReadOutcome = Callable[[str], Awaitable[LedgerEntry | None]]
 
 logger = logging.getLogger(__name__)
@@ -45,7 +46,7 @@
     Parameters
     ----------
     node_id, incarnation : str, int
-        This node, the issuer of the keys of its own book.
+        This node, the issuer of its own book.
     key_ring : KeyRing
         Verifies keys.
     now_s, wall_s : callable
@@ -86,10 +87,11 @@
         self._key_ring = key_ring
         self._now_s = now_s
         self._wall_s = wall_s
-        self._new_attempt_id = new_attempt_id
         self._read_outcome = read_outcome
         self._on_outcome = on_outcome
-        self._retry = retry
+        self._runner = AttemptRunner(
+            now_s=now_s, new_attempt_id=new_attempt_id, retry=retry
+        )
         self._books = Books(now_s=now_s, wall_s=wall_s, settings=settings)
         memory_s = settings.attempt_memory_ms / 1000
         self._submissions: RecentIds[bool] = RecentIds(
@@ -102,7 +104,11 @@
         self._frozen = False
         self._books.open((node_id, incarnation), sealed=False)
         self._inheritance = Inheritance(
-            self._books, key_ring, incarnation=incarnation, settings=settings
+            self._books,
+            key_ring,
+            incarnation=incarnation,
+            settings=settings,
+            on_outcome=on_outcome,
         )
 
     async def submit(self, call: Call, dispatch: Dispatch) -> Answer | Refused:
@@ -113,8 +119,8 @@
         call : Call
             Carries an issued key; its attempt id names this submission.
         dispatch : callable
-            Sends one attempt and returns the unused retry tokens with its reply. An
-            exception counts as an attempt whose start is not ruled out.
+            Sends one attempt; its reply returns the unused retry tokens. After an
+            exception the start of the attempt is not ruled out.
 
         Returns
         -------
@@ -129,7 +135,7 @@
         if not isinstance(issued, IssuedKey):
             return refused_of(call, issued)
         if self._books.is_expired(issued):
-            return _refused(call, RefusalReason.KEY_EXPIRED, Outcome.UNKNOWN)
+            return refuse(call, RefusalReason.KEY_EXPIRED, Outcome.UNKNOWN)
         book = self._books.get(issued.issuer)
         if book is None:
             return await self._from_table(call, RefusalReason.LEDGER_LOST)
@@ -146,10 +152,7 @@
         return await self._join_or_start(call, dispatch, book, issued, record)
 
     def cancel(self, attempt_id: str) -> None:
-        """Remember that a submission was withdrawn, also before it arrives.
-
-        A submission that arrived is withdrawn by cancelling its `submit`.
-        """
+        """Withdraw a submission that has not arrived; else cancel its `submit`."""
         self._early_cancels.put(attempt_id, True, evict=True)
 
     def freeze(self) -> None:
@@ -212,7 +215,7 @@
         sealed : bool
             Whether nothing may be dispatched for these keys.
         handover_id : str
-            A repeated id changes nothing and is confirmed again.
+            An id that was adopted changes nothing and is confirmed again.
         entry_count : int, optional
             Entries in all parts; the hand-over is refused when some are missing.
         heir_incarnation : int, optional
@@ -242,7 +245,7 @@
             record.written = True
 
     def sweep(self) -> None:
-        """Drop what retention no longer covers; called every few seconds."""
+        """Drop what retention no longer covers; called each minute."""
         self._books.sweep()
 
     def stats(self) -> dict[str, int]:
@@ -252,7 +255,6 @@
             "body_bytes": self._books.body_bytes,
             "running": len(self._running),
             "submissions": len(self._submissions),
-            "books": sum(1 for _ in self._books),
         }
 
     async def _join_or_start(
@@ -271,15 +273,15 @@
             return self._full(call, Outcome.UNKNOWN)
         if self._early_cancels.get(call.attempt_id):
             outcome = Outcome.UNKNOWN if running or book.frozen else Outcome.NOT_RUN
-            return _refused(call, RefusalReason.CANCELLED, outcome)
+            return refuse(call, RefusalReason.CANCELLED, outcome)
         if running:
             return await self._wait(call, record.attempt, deadline_s, starter=False)
         if repeated:
             # The first copy was told not-run, so this copy must not run.
-            return _refused(call, RefusalReason.CANCELLED, Outcome.UNKNOWN)
+            return refuse(call, RefusalReason.CANCELLED, Outcome.UNKNOWN)
         if book.frozen:
             # The heir may have started the key already.
-            return _refused(
+            return refuse(
                 call,
                 RefusalReason.LEDGER_MOVING,
                 Outcome.UNKNOWN,
@@ -288,7 +290,7 @@
         refused = self._reserve(call, book, issued, record)
         if refused is not None:
             return refused
-        attempt = self._start(call, dispatch, book, issued.serial, deadline_s)
+        attempt = self._start(call, dispatch, book, issued.serial)
         return await self._wait(call, attempt, deadline_s, starter=True)
 
     def _reserve(
@@ -296,7 +298,7 @@
     ) -> Refused | None:
         """Make the record of an attempt, or say why none may start."""
         if min(call.deadline_ms, call.start_by_ms) == 0:
-            return _refused(call, RefusalReason.DEADLINE_PASSED, Outcome.NOT_RUN)
+            return refuse(call, RefusalReason.DEADLINE_PASSED, Outcome.NOT_RUN)
         if record is None:
             if self._books.is_full():
                 return self._full(call, Outcome.NOT_RUN)
@@ -304,87 +306,24 @@
             self._books.add(book, issued.serial, record)
             return None
         if record.tokens_left == 0:
-            return _refused(call, RefusalReason.RETRY_ALLOWANCE_SPENT, Outcome.NOT_RUN)
+            return refuse(call, RefusalReason.RETRY_ALLOWANCE_SPENT, Outcome.NOT_RUN)
         record.tokens_left -= 1
         return None
 
     def _start(
-        self, call: Call, dispatch: Dispatch, book: Book, serial: int, deadline_s: float
+        self, call: Call, dispatch: Dispatch, book: Book, serial: int
     ) -> Attempt:
         record = book.records[serial]
-        start_by_s = self._now_s() + min(call.start_by_ms, call.deadline_ms) / 1000
         record.outcome = Outcome.UNKNOWN
         record.attempt = attempt = Attempt()
+        finish = partial(self._finish, book, serial, record)
         attempt.task = asyncio.ensure_future(
-            self._run(call, dispatch, book, serial, deadline_s, start_by_s)
+            self._runner.run(call, dispatch, record, finish)
         )
         self._running.add(attempt.task)
         attempt.task.add_done_callback(self._running.discard)
         return attempt
 
-    async def _run(
-        self,
-        call: Call,
-        dispatch: Dispatch,
-        book: Book,
-        serial: int,
-        deadline_s: float,
-        start_by_s: float,
-    ) -> Answer | Refused:
-        record = book.records[serial]
-        refusals: list[Refused] = []
-        # Holds while a dispatch is in progress, in case this task is cancelled.
-        cancelled = _refused(call, RefusalReason.STOPPING, Outcome.UNKNOWN)
-        result: Answer | Refused = cancelled
-        try:
-            while True:
-                result = cancelled
-                result = await self._dispatch_once(
-                    call, dispatch, record, deadline_s, start_by_s
-                )
-                if not self._retries(result, record, refusals):
-                    return result
-                record.tokens_left -= 1
-        finally:
-            self._finish(book, serial, record, result)
-
-    async def _dispatch_once(
-        self,
-        call: Call,
-        dispatch: Dispatch,
-        record: Record,
-        deadline_s: float,
-        start_by_s: float,
-    ) -> Answer | Refused:
-        now_s = self._now_s()
-        if now_s >= start_by_s:
-            return _refused(call, RefusalReason.START_BY_PASSED, Outcome.NOT_RUN)
-        attempt = msgspec.structs.replace(
-            call,
-            attempt_id=self._new_attempt_id(),
-            purpose=Purpose.RUN,
-            deadline_ms=_budget_ms(deadline_s - now_s),
-            start_by_ms=_budget_ms(start_by_s - now_s),
-            retry_tokens=record.tokens_left,
-        )
-        try:
-            result = await dispatch(attempt)
-        except Exception:
-            log_event(logger, events.DISPATCH_FAILED, exc_info=True)
-            result = _refused(call, RefusalReason.PEER_LOST, Outcome.UNKNOWN)
-        record.tokens_left = min(record.tokens_left, result.tokens_left)
-        return result
-
-    def _retries(
-        self, result: Answer | Refused, record: Record, refusals: list[Refused]
-    ) -> bool:
-        if isinstance(result, Answer) or result.outcome is not Outcome.NOT_RUN:
-            return False
-        refusals.append(result)
-        if record.tokens_left == 0 or record.attempt.waiters == 0:
-            return False
-        return self._retry(refusals)
-
     def _finish(
         self, book: Book, serial: int, record: Record, result: Answer | Refused
     ) -> None:
@@ -414,70 +353,47 @@
         finally:
             attempt.waiters -= 1
         if not attempt.task.done():
-            return _refused(call, RefusalReason.DEADLINE_PASSED, Outcome.UNKNOWN)
+            return refuse(call, RefusalReason.DEADLINE_PASSED, Outcome.UNKNOWN)
         if attempt.task.cancelled():
-            return _refused(call, RefusalReason.STOPPING, Outcome.UNKNOWN)
+            return refuse(call, RefusalReason.STOPPING, Outcome.UNKNOWN)
         result = attempt.task.result()
         # Tokens of a key that may be sent again stay with its record.
-        tokens_left = result.tokens_left if starter and _is_run(result) else 0
+        final = starter and isinstance(result, Answer)
+        tokens_left = result.tokens_left if final else 0
         return msgspec.structs.replace(
             result, attempt_id=call.attempt_id, tokens_left=tokens_left, load=None
         )
 
     async def _recorded(self, call: Call, book: Book, serial: int) -> Answer | Refused:
         entry = self._entry(book, serial, book.records[serial])
-        if entry.body is not None:
-            return answer_of_entry(call, entry)
-        stored = await self._read(call.key)
+        stored = None if entry.body is not None else await self._read(call)
         return answer_of_entry(call, stored or entry)
 
     async def _from_table(
         self, call: Call, reason: RefusalReason | None
     ) -> Answer | Refused:
-        stored = await self._read(call.key)
+        stored = await self._read(call)
         if stored is not None:
             return answer_of_entry(call, stored)
-        return _refused(call, reason or RefusalReason.LEDGER_LOST, Outcome.UNKNOWN)
+        return refuse(call, reason or RefusalReason.LEDGER_LOST, Outcome.UNKNOWN)
 
-    async def _read(self, key: str) -> LedgerEntry | None:
+    async def _read(self, call: Call) -> LedgerEntry | None:
         try:
-            return await self._read_outcome(key)
-        except DamaskError:
+            async with asyncio.timeout(call.deadline_ms / 1000):
+                return await self._read_outcome(call.key)
+        except (DamaskError, TimeoutError):
             return None
 
     def _entry(self, book: Book, serial: int, record: Record) -> LedgerEntry:
-        return LedgerEntry(
-            self._key_ring.text_of(book.issuer, serial, record.expiry_s),
-            record.fingerprint,
-            record.outcome,
-            record.completed_s,
-            record.tokens_left,
-            record.status,
-            record.headers or [],
-            record.body,
-            record.reason,
-        )
+        key = self._key_ring.text_of(book.issuer, serial, record.expiry_s)
+        return entry_of(key, record)
 
     def _full(self, call: Call, outcome: Outcome) -> Refused:
         log_event(logger, events.ENTRIES_FULL, entries=self._books.count)
-        return _refused(
+        return refuse(
             call,
             RefusalReason.OVERLOAD_QUEUE_FULL,
             outcome,
             retry_after_ms=FULL_RETRY_AFTER_MS,
             detail="the ledger has no room for another key",
         )
-
-
-def _is_run(result: Answer | Refused) -> bool:
-    return isinstance(result, Answer)
-
-
-def _budget_ms(seconds: float) -> int:
-    return max(0, int(seconds * 1000))
-
-
-def _refused(
-    call: Call, reason: RefusalReason, outcome: Outcome, **fields: object
-) -> Refused:
-    return refused_of(call, Refusal(reason, outcome, **fields))
--- /dev/null
+++ b/damaskproxy/ledger/pins.py
@@ -0,0 +1,175 @@
+"""Caller-chosen keys: pinned in the table, or scoped by a parent attempt."""
+
+import asyncio
+import logging
+from collections import OrderedDict
+
+from damaskproxy.common import Outcome, Refusal, RefusalReason
+from damaskproxy.events import log_event
+from damaskproxy.ledger import events
+from damaskproxy.ledger.keys import KEY_PREFIX, IssuedKey, KeyRing
+from damaskproxy.ledger.settings import LedgerSettings
+from damaskproxy.ledger.tables import (
+    Table,
+    TableErrors,
+    platform_errors,
+    versions_of,
+)
+
+__all__ = ["Pins", "ScopedKeys"]
+
+logger = logging.getLogger(__name__)
+
+CHOSEN_KEY_MAX_CHARS = 200
+PIN_RETRY_AFTER_MS = 1000
+INSERT_ATTEMPTS = 3
+SCOPED_KEYS_MAX = 1000
+
+
+class Pins:
+    """Maps each caller-chosen key to one issued key for the whole mesh.
+
+    Parameters
+    ----------
+    table : Table
+        Holds ``pin/<service>/<key>``.
+    key_ring : KeyRing
+        Issues the key of a new pin and verifies the others.
+    settings : LedgerSettings
+        Timeout and size of the cache.
+    errors : TableErrors, optional
+        Exceptions of `table`; those of the platform by default.
+
+    Notes
+    -----
+    A pin is used only after the table has shown its row, so two entry nodes that pin
+    the same key at once use the same issued key. Rows never change, which is why a
+    cached pin stays valid while the table is down.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        key_ring: KeyRing,
+        *,
+        settings: LedgerSettings | None = None,
+        errors: TableErrors | None = None,
+    ):
+        settings = settings or LedgerSettings()
+        self._table = table
+        self._key_ring = key_ring
+        self._errors = errors or platform_errors()
+        self._timeout_s = settings.pin_timeout_ms / 1000
+        self._cache_max = settings.pin_cache_max
+        self._cache: OrderedDict[str, str] = OrderedDict()
+
+    async def resolve(self, service: str, key: str) -> IssuedKey | Refusal:
+        """Return the issued key that stands for `key` of `service`.
+
+        Returns
+        -------
+        IssuedKey or Refusal
+            ``pin-unavailable`` carries the outcome unknown, because an earlier send
+            under the same key may have run.
+        """
+        if key.startswith(KEY_PREFIX):
+            return self._key_ring.parse(key)
+        if not _is_valid(key):
+            return Refusal(
+                RefusalReason.KEY_INVALID,
+                Outcome.NOT_RUN,
+                detail=f"keys have 1 to {CHOSEN_KEY_MAX_CHARS} visible characters",
+            )
+        row_key = f"pin/{service}/{key}"
+        pinned = self._cache.get(row_key) or await self._pin(row_key)
+        if pinned is None:
+            return Refusal(
+                RefusalReason.PIN_UNAVAILABLE,
+                Outcome.UNKNOWN,
+                PIN_RETRY_AFTER_MS,
+                "the table that maps chosen keys is unavailable",
+            )
+        self._remember(row_key, pinned)
+        return self._key_ring.parse(pinned)
+
+    async def _pin(self, row_key: str) -> str | None:
+        offered = self._key_ring.issue_key().text
+        try:
+            async with asyncio.timeout(self._timeout_s):
+                return await self._insert(row_key, offered)
+        except self._errors.all as error:
+            log_event(logger, events.PIN_UNAVAILABLE, cause=type(error).__name__)
+            return None
+
+    async def _insert(self, row_key: str, offered: str) -> str:
+        """Insert `offered` unless the row exists, and return what the row holds.
+
+        After a lost answer the row is read back. When it is absent, the insert may
+        still be on its way, so the same value is offered again: either copy may win.
+        """
+        for _ in range(INSERT_ATTEMPTS):
+            try:
+                result = await self._table.commit(
+                    {row_key: 0}, {row_key: offered.encode()}
+                )
+            except self._errors.unknown:
+                rows = await self._table.read([row_key])
+            else:
+                if versions_of(result) is not None:
+                    return offered
+                rows = result.rows
+            if row_key in rows:
+                return rows[row_key].value.decode()
+        raise self._errors.unknown("the pin was neither written nor found")
+
+    def _remember(self, row_key: str, pinned: str) -> None:
+        self._cache[row_key] = pinned
+        self._cache.move_to_end(row_key)
+        if len(self._cache) > self._cache_max:
+            self._cache.popitem(last=False)
+
+
+class ScopedKeys:
+    """Keys of calls that a backend server makes while it runs one attempt.
+
+    Parameters
+    ----------
+    key_ring : KeyRing
+        Issues the keys; their ledger is this node.
+
+    Notes
+    -----
+    The parent attempt runs at most once and only beside this node, so the mapping
+    needs no table. A call whose parent attempt has ended must be refused by the
+    caller of this class, because its mapping is forgotten.
+    """
+
+    def __init__(self, key_ring: KeyRing):
+        self._key_ring = key_ring
+        self._scopes: dict[str, dict[tuple[str, str], IssuedKey]] = {}
+
+    def resolve(self, parent_id: str, service: str, key: str) -> IssuedKey | Refusal:
+        """Return the issued key for `key` of `service` within the attempt."""
+        if not _is_valid(key):
+            return Refusal(RefusalReason.KEY_INVALID, Outcome.NOT_RUN)
+        scope = self._scopes.setdefault(parent_id, {})
+        known = scope.get((service, key))
+        if known is not None:
+            return known
+        if len(scope) >= SCOPED_KEYS_MAX:
+            return Refusal(
+                RefusalReason.KEY_INVALID,
+                Outcome.NOT_RUN,
+                detail=f"one request may use {SCOPED_KEYS_MAX} keys",
+            )
+        scope[service, key] = self._key_ring.issue_key()
+        return scope[service, key]
+
+    def forget(self, parent_id: str) -> None:
+        """Drop the keys of an attempt that has ended."""
+        self._scopes.pop(parent_id, None)
+
+
+def _is_valid(key: str) -> bool:
+    printable = key.isascii() and key.isprintable() and " " not in key
+    return 0 < len(key) <= CHOSEN_KEY_MAX_CHARS and printable
--- a/damaskproxy/ledger/settings.py
+++ b/damaskproxy/ledger/settings.py
@@ -47,6 +47,8 @@
         Their bodies; above it the oldest outcomes wait without body.
     backoff_max_ms : int
         Longest pause after failures of the table.
+    table_timeout_ms : int
+        Time that one batch of outcomes may take.
     pin_timeout_ms : int
         Time that the table may take for a caller-chosen key.
     pin_cache_max : int
@@ -73,6 +75,7 @@
     pending_max: Annotated[int, Positive] = 50_000
     pending_max_bytes: Annotated[int, Positive] = 8 << 20
     backoff_max_ms: Annotated[int, Positive] = 2 * MINUTE_MS
+    table_timeout_ms: Annotated[int, Positive] = 10_000
     pin_timeout_ms: Annotated[int, Positive] = 1_000
     pin_cache_max: Annotated[int, Positive] = 10_000
     handover_entries_max: Annotated[int, Positive] = 500
--- a/damaskproxy/ledger/tests/support.py
+++ b/damaskproxy/ledger/tests/support.py
@@ -5,12 +5,14 @@
 from dataclasses import dataclass
 
 from damaskproxy.common import Outcome, RefusalReason, new_attempt_id
-from damaskproxy.ledger import KeyRing, Ledger, LedgerSettings
+from damaskproxy.ledger import KeyRing, Ledger, LedgerSettings, TableErrors
 from damaskproxy.wire import Answer, Call, Purpose, Refused
 
 __all__ = [
+    "ERRORS",
     "SECRET",
     "WALL_START_S",
+    "FakeTable",
     "Node",
     "answer",
     "call_of",
@@ -91,3 +93,87 @@
 
     def wall_s(self):
         return WALL_START_S + self.wall_offset_s + now_s()
+
+
+class TableUnavailable(Exception):
+    """The request was not applied."""
+
+
+class TableUnknown(Exception):
+    """The answer was lost; the request may be applied."""
+
+
+ERRORS = TableErrors(TableUnavailable, TableUnknown)
+
+
+@dataclass(frozen=True)
+class Row:
+    value: bytes
+    version: int
+
+
+@dataclass(frozen=True)
+class Committed:
+    versions: dict
+
+
+@dataclass(frozen=True)
+class Conflict:
+    rows: dict
+
+
+class FakeTable:
+    """In-memory table that follows a list of faults, one per operation.
+
+    A fault is None, ``down``, ``slow`` (10 min), ``lost`` (answer lost after the
+    commit), ``dropped`` (answer lost, commit not applied) or ``late`` (the answer is
+    lost at once and the commit is applied by `apply_late`).
+    """
+
+    def __init__(self, *faults):
+        self.rows = {}
+        self.faults = list(faults)
+        self.down = False
+        self.operations = []
+        self.late = []
+
+    async def read(self, keys):
+        await self._meet_fault("read")
+        return {key: self.rows[key] for key in keys if key in self.rows}
+
+    async def commit(self, checks, puts):
+        fault = await self._meet_fault("commit")
+        if fault == "late":
+            self.late.append((checks, puts))
+            raise TableUnknown
+        if fault == "dropped":
+            raise TableUnknown
+        result = self._apply(checks, puts)
+        if fault == "lost":
+            raise TableUnknown
+        return result
+
+    def apply_late(self):
+        for checks, puts in self.late:
+            self._apply(checks, puts)
+
+    async def _meet_fault(self, operation):
+        self.operations.append((now_s(), operation))
+        fault = self.faults.pop(0) if self.faults else None
+        if self.down or fault == "down":
+            raise TableUnavailable
+        if fault == "slow":
+            await asyncio.sleep(600)
+        return fault
+
+    def _apply(self, checks, puts):
+        found = {key: self.rows[key] for key in checks if key in self.rows}
+        if any(
+            version != (found[key].version if key in found else 0)
+            for key, version in checks.items()
+        ):
+            return Conflict(found)
+        for key, value in puts.items():
+            version = self.rows[key].version if key in self.rows else 0
+            self.rows[key] = Row(value, version + 1)
+        return Committed({key: self.rows[key].version for key in puts})
--- /dev/null
+++ b/damaskproxy/ledger/tests/test_guard.py
@@ -0,0 +1,105 @@
+"""The target node says not-run only of an attempt that will never run."""
+
+import unittest
+
+import msgspec
+from nose2.tools import params
+
+from damaskproxy.ledger import AttemptGuard, LedgerSettings, Repeated
+from damaskproxy.ledger.tests.support import answer, call_of, not_run
+from damaskproxy.wire import Refused
+
+FULL = "overload-queue-full/unknown"
+
+
+def shown(result):
+    if isinstance(result, Refused):
+        return f"{result.reason}/{result.outcome}"
+    return {Repeated: "repeated", type(None): "started"}.get(type(result), "waiting")
+
+
+class Target:
+    """Runs a list of steps and notes what each returned."""
+
+    def __init__(self, idempotent, attempts_max):
+        self.clock_s = 0.0
+        settings = LedgerSettings(attempts_max=attempts_max)
+        self.guard = AttemptGuard(now_s=lambda: self.clock_s, settings=settings)
+        call = call_of("key", "a")
+        self.call = msgspec.structs.replace(call, idempotent=idempotent)
+        self.ticket = None
+
+    def step(self, name):
+        if name == "arrive" or name == "arrive b":
+            attempt_id = "b" if name == "arrive b" else "a"
+            result = self.guard.arrived(
+                msgspec.structs.replace(self.call, attempt_id=attempt_id)
+            )
+            if shown(result) == "waiting":
+                self.ticket = result
+            return shown(result)
+        if name == "start":
+            return shown(self.guard.start(self.ticket))
+        if name == "cancel":
+            return str(self.guard.cancel("a"))
+        if name == "refuse":
+            return shown(self.guard.refuse(self.ticket, not_run(self.call)))
+        if name == "answer":
+            return str(self.guard.finished(self.ticket, answer(self.call)))
+        if name == "not started":
+            return str(self.guard.finished(self.ticket, not_run(self.call)))
+        self.clock_s += float(name)
+        return "waited"
+
+
+class GuardTests(unittest.TestCase):
+    """Guards against a run after a not-run, and against a second run of one attempt."""
+
+    @params(
+        ("normal", "arrive start answer", "waiting started None"),
+        ("copy while waiting", "arrive arrive", "waiting repeated"),
+        ("copy while running", "arrive start arrive", "waiting started repeated"),
+        ("copy after the answer", "arrive start answer arrive", "- - - repeated"),
+        ("copy after a refusal", "arrive refuse arrive", "- - leaving/not-run"),
+        (
+            "copy after not-started",
+            "arrive start not_started arrive",
+            "- - - leaving/not-run",
+        ),
+        ("late", "arrive 1.0 start", "- - start-by-passed/not-run"),
+        (
+            "copy of a late one",
+            "arrive 1 start arrive",
+            "- - - start-by-passed/not-run",
+        ),
+        (
+            "cancel first",
+            "cancel arrive arrive",
+            "None cancelled/not-run cancelled/not-run",
+        ),
+        (
+            "cancel while waiting",
+            "arrive cancel start",
+            "- cancelled cancelled/not-run",
+        ),
+        ("cancel after start", "arrive start cancel answer", "- - started None"),
+        ("cancel after refusal", "arrive refuse cancel", "- - ended"),
+        ("remembered 10 min", "arrive start answer 599 arrive", "- - - - repeated"),
+        ("bound", "arrive arrive_b arrive", f"- {FULL} repeated"),
+        ("cancel is remembered at the bound", "arrive_b cancel arrive", f"- - {FULL}"),
+        ("idempotent copy", "arrive arrive", "waiting waiting", True),
+        ("idempotent cancelled", "cancel arrive", "None cancelled/not-run", True),
+    )
+    def test_steps(self, _name, steps, results, idempotent=False):
+        target = Target(idempotent, attempts_max=1)
+        for step, expected in zip(steps.split(), results.split(), strict=True):
+            seen = target.step(step.replace("_", " "))
+            if expected != "-":
+                self.assertEqual(seen, expected, step)
+
+    def test_starts_once(self):
+        target = Target(idempotent=False, attempts_max=9)
+        target.step("arrive")
+        target.step("start")
+        with self.assertRaises(ValueError):
+            target.step("start")
