--- /dev/null
+++ b/damaskproxy/ledger/ledger.py
@@ -0,0 +1,399 @@
+"""The ledger: at most one execution per idempotency key."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable, Sequence
+from functools import partial
+
+import msgspec
+
+from damaskproxy.common import DamaskError, Outcome, RefusalReason
+from damaskproxy.events import log_event
+from damaskproxy.ledger import events
+from damaskproxy.ledger.attempts import AttemptRunner, Dispatch, refuse
+from damaskproxy.ledger.books import Attempt, Book, Books, Issuer, Record, entry_of
+from damaskproxy.ledger.entries import (
+    LedgerEntry,
+    answer_of_entry,
+    fingerprint_of,
+    mismatch,
+    refused_of,
+)
+from damaskproxy.ledger.inheritance import Inheritance
+from damaskproxy.ledger.keys import IssuedKey, KeyRing
+from damaskproxy.ledger.recent import RecentIds
+from damaskproxy.ledger.retrying import may_retry
+from damaskproxy.ledger.settings import LedgerSettings
+from damaskproxy.wire import Answer, Call, Refused
+
+__all__ = ["Dispatch", "Ledger", "ReadOutcome"]
+
+ReadOutcome = Callable[[str], Awaitable[LedgerEntry | None]]
+
+logger = logging.getLogger(__name__)
+
+MOVING_RETRY_AFTER_MS = 200
+FULL_RETRY_AFTER_MS = 1000
+
+
+async def _read_nothing(_key: str) -> LedgerEntry | None:
+    return None
+
+
+class Ledger:
+    """Ledger of this node and of the ledgers it inherited.
+
+    Parameters
+    ----------
+    node_id, incarnation : str, int
+        This node, the issuer of its own book.
+    key_ring : KeyRing
+        Verifies keys.
+    now_s, wall_s : callable
+        Monotonic and Unix time in seconds.
+    new_attempt_id : callable
+        Returns the id of a new attempt.
+    settings : LedgerSettings
+        Retention and bounds.
+    read_outcome : callable
+        ``OutcomeWriter.read``: returns what the table knows about a key.
+    on_outcome : callable
+        ``OutcomeWriter.add``: receives the entry of each request that has run.
+    retry : callable
+        Tells whether another attempt follows a refusal that started nothing. A
+        composition whose dispatcher retries by itself passes ``never_retry``.
+
+    Notes
+    -----
+    The outcome of a reply speaks about the key over all its submissions. Not-run is
+    said only while no attempt of the key can have started.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        incarnation: int,
+        *,
+        key_ring: KeyRing,
+        now_s: Callable[[], float],
+        wall_s: Callable[[], float],
+        new_attempt_id: Callable[[], str],
+        settings: LedgerSettings | None = None,
+        read_outcome: ReadOutcome = _read_nothing,
+        on_outcome: Callable[[LedgerEntry], None] = lambda entry: None,
+        retry: Callable[[Sequence[Refused]], bool] = may_retry,
+    ):
+        self._settings = settings = settings or LedgerSettings()
+        self._key_ring = key_ring
+        self._now_s = now_s
+        self._wall_s = wall_s
+        self._read_outcome = read_outcome
+        self._on_outcome = on_outcome
+        self._runner = AttemptRunner(
+            now_s=now_s, new_attempt_id=new_attempt_id, retry=retry
+        )
+        self._books = Books(now_s=now_s, wall_s=wall_s, settings=settings)
+        memory_s = settings.attempt_memory_ms / 1000
+        self._submissions: RecentIds[bool] = RecentIds(
+            memory_s, settings.attempts_max, now_s=now_s
+        )
+        self._early_cancels: RecentIds[bool] = RecentIds(
+            memory_s, settings.attempts_max, now_s=now_s
+        )
+        self._running: set[asyncio.Task] = set()
+        self._frozen = False
+        self._books.open((node_id, incarnation), sealed=False)
+        self._inheritance = Inheritance(
+            self._books,
+            key_ring,
+            incarnation=incarnation,
+            settings=settings,
+            on_outcome=on_outcome,
+        )
+
+    async def submit(self, call: Call, dispatch: Dispatch) -> Answer | Refused:
+        """Run `call` at most once, or return what is known about its key.
+
+        Parameters
+        ----------
+        call : Call
+            Carries an issued key; its attempt id names this submission.
+        dispatch : callable
+            Sends one attempt; its reply returns the unused retry tokens. After an
+            exception the start of the attempt is not ruled out.
+
+        Returns
+        -------
+        Answer or Refused
+            Addressed to the attempt id of `call`.
+
+        Notes
+        -----
+        When the submission is cancelled or its deadline passes, the attempt goes on.
+        """
+        issued = self._key_ring.parse_any_age(call.key)
+        if not isinstance(issued, IssuedKey):
+            return refused_of(call, issued)
+        if self._books.is_expired(issued):
+            return refuse(call, RefusalReason.KEY_EXPIRED, Outcome.UNKNOWN)
+        book = self._books.get(issued.issuer)
+        if book is None:
+            return await self._from_table(call, RefusalReason.LEDGER_LOST)
+        record = book.records.get(issued.serial)
+        if record is not None and record.fingerprint != fingerprint_of(call):
+            return mismatch(call)
+        if record is not None and record.attempt is None:
+            if record.outcome is Outcome.RUN:
+                return await self._recorded(call, book, issued.serial)
+            if record.outcome is Outcome.UNKNOWN:
+                return await self._from_table(call, record.reason)
+        if book.sealed:
+            return await self._from_table(call, RefusalReason.LEDGER_LOST)
+        return await self._join_or_start(call, dispatch, book, issued, record)
+
+    def cancel(self, attempt_id: str) -> None:
+        """Withdraw a submission that has not arrived; else cancel its `submit`."""
+        self._early_cancels.put(attempt_id, True, evict=True)
+
+    def freeze(self) -> None:
+        """Start no attempt for any key from now on; running attempts go on."""
+        if self._frozen:
+            return
+        self._frozen = True
+        for book in self._books:
+            book.frozen = True
+        log_event(logger, events.FROZEN, entries=self._books.count)
+
+    async def idle(self) -> None:
+        """Wait until no attempt runs."""
+        while self._running:
+            await asyncio.wait(self._running)
+
+    def running(self) -> int:
+        """Return the number of attempts that run."""
+        return len(self._running)
+
+    def issuers(self) -> list[tuple[Issuer, bool]]:
+        """Return the issuers of the books held here, and whether each is sealed."""
+        return [(book.issuer, book.sealed) for book in self._books]
+
+    def snapshot(self, issuer: Issuer | None = None) -> list[LedgerEntry]:
+        """Return the entries of one book or of all.
+
+        A running attempt appears with outcome unknown.
+        """
+        return [
+            self._entry(book, serial, record)
+            for book in self._books
+            if issuer in (None, book.issuer)
+            for serial, record in book.records.items()
+        ]
+
+    def stage(self, handover_id: str, entries: Sequence[LedgerEntry]) -> bool:
+        """Keep entries of a hand-over that is not activated yet."""
+        return not self._frozen and self._inheritance.stage(handover_id, entries)
+
+    def adopt(
+        self,
+        node_id: str,
+        incarnation: int,
+        entries: Sequence[LedgerEntry],
+        sealed: bool,
+        *,
+        handover_id: str = "",
+        entry_count: int | None = None,
+        heir_incarnation: int | None = None,
+    ) -> bool:
+        """Take over the ledger of another node, and tell whether it is held here.
+
+        Parameters
+        ----------
+        node_id, incarnation : str, int
+            Issuer of the keys.
+        entries : sequence of LedgerEntry
+            The entries, or the last part of them after `stage`.
+        sealed : bool
+            Whether nothing may be dispatched for these keys.
+        handover_id : str
+            An id that was adopted changes nothing and is confirmed again.
+        entry_count : int, optional
+            Entries in all parts; the hand-over is refused when some are missing.
+        heir_incarnation : int, optional
+            Incarnation of this node that the sender means. A message that reaches a
+            later incarnation is refused: its entries are older than what the earlier
+            incarnation has dispatched.
+        """
+        if self._inheritance.is_done(handover_id):
+            return True
+        if self._frozen:
+            return False
+        return self._inheritance.adopt(
+            (node_id, incarnation),
+            entries,
+            sealed,
+            handover_id=handover_id,
+            entry_count=entry_count,
+            heir_incarnation=heir_incarnation,
+        )
+
+    def mark_written(self, key: str) -> None:
+        """Note that the table holds the answer of `key`, so its body may be dropped."""
+        issued = self._key_ring.parse_any_age(key)
+        book = self._books.get(issued.issuer) if issued else None
+        record = book.records.get(issued.serial) if book else None
+        if record is not None:
+            record.written = True
+
+    def sweep(self) -> None:
+        """Drop what retention no longer covers; called each minute."""
+        self._books.sweep()
+
+    def stats(self) -> dict[str, int]:
+        """Return the figures of ``/status``."""
+        return {
+            "entries": self._books.count,
+            "body_bytes": self._books.body_bytes,
+            "running": len(self._running),
+            "submissions": len(self._submissions),
+        }
+
+    async def _join_or_start(
+        self,
+        call: Call,
+        dispatch: Dispatch,
+        book: Book,
+        issued: IssuedKey,
+        record: Record | None,
+    ) -> Answer | Refused:
+        deadline_s = self._now_s() + call.deadline_ms / 1000
+        running = record is not None and record.attempt is not None
+        repeated = self._submissions.get(call.attempt_id)
+        if not repeated and not self._submissions.put(call.attempt_id, True):
+            # Without memory of this submission a duplicate of it could run later.
+            return self._full(call, Outcome.UNKNOWN)
+        if self._early_cancels.get(call.attempt_id):
+            outcome = Outcome.UNKNOWN if running or book.frozen else Outcome.NOT_RUN
+            return refuse(call, RefusalReason.CANCELLED, outcome)
+        if running:
+            return await self._wait(call, record.attempt, deadline_s, starter=False)
+        if repeated:
+            # The first copy was told not-run, so this copy must not run.
+            return refuse(call, RefusalReason.CANCELLED, Outcome.UNKNOWN)
+        if book.frozen:
+            # The heir may have started the key already.
+            return refuse(
+                call,
+                RefusalReason.LEDGER_MOVING,
+                Outcome.UNKNOWN,
+                retry_after_ms=MOVING_RETRY_AFTER_MS,
+            )
+        refused = self._reserve(call, book, issued, record)
+        if refused is not None:
+            return refused
+        attempt = self._start(call, dispatch, book, issued.serial)
+        return await self._wait(call, attempt, deadline_s, starter=True)
+
+    def _reserve(
+        self, call: Call, book: Book, issued: IssuedKey, record: Record | None
+    ) -> Refused | None:
+        """Make the record of an attempt, or say why none may start."""
+        if min(call.deadline_ms, call.start_by_ms) == 0:
+            return refuse(call, RefusalReason.DEADLINE_PASSED, Outcome.NOT_RUN)
+        if record is None:
+            if self._books.is_full():
+                return self._full(call, Outcome.NOT_RUN)
+            record = Record(fingerprint_of(call), issued.expiry_s, call.retry_tokens)
+            self._books.add(book, issued.serial, record)
+            return None
+        if record.tokens_left == 0:
+            return refuse(call, RefusalReason.RETRY_ALLOWANCE_SPENT, Outcome.NOT_RUN)
+        record.tokens_left -= 1
+        return None
+
+    def _start(
+        self, call: Call, dispatch: Dispatch, book: Book, serial: int
+    ) -> Attempt:
+        record = book.records[serial]
+        record.outcome = Outcome.UNKNOWN
+        record.attempt = attempt = Attempt()
+        finish = partial(self._finish, book, serial, record)
+        attempt.task = asyncio.ensure_future(
+            self._runner.run(call, dispatch, record, finish)
+        )
+        self._running.add(attempt.task)
+        attempt.task.add_done_callback(self._running.discard)
+        return attempt
+
+    def _finish(
+        self, book: Book, serial: int, record: Record, result: Answer | Refused
+    ) -> None:
+        record.attempt = None
+        record.completed_s = self._wall_s()
+        if isinstance(result, Refused):
+            record.outcome = result.outcome
+            record.reason = result.reason
+            return
+        record.outcome = Outcome.RUN
+        record.reason = None
+        record.status = result.status
+        record.headers, record.body = result.headers, result.body
+        self._books.keep_body(record)
+        entry = self._entry(book, serial, record)
+        self._on_outcome(
+            msgspec.structs.replace(entry, headers=result.headers, body=result.body)
+        )
+
+    async def _wait(
+        self, call: Call, attempt: Attempt, deadline_s: float, *, starter: bool
+    ) -> Answer | Refused:
+        attempt.waiters += 1
+        try:
+            timeout_s = max(0.0, deadline_s - self._now_s())
+            await asyncio.wait({attempt.task}, timeout=timeout_s)
+        finally:
+            attempt.waiters -= 1
+        if not attempt.task.done():
+            return refuse(call, RefusalReason.DEADLINE_PASSED, Outcome.UNKNOWN)
+        if attempt.task.cancelled():
+            return refuse(call, RefusalReason.STOPPING, Outcome.UNKNOWN)
+        result = attempt.task.result()
+        # Tokens of a key that may be sent again stay with its record.
+        final = starter and isinstance(result, Answer)
+        tokens_left = result.tokens_left if final else 0
+        return msgspec.structs.replace(
+            result, attempt_id=call.attempt_id, tokens_left=tokens_left, load=None
+        )
+
+    async def _recorded(self, call: Call, book: Book, serial: int) -> Answer | Refused:
+        entry = self._entry(book, serial, book.records[serial])
+        stored = None if entry.body is not None else await self._read(call)
+        return answer_of_entry(call, stored or entry)
+
+    async def _from_table(
+        self, call: Call, reason: RefusalReason | None
+    ) -> Answer | Refused:
+        stored = await self._read(call)
+        if stored is not None:
+            return answer_of_entry(call, stored)
+        return refuse(call, reason or RefusalReason.LEDGER_LOST, Outcome.UNKNOWN)
+
+    async def _read(self, call: Call) -> LedgerEntry | None:
+        try:
+            async with asyncio.timeout(call.deadline_ms / 1000):
+                return await self._read_outcome(call.key)
+        except (DamaskError, TimeoutError):
+            return None
+
+    def _entry(self, book: Book, serial: int, record: Record) -> LedgerEntry:
+        key = self._key_ring.text_of(book.issuer, serial, record.expiry_s)
+        return entry_of(key, record)
+
+    def _full(self, call: Call, outcome: Outcome) -> Refused:
+        log_event(logger, events.ENTRIES_FULL, entries=self._books.count)
+        return refuse(
+            call,
+            RefusalReason.OVERLOAD_QUEUE_FULL,
+            outcome,
+            retry_after_ms=FULL_RETRY_AFTER_MS,
+            detail="the ledger has no room for another key",
+        )
