--- /dev/null
+++ b/damaskproxy/history/recorder.py
@@ -0,0 +1,212 @@
+"""Recorder of what callers sent, what they were told and what ran."""
+
+import hashlib
+import itertools
+import time
+from collections.abc import Callable, Iterator
+from enum import StrEnum
+from pathlib import Path
+from typing import BinaryIO
+
+import msgspec
+
+from damaskproxy.common import DamaskError, Outcome
+
+__all__ = [
+    "HistoryError",
+    "HistoryEvent",
+    "Kind",
+    "Recorder",
+    "digest_of",
+    "read_history",
+]
+
+DIGEST_BYTES = 8
+
+_encoder = msgspec.json.Encoder()
+
+
+class HistoryError(DamaskError):
+    """A line of a history that cannot be decoded."""
+
+
+class Kind(StrEnum):
+    """What happened."""
+
+    SENT = "sent"
+    TOLD = "told"
+    RAN = "ran"
+    FINISHED = "finished"
+    CUT = "cut"
+
+
+class HistoryEvent(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One event.
+
+    Parameters
+    ----------
+    kind : Kind
+        What happened.
+    time_s : float
+        When, on the clock of the recorder.
+    key : str
+        Identity of the request, the same in all its sends.
+    send : str
+        One send of the request by its caller.
+    caller : str
+        Who sent it or was told.
+    attempt : str
+        Attempt id that the backend server received.
+    run : str
+        One execution by a backend server.
+    request, answer : str
+        Digests, see `digest_of`.
+    outcome : Outcome, optional
+        What a refused caller was told; None for an answer.
+    idempotent : bool
+        Whether a second run is allowed.
+    complete : bool
+        Whether the whole answer arrived.
+    detail : str
+        Reason of a refusal or place of a cut.
+    """
+
+    kind: Kind
+    time_s: float
+    key: str
+    send: str = ""
+    caller: str = ""
+    attempt: str = ""
+    run: str = ""
+    request: str = ""
+    answer: str = ""
+    outcome: Outcome | None = None
+    idempotent: bool = False
+    complete: bool = True
+    detail: str = ""
+
+
+_decoder = msgspec.json.Decoder(HistoryEvent)
+
+
+class Recorder:
+    """Records events in memory or as JSON lines.
+
+    Parameters
+    ----------
+    stream : binary file, optional
+        Receives one JSON object a line; without it the events stay in `events`.
+    now_s : callable
+        Clock that all recorders of a history share. The default is the Unix time,
+        which the processes of one machine have in common.
+    name : str
+        Prefix of run ids, unique among the recorders of a history.
+    """
+
+    def __init__(
+        self,
+        stream: BinaryIO | None = None,
+        *,
+        now_s: Callable[[], float] = time.time,
+        name: str = "run",
+    ):
+        self._stream = stream
+        self._now_s = now_s
+        self._name = name
+        self._runs = itertools.count(1)
+        self.events: list[HistoryEvent] = []
+
+    def sent(
+        self,
+        key: str,
+        *,
+        send: str,
+        caller: str = "",
+        request: bytes = b"",
+        idempotent: bool = False,
+    ) -> None:
+        """Record a send, before the first byte leaves."""
+        self._record(
+            Kind.SENT,
+            key,
+            send=send,
+            caller=caller,
+            request=digest_of(request),
+            idempotent=idempotent,
+        )
+
+    def told(
+        self,
+        key: str,
+        *,
+        send: str,
+        caller: str = "",
+        answer: bytes | None = None,
+        outcome: Outcome | str | None = None,
+        complete: bool = True,
+        detail: str = "",
+    ) -> None:
+        """Record what a caller was told: an `answer`, or an `outcome` without one."""
+        if (answer is None) == (outcome is None):
+            raise ValueError("a caller is told either an answer or an outcome")
+        self._record(
+            Kind.TOLD,
+            key,
+            send=send,
+            caller=caller,
+            answer="" if answer is None else digest_of(answer),
+            outcome=None if outcome is None else Outcome(outcome),
+            complete=complete,
+            detail=detail,
+        )
+
+    def ran(self, key: str, *, attempt: str = "", request: bytes = b"") -> str:
+        """Record the start of an execution and return its run id."""
+        run = f"{self._name}-{next(self._runs)}"
+        self._record(
+            Kind.RAN, key, attempt=attempt, run=run, request=digest_of(request)
+        )
+        return run
+
+    def finished(self, key: str, run: str, *, answer: bytes) -> None:
+        """Record the answer of an execution."""
+        self._record(Kind.FINISHED, key, run=run, answer=digest_of(answer))
+
+    def cut(
+        self, key: str, *, send: str = "", caller: str = "", detail: str = ""
+    ) -> None:
+        """Record that a request in flight was interrupted without an answer."""
+        self._record(Kind.CUT, key, send=send, caller=caller, detail=detail)
+
+    def _record(self, kind: Kind, key: str, **fields: object) -> None:
+        event = HistoryEvent(kind, self._now_s(), key, **fields)
+        if self._stream is None:
+            self.events.append(event)
+            return
+        # One unbuffered write per line keeps the lines of a killed process whole.
+        self._stream.write(_encoder.encode(event) + b"\n")
+        self._stream.flush()
+
+
+def digest_of(data: bytes) -> str:
+    """Return the digest under which requests and answers are compared."""
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
+
+
+def read_history(path: Path) -> Iterator[HistoryEvent]:
+    """Yield the events of a file of JSON lines.
+
+    Raises
+    ------
+    HistoryError
+        If a line cannot be decoded; a last line without its end, as a killed process
+        leaves it, is passed over.
+    """
+    with path.open("rb") as lines:
+        for number, line in enumerate(lines, 1):
+            try:
+                yield _decoder.decode(line)
+            except msgspec.MsgspecError as error:
+                if not line.endswith(b"\n"):
+                    return
+                raise HistoryError(f"{path}:{number}: {error}") from error
