Add the quarantine of poison requests

A request that crashes its backend server and is sent again would take down one server after the other.

An identity is quarantined when a server dies while it runs as a suspect, alone among suspects; being in flight at two deaths is not enough, because a popular innocent request often is. Call gains the field suspect (last, default false), because the target may hear of the suspicion later than of the call.

--- /dev/null
+++ b/damaskproxy/quarantine/quarantine.py
@@ -0,0 +1,216 @@
+"""Requests that were in flight when a backend server died."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import msgspec
+
+from damaskproxy.common import Outcome, Refusal, RefusalReason
+from damaskproxy.events import log_event
+from damaskproxy.ledger.entries import fingerprint_of
+from damaskproxy.quarantine import events
+from damaskproxy.quarantine.records import QuarantineRecord, RecordStore
+from damaskproxy.quarantine.settings import QuarantineSettings
+from damaskproxy.wire import Call
+
+__all__ = ["Quarantine", "SuspectPass"]
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class SuspectPass:
+    """Permission to run a suspect request.
+
+    Parameters
+    ----------
+    identity : str
+        Identity of the request.
+    avoid : frozenset of str
+        Nodes whose backend servers died while it ran.
+    """
+
+    identity: str
+    avoid: frozenset[str] = frozenset()
+
+
+class Quarantine:
+    """Suspect and quarantined identities of one node.
+
+    Parameters
+    ----------
+    wall_ms : callable
+        Unix time in milliseconds.
+    settings : QuarantineSettings
+        Durations and bounds.
+
+    Notes
+    -----
+    The dispatching node asks `check` and sets ``Call.suspect``; the target node asks
+    `turn`. An identity is quarantined when a server dies while it runs as a suspect,
+    not when it merely was in flight at two deaths: a popular request is often in
+    flight, and quarantining it would refuse innocent callers.
+    """
+
+    def __init__(
+        self,
+        *,
+        wall_ms: Callable[[], int],
+        settings: QuarantineSettings | None = None,
+    ):
+        self._settings = settings or QuarantineSettings()
+        self._wall_ms = wall_ms
+        self._store = RecordStore(wall_ms=wall_ms, settings=self._settings)
+        self._turn = asyncio.Lock()
+        self._holder: SuspectPass | None = None
+
+    def identity(self, call: Call) -> str:
+        """Return the digest of service, method, path and body of `call`."""
+        return fingerprint_of(call).hex()
+
+    def check(self, call: Call) -> Refusal | SuspectPass | None:
+        """Decide about `call` on the node that dispatches it.
+
+        Returns
+        -------
+        Refusal, SuspectPass or None
+            None for a request that is not suspect. A suspect is dispatched with
+            ``suspect`` set, to no server named in the pass, and is not hedged. The
+            outcome of a refusal speaks about this attempt.
+        """
+        record = self._store.get(self.identity(call))
+        if record is None:
+            return None
+        if record.quarantined_until_ms > self._wall_ms():
+            return self._refusal(record, "the request crashed several backend servers")
+        if not record.is_suspect:
+            return None
+        if not call.idempotent:
+            return self._refusal(record, "a backend server died while it ran")
+        return SuspectPass(record.identity, frozenset(record.servers))
+
+    async def turn(
+        self, call: Call, *, timeout_s: float
+    ) -> Refusal | SuspectPass | None:
+        """Wait on the target node until `call` may run.
+
+        Parameters
+        ----------
+        call : Call
+            The call that is about to start.
+        timeout_s : float
+            Longest time to wait for another suspect to end.
+
+        Returns
+        -------
+        Refusal, SuspectPass or None
+            A pass must be returned with `completed`, `died` or `released`.
+        """
+        decision = self._decide(call)
+        if not isinstance(decision, SuspectPass):
+            return decision
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._turn.acquire()
+        except TimeoutError:
+            return Refusal(
+                RefusalReason.NOT_READY,
+                Outcome.NOT_RUN,
+                self._settings.retry_after_ms,
+                "another suspect request runs on this node",
+            )
+        # The wait may have been long enough for the verdict to change.
+        decision = self._decide(call)
+        if isinstance(decision, SuspectPass):
+            self._holder = decision
+        else:
+            self._turn.release()
+        return decision
+
+    def completed(self, suspect: SuspectPass) -> None:
+        """Clear a suspect that was answered."""
+        self._end_turn(suspect)
+        record = self._store.get(suspect.identity)
+        if record is None or not record.is_suspect:
+            return
+        # Not before the death, also when this clock is behind that of the other node.
+        cleared_ms = max(self._wall_ms(), record.suspected_ms)
+        self._store.merge([msgspec.structs.replace(record, cleared_ms=cleared_ms)])
+        log_event(logger, events.CLEARED, identity=suspect.identity)
+
+    def died(self, suspect: SuspectPass, *, server: str) -> None:
+        """Quarantine a suspect whose backend server died."""
+        self._end_turn(suspect)
+        now_ms = self._wall_ms()
+        record = QuarantineRecord(
+            suspect.identity,
+            suspected_ms=now_ms,
+            quarantined_until_ms=now_ms + self._settings.quarantine_ms,
+            servers=(server,),
+        )
+        if self._store.merge([record]):
+            log_event(
+                logger, events.QUARANTINED, identity=suspect.identity, server=server
+            )
+
+    def released(self, suspect: SuspectPass) -> None:
+        """Return a pass whose request neither was answered nor lost its server."""
+        self._end_turn(suspect)
+
+    def server_died(self, identities: Iterable[str], *, server: str = "") -> None:
+        """Suspect the requests that were in flight on a backend server that died.
+
+        Parameters
+        ----------
+        identities : iterable of str
+            Requests in flight; the one that holds the turn here is quarantined.
+        server : str
+            Node beside the backend server.
+        """
+        identities = set(identities)
+        holder = self._holder
+        if holder is not None and holder.identity in identities:
+            identities.discard(holder.identity)
+            self.died(holder, server=server)
+        for identity in sorted(identities):
+            known = self._store.get(identity) or QuarantineRecord(identity)
+            suspected_ms = max(self._wall_ms(), known.cleared_ms + 1)
+            servers = (server,) if server else ()
+            record = QuarantineRecord(identity, suspected_ms, servers=servers)
+            self._store.merge([record])
+        log_event(logger, events.SUSPECTED, server=server, requests=len(identities))
+
+    def records(self, newer_than: int = 0) -> list[QuarantineRecord]:
+        """Return the records to disseminate that changed after a `version`."""
+        return self._store.all(newer_than)
+
+    def version(self) -> int:
+        """Return a number that rises with each change of the records."""
+        return self._store.version
+
+    def merge(self, records: Iterable[QuarantineRecord]) -> bool:
+        """Merge records of another node, and tell whether anything changed."""
+        return self._store.merge(records)
+
+    def _decide(self, call: Call) -> Refusal | SuspectPass | None:
+        decision = self.check(call)
+        if decision is None and call.suspect and call.idempotent:
+            return SuspectPass(self.identity(call))
+        return decision
+
+    def _end_turn(self, suspect: SuspectPass) -> None:
+        if self._holder is suspect:
+            self._holder = None
+            self._turn.release()
+
+    def _refusal(self, record: QuarantineRecord, detail: str) -> Refusal:
+        until_ms = max(
+            record.quarantined_until_ms,
+            record.suspected_ms + self._settings.suspect_ms,
+        )
+        retry_after_ms = max(0, until_ms - self._wall_ms())
+        return Refusal(
+            RefusalReason.QUARANTINED, Outcome.NOT_RUN, retry_after_ms, detail
+        )
--- a/damaskproxy/wire/messages.py
+++ b/damaskproxy/wire/messages.py
@@ -61,7 +61,8 @@
     """A request on its way to a ledger node or to a target node.
 
     ``deadline_ms`` and ``start_by_ms`` are the budgets that remain when the frame is
-    sent; the receiver counts them on its own clock.
+    sent; the receiver counts them on its own clock. ``suspect`` tells the target node
+    to run the call alone among suspects, as news of the suspicion may arrive later.
     """
 
     attempt_id: str
@@ -81,6 +82,7 @@
     depth: Annotated[int, msgspec.Meta(ge=0, le=MAX_DEPTH)] = 0
     purpose: Purpose = Purpose.RUN
     idempotent: bool = True
+    suspect: bool = False
 
 
 class Answer(msgspec.Struct, frozen=True, array_like=True, tag=2):
