--- /dev/null
+++ b/damaskproxy/move/tests/test_drain.py
@@ -0,0 +1,190 @@
+"""Nodes leave in order, few at once, and only while the others carry the work."""
+
+import asyncio
+import dataclasses
+import json
+import unittest
+
+from nose2.tools import params
+
+from damaskproxy.move import (
+    DrainPlanner,
+    NodeReport,
+    SectionStore,
+    parse_document,
+    section_of,
+)
+from damaskproxy.move.tests.samples import ROUTE
+from damaskproxy.world import Address, Member, MemberState
+
+ANY = Address("127.0.0.1", 1)
+DRAINING, STOPPED = MemberState.DRAINING, MemberState.STOPPED
+OLD = ("old-0", "old-1", "old-2")
+NEW = ("new-0", "new-1", "new-2")
+
+
+def member(node_id, **changes):
+    fields = {"state": MemberState.SERVING, "service": "orders", "slots": 10} | changes
+    return Member(node_id, 1, 1, "r", node_id.split("-")[0], ANY, ANY, ANY, **fields)
+
+
+class Mesh:
+    """The nodes of one service, as each of them sees it."""
+
+    def __init__(self, placement=None, **pace):
+        self.members = {name: member(name) for name in OLD + NEW}
+        self.reports = {name: NodeReport(2, 10, True) for name in OLD + NEW}
+        self.store = SectionStore()
+        self.version = 0
+        self.place(placement or {"old": "leaving", "new": "serving"}, **pace)
+
+    def place(self, placement, **pace):
+        service = {"name": "orders", "routes": [ROUTE], "placement": placement}
+        service["pace"] = pace
+        text = json.dumps({"name": "horns", "team": "w", "services": [service]})
+        self.version += 1
+        document = parse_document(text.encode())
+        self.store.apply(section_of(document, version=self.version, edit_id="e"))
+
+    def set_state(self, node_id, state):
+        self.members[node_id] = dataclasses.replace(self.members[node_id], state=state)
+
+    async def describe(self, asked):
+        report = self.reports[asked.node_id]
+        if isinstance(report, Exception):
+            raise report
+        return report
+
+    def planner(self, node_id):
+        return DrainPlanner(
+            self.store,
+            self_member=lambda: self.members[node_id],
+            members=lambda _service: list(self.members.values()),
+            describe=self.describe,
+            start_drain=lambda: self.set_state(node_id, DRAINING),
+        )
+
+
+async def rounds(planner, count=4):
+    """Return whether the drain has started within `count` rounds."""
+    for _ in range(count):
+        if await planner.decide():
+            return True
+    return False
+
+
+class CapacityTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against a drain that leaves the work to too few or cold nodes."""
+
+    @params(
+        ("enough", {}, {}, ""),
+        ("work", dict.fromkeys(OLD + NEW, NodeReport(7, 10, True)), {}, "42 calls"),
+        ("work at the limit", dict.fromkeys(NEW, NodeReport(11, 10, True)), {}, ""),
+        ("low limit", dict.fromkeys(NEW, NodeReport(5, 1, True)), {}, "21 calls"),
+        (
+            "cold",
+            dict.fromkeys(NEW, NodeReport(0, 10, False)),
+            {},
+            "2 of 5 other nodes are warm; 0.5",
+        ),
+        (
+            "cold, any share",
+            dict.fromkeys(OLD + NEW, NodeReport(0, 10, False)),
+            {"min_warm_share": 0.0},
+            "0 of 5 other nodes are warm",
+        ),
+        ("one cold", {"new-0": NodeReport(0, 10, False)}, {}, ""),
+        ("all must be warm", {"new-0": None}, {"min_warm_share": 1.0}, "4 of 5"),
+        ("no answers", dict.fromkeys(OLD[1:] + NEW, OSError("lost")), {}, "0 of 5"),
+    )
+    async def test_reports(self, _name, reports, pace, hold):
+        mesh = Mesh(**pace)
+        mesh.reports |= reports
+        planner = mesh.planner("old-0")
+        self.assertEqual(await rounds(planner), not hold)
+        self.assertIn(hold, planner.hold())
+
+    async def test_no_node_stays(self):
+        mesh = Mesh()
+        mesh.members = {name: mesh.members[name] for name in OLD}
+        planner = mesh.planner("old-0")
+        self.assertFalse(await rounds(planner))
+        self.assertIn("no serving node in a data centre that stays", planner.hold())
+
+    async def test_one_quiet_round_does_not_start_a_drain(self):
+        mesh = Mesh()
+        busy = dict.fromkeys(OLD + NEW, NodeReport(8, 10, True))
+        quiet = dict(mesh.reports)
+        planner = mesh.planner("old-0")
+        mesh.reports = busy
+        self.assertFalse(await rounds(planner))
+        mesh.reports = quiet
+        self.assertFalse(await planner.decide())
+        self.assertTrue(await rounds(planner, 5))
+
+    async def test_lost_node_keeps_its_last_work(self):
+        mesh = Mesh()
+        mesh.reports["new-2"] = NodeReport(40, 40, True)
+        planner = mesh.planner("old-0")
+        await planner.decide()
+        mesh.reports["new-2"] = OSError("lost")
+        self.assertFalse(await rounds(planner, 9))
+        self.assertIn("50 calls", planner.hold())
+
+
+class OrderTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against too many nodes that drain at once."""
+
+    @params(
+        ("first in order", "old-0", {}, 1, ""),
+        ("second", "old-1", {}, 1, "1 leave first, up to old-0"),
+        ("second of two at once", "old-1", {}, 2, ""),
+        ("third of two at once", "old-2", {}, 2, "2 leave first, up to old-1"),
+        ("first still drains", "old-1", {"old-0": DRAINING}, 1, "up to old-0"),
+        ("first has stopped", "old-1", {"old-0": STOPPED}, 1, ""),
+        ("a later one drains", "old-0", {"old-2": DRAINING}, 1, "up to old-2"),
+        ("one drains elsewhere", "old-0", {"new-0": DRAINING}, 1, "up to new-0"),
+    )
+    async def test_turn(self, _name, node_id, states, max_draining, hold):
+        mesh = Mesh(max_draining=max_draining)
+        for name, state in states.items():
+            mesh.set_state(name, state)
+        planner = mesh.planner(node_id)
+        self.assertEqual(await rounds(planner), not hold)
+        self.assertIn(hold, planner.hold())
+
+    async def test_two_at_once_count_as_gone_for_each_other(self):
+        """Each of two nodes must not rely on the other one that leaves as well."""
+        mesh = Mesh(max_draining=2)
+        # 36 calls fit on five nodes with 0.8 of 10 each, but not on four.
+        mesh.reports = dict.fromkeys(OLD + NEW, NodeReport(6, 10, True))
+        planners = [mesh.planner(name) for name in OLD]
+        results = await asyncio.gather(*map(rounds, planners))
+        self.assertEqual(results, [True, False, False])
+
+    @params(1, 2, 3)
+    async def test_whole_move(self, max_draining):
+        """All leave, never more at once than allowed, and the new building stays."""
+        mesh = Mesh(max_draining=max_draining)
+        planners = {name: mesh.planner(name) for name in OLD + NEW}
+        order = []
+        for _ in range(40):
+            before = [name for name in OLD if mesh.members[name].state is DRAINING]
+            started = await asyncio.gather(
+                *(planners[name].decide() for name in OLD + NEW)
+            )
+            order += [name for name, start in zip(OLD + NEW, started) if start]
+            states = [record.state for record in mesh.members.values()]
+            self.assertLessEqual(states.count(DRAINING), max_draining)
+            for name in before:
+                mesh.set_state(name, STOPPED)
+        self.assertEqual(order, list(OLD))
+
+    @params({"old": "serving", "new": "leaving"}, {})
+    async def test_withdrawn_move(self, placement):
+        mesh = Mesh(max_draining=1)
+        planner = mesh.planner("old-1")
+        self.assertFalse(await rounds(planner))
+        mesh.place(placement)
+        self.assertFalse(await rounds(planner))
+        self.assertEqual(planner.hold(), "")
