--- a/damaskproxy/move/__init__.py
+++ b/damaskproxy/move/__init__.py
@@ -16,6 +16,7 @@
     EditConflict,
     EditResult,
     EditUnknown,
+    check_against_table,
     edit_section,
 )
 from damaskproxy.move.errors import DocumentDamaged, DocumentUnavailable, MoveError
@@ -52,6 +53,7 @@
     "PollerSettings",
     "SectionPoller",
     "SectionStore",
+    "check_against_table",
     "decode_section",
     "diff_sections",
     "document_of",
--- a/damaskproxy/move/edit.py
+++ b/damaskproxy/move/edit.py
@@ -47,6 +47,7 @@
     "EditConflict",
     "EditResult",
     "EditUnknown",
+    "check_against_table",
     "edit_section",
 ]
 
@@ -201,8 +202,9 @@
         faults.append(Fault("base_version", "must not be negative"))
     if not EDIT_ID.fullmatch(edit_id):
         faults.append(Fault("edit_id", "must be 8 to 64 of A-Z a-z 0-9 - _"))
-    if not author.strip() or len(author) > MAX_AUTHOR_CHARS:
-        faults.append(Fault("author", f"must be 1 to {MAX_AUTHOR_CHARS} characters"))
+    if not author.strip() or len(author) > MAX_AUTHOR_CHARS or not author.isprintable():
+        message = f"must be 1 to {MAX_AUTHOR_CHARS} printable characters"
+        faults.append(Fault("author", message))
     return faults
 
 
@@ -252,7 +254,7 @@
     current = decoded(rows, section_key(edit.name), SectionRow)
     if (current.section.version if current else 0) != edit.base_version:
         return await conflict_of(table, edit, current)
-    faults = list(check_owners(edit, current, rows))
+    faults = list(check_owners(edit.document, current, rows))
     if faults:
         return Invalid(tuple(faults))
     held = {service.name for service in current.section.services} if current else set()
@@ -294,14 +296,28 @@
     )
 
 
-def check_owners(edit: Edit, current: SectionRow | None, rows: dict[str, Row]):
+async def check_against_table(table: Table, document: Document) -> list[Fault]:
+    """Return the faults of a valid document that only the table shows.
+
+    Raises
+    ------
+    DocumentUnavailable
+        If the table was unavailable.
+    """
+    keys = [owner_key(service.name) for service in document.services]
+    rows = await read_rows(table, [section_key(document.name), *keys])
+    current = decoded(rows, section_key(document.name), SectionRow)
+    return list(check_owners(document, current, rows))
+
+
+def check_owners(document: Document, current: SectionRow | None, rows: dict[str, Row]):
     """Yield a fault for another team's section or another section's service."""
-    if current is not None and current.section.team != edit.document.team:
-        message = f"section {edit.name!r} belongs to team {current.section.team!r}"
+    if current is not None and current.section.team != document.team:
+        message = f"section {document.name!r} belongs to team {current.section.team!r}"
         yield Fault("$.team", message)
-    for index, service in enumerate(edit.document.services):
+    for index, service in enumerate(document.services):
         owner = decoded(rows, owner_key(service.name), OwnerRow)
-        if owner is not None and owner.section not in ("", edit.name):
+        if owner is not None and owner.section not in ("", document.name):
             message = f"service {service.name!r} belongs to section {owner.section!r}"
             yield Fault(f"$.services[{index}].name", message)
 
--- a/damaskproxy/move/resolve.py
+++ b/damaskproxy/move/resolve.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from damaskproxy.move.edit import Accepted
+from damaskproxy.move.edit import EDIT_ID, Accepted
 from damaskproxy.move.errors import DocumentUnavailable, MoveError
 from damaskproxy.move.reading import read_edit
 from damaskproxy.move.rows import EditRow, edit_key, encode_row
@@ -37,12 +37,16 @@
     ------
     DocumentUnavailable
         If the table did not answer; the edit remains unknown.
+    MoveError
+        If `edit_id` cannot be the id of an edit.
 
     Notes
     -----
     A commit may still be on its way when its edit is read back as absent. The row that
     this function then inserts makes the check of such a commit fail.
     """
+    if not EDIT_ID.fullmatch(edit_id):
+        raise MoveError(f"{edit_id!r} is not the id of an edit")
     for _ in range(MAX_ATTEMPTS):
         recorded = await read_edit(table, edit_id)
         if recorded is not None:
