Test membership under faults in virtual time and mend what that found

Meshes of 30 to 60 nodes run on an event loop whose clock jumps. A suspect that others declared dead is now passed on as dead, so that it rejoins with a higher incarnation, as does a process that was paused or isolated long enough.

--- a/damaskproxy/membership/exchange.py
+++ b/damaskproxy/membership/exchange.py
@@ -96,7 +96,7 @@
         self._extra_state = b""
         self._extra_digest = digest_of(b"")
         self._syncing = False
-        self._synced = False
+        self._joining = False
 
     # Sending
 
@@ -178,18 +178,21 @@
 
     async def _follow_up(self, address: Address, reply: Exchange, eager: bool) -> None:
         try:
-            if reply.extra_digest != self._digest_of_extras():
-                await self._swap_extras(address, reply.extra_versions)
+            known = reply.extra_versions
+            if known is not None and reply.extra_digest != self._digest_of_extras():
+                await self._swap_extras(address, known, reply.sender.node_id)
             if self._differs(reply, eager):
                 await self._sync(address)
         except ControlError:
             # The next exchange starts over; the first reply has shown the peer alive.
             return
 
-    async def _swap_extras(self, address: Address, versions: bytes) -> None:
+    async def _swap_extras(
+        self, address: Address, versions: bytes, node_id: str
+    ) -> None:
         await self._send(
             address,
-            extra=self._extras.missing(versions),
+            extra=self._missing_extras(versions, node_id),
             extra_versions=self._extras.state(),
             want_extra=True,
         )
@@ -213,11 +216,12 @@
         if self._syncing:
             return
         self._syncing = True
+        # A node that knows nobody else learns only what the others know already.
+        self._joining = len(self._members.ring) <= 2
         try:
             await self._compare_buckets(address)
-            self._synced = True
         finally:
-            self._syncing = False
+            self._syncing = self._joining = False
 
     async def _compare_buckets(self, address: Address) -> None:
         reply = await self._send(address, want_buckets=True)
@@ -263,7 +267,8 @@
 
     def _with_extras(self, request: Exchange, reply: Exchange) -> Exchange:
         if request.want_extra:
-            extra = self._extras.missing(request.extra_versions)
+            versions = request.extra_versions or b""
+            extra = self._missing_extras(versions, request.sender.node_id)
             return msgspec.structs.replace(reply, extra=extra)
         if request.extra_digest != reply.extra_digest:
             return msgspec.structs.replace(reply, extra_versions=self._extras.state())
@@ -283,14 +288,17 @@
                 self._own.hear(mark)
             elif self._members.merge_mark(mark):
                 news.append(mark.node_id)
-        if news and not self._is_first_sync():
+        if news and not self._joining:
             self._on_news(news, message.sender.node_id)
         if message.extra:
             self._merge_extra(message)
 
-    def _is_first_sync(self) -> bool:
-        """Tell whether this node just joins and learns what everybody knows."""
-        return self._syncing and not self._synced
+    def _missing_extras(self, versions: bytes, node_id: str) -> bytes:
+        try:
+            return self._extras.missing(versions)
+        except Exception:
+            log_event(_log, events.EXTRA_REJECTED, exc_info=True, sender=node_id)
+            return b""
 
     def _merge_extra(self, message: Exchange) -> None:
         sender_id = message.sender.node_id
--- a/damaskproxy/membership/messages.py
+++ b/damaskproxy/membership/messages.py
@@ -102,8 +102,8 @@
         Versions of all members in ``bucket_ids``.
     wanted : list of str
         Node ids whose records the sender asks for.
-    extra_versions : bytes
-        Opaque versions of sections and quarantine records, or empty.
+    extra_versions : bytes or None
+        Opaque versions of sections and quarantine records, if they differ.
     extra : bytes
         Opaque sections and quarantine records, or empty.
     want_buckets : bool
@@ -121,7 +121,7 @@
     bucket_ids: list[Annotated[int, msgspec.Meta(ge=0, lt=BUCKET_COUNT)]] = []
     bucket_marks: list[Mark] = []
     wanted: list[str] = []
-    extra_versions: bytes = b""
+    extra_versions: bytes | None = None
     extra: bytes = b""
     want_buckets: bool = False
     want_extra: bool = False
--- a/damaskproxy/membership/own.py
+++ b/damaskproxy/membership/own.py
@@ -52,6 +52,11 @@
         self.member = member
         self._on_change(member)
 
+    def rejoin(self) -> None:
+        """Raise the incarnation, as after a death that others may have declared."""
+        log_event(_log, events.REJOINED, incarnation=self.member.incarnation)
+        self._outbid(self.member.incarnation)
+
     def hear(self, claim: Mark | MemberRecord) -> None:
         """React to what another node believes about this one.
 
--- a/damaskproxy/membership/records.py
+++ b/damaskproxy/membership/records.py
@@ -34,15 +34,19 @@
         Newest known record.
     status : Status
         Belief about the process.
+    claim : Status
+        What this node passes on; `Status.DEAD` for a suspect that another node has
+        declared dead, so that the member learns of it and rejoins.
     since_s : float
         When the status began; for a dead or stopped member, on the local clock, when
         the first node noticed.
     digest : int
-        Hash of the id, the version and the status.
+        Hash of the id, the version and the claim.
     """
 
     member: Member
     status: Status
+    claim: Status
     since_s: float
     digest: int
 
@@ -57,18 +61,18 @@
     @property
     def key(self) -> tuple[int, int, int]:
         """Order among the beliefs about one member, newest highest."""
-        return (self.member.incarnation, self.member.version, self.status)
+        return (self.member.incarnation, self.member.version, self.claim)
 
     @property
     def mark(self) -> Mark:
-        """Version and status without the record."""
+        """Version and claim without the record."""
         member = self.member
-        return Mark(member.node_id, member.incarnation, member.version, self.status)
+        return Mark(member.node_id, member.incarnation, member.version, self.claim)
 
 
-def _entry(member: Member, status: Status, since_s: float) -> Entry:
-    key = KEY_FORMAT.pack(member.incarnation, member.version, status)
-    return Entry(member, status, since_s, digest_of(member.node_id.encode() + key))
+def _digest(member: Member, claim: Status) -> int:
+    key = KEY_FORMAT.pack(member.incarnation, member.version, claim)
+    return digest_of(member.node_id.encode() + key)
 
 
 def bucket_of(node_id: str) -> int:
@@ -150,7 +154,7 @@
         age_ms = 0
         if not entry.is_live:
             age_ms = max(0, int((self._now_s() - entry.since_s) * MS_PER_S))
-        return encode_member(entry.member, entry.status, age_ms)
+        return encode_member(entry.member, entry.claim, age_ms)
 
     def merge(self, record: MemberRecord) -> bool:
         """Take over a record if it is news.
@@ -195,18 +199,40 @@
     def _believe(
         self, member: Member, status: Status, held: Entry | None, age_s: float
     ) -> bool:
-        if status is Status.DEAD and held is not None and held.is_live:
-            status = Status.SUSPECT
-            if held.status is Status.SUSPECT and held.member.order == member.order:
-                return False
-        self.put(member, status, age_s)
+        if status is not Status.DEAD or held is None or not held.is_live:
+            self.put(member, status, age_s)
+            return True
+        is_known = held.status is Status.SUSPECT and held.member.order == member.order
+        suspect_for_s = self._now_s() - held.since_s if is_known else 0.0
+        self.put(member, Status.SUSPECT, suspect_for_s, claim=Status.DEAD)
         return True
 
-    def put(self, member: Member, status: Status, age_s: float = 0.0) -> None:
-        """Store a record and update every index."""
+    def put(
+        self,
+        member: Member,
+        status: Status,
+        age_s: float = 0.0,
+        *,
+        claim: Status | None = None,
+    ) -> None:
+        """Store a record and update every index.
+
+        Parameters
+        ----------
+        member : Member
+            Record that replaces the older one.
+        status : Status
+            Belief about the process.
+        age_s : float
+            Time since the status began.
+        claim : Status, optional
+            What is passed on, `status` by default.
+        """
         node_id = member.node_id
         old = self._entries.get(node_id)
-        entry = _entry(member, status, self._now_s() - age_s)
+        claim = status if claim is None else claim
+        since_s = self._now_s() - age_s
+        entry = Entry(member, status, claim, since_s, _digest(member, claim))
         self._entries[node_id] = entry
         self._index_digest(node_id, entry, old)
         self._index_ring(node_id, entry, old)
--- a/damaskproxy/membership/service.py
+++ b/damaskproxy/membership/service.py
@@ -78,6 +78,7 @@
         self._callbacks: list[Callable[[Member], None]] = []
         self._stop = asyncio.Event()
         self._last_reply_s = now_s()
+        self._knew_others = False
         self._was_isolated = False
         self._neighbours = Neighbours(
             settings,
@@ -181,9 +182,9 @@
         Only replies to calls of this node count: requests that still arrive prove one
         direction only.
         """
-        others = len(self._members) - 1 - self._members.stopped_count
         silence_s = self._now_s() - self._last_reply_s
-        return others > 0 and silence_s > self._settings.isolated_after_ms / MS_PER_S
+        is_silent = silence_s > self._settings.isolated_after_ms / MS_PER_S
+        return is_silent and self._knows_others()
 
     def on_change(self, callback: Callable[[Member], None]) -> None:
         """Have `callback` called with each member that changed, died or revived.
@@ -256,7 +257,14 @@
         self._members.put(member, Status.ALIVE)
         self._neighbours.push([member.node_id])
 
+    def _knows_others(self) -> bool:
+        return len(self._members) - 1 > self._members.stopped_count
+
     def _entry_changed(self, entry: Entry, old: Entry | None) -> None:
+        if not self._knew_others:
+            # Nobody could have replied before.
+            self._last_reply_s = self._now_s()
+            self._knew_others = self._knows_others()
         if old is None or old.is_live != entry.is_live:
             self._neighbours.ring_changed()
         elif old.member is entry.member:
@@ -280,10 +288,14 @@
     def _stalled(self, gap_s: float) -> None:
         log_event(_log, events.STALLED, gap_s=round(gap_s, 3))
         self._members.restart_suspicions()
+        if gap_s > self._settings.suspect_timeout_ms / MS_PER_S:
+            self._own.rejoin()
 
     def _replied(self) -> None:
         if self.is_isolated():
+            # The others had time to declare this node dead.
             self._members.restart_suspicions()
+            self._own.rejoin()
         self._last_reply_s = self._now_s()
 
     # Tasks
--- /dev/null
+++ b/damaskproxy/membership/tests/test_failures.py
@@ -0,0 +1,305 @@
+"""Meshes of some dozen nodes under faults, in virtual time."""
+
+import asyncio
+import unittest
+
+from nose2.tools import params
+
+from damaskproxy.membership import Status
+from damaskproxy.membership.tests.network import (
+    Network,
+    Node,
+    data_centre,
+    member,
+    region,
+    run_virtual,
+    start_mesh,
+    until,
+)
+from damaskproxy.world import MemberState
+
+COUNT = 30
+
+
+def agree(nodes, expected=None):
+    ids = {node.node_id for node in expected or nodes}
+    return lambda: all(node.live_ids() == ids for node in nodes)
+
+
+def watch_deaths(nodes):
+    """Return a list that collects ``(observer, victim)`` of each declared death."""
+    deaths = []
+
+    def watch(node):
+        def changed(changed_member):
+            victim = changed_member.node_id
+            if node.membership.status(victim) is Status.DEAD:
+                deaths.append((node.node_id, victim))
+
+        node.membership.on_change(changed)
+
+    for node in nodes:
+        watch(node)
+    return deaths
+
+
+def bidirectional(left, right):
+    def is_cut(source, target):
+        return (left(source) and right(target)) or (left(target) and right(source))
+
+    return is_cut
+
+
+def is_node(number):
+    return lambda node: node.node_id == f"node-{number}"
+
+
+def is_in(number):
+    return lambda node: data_centre(node) == f"dc-{number}"
+
+
+class LossTests(unittest.TestCase):
+    """Guards against dead members that stay listed and live ones that get lost."""
+
+    @params(
+        ("one node", lambda node: node.node_id == "node-7"),
+        ("the seed", lambda node: node.node_id == "node-0"),
+        ("a data centre", is_in(2)),
+        (
+            "half of the nodes",
+            lambda node: data_centre(node) in ("dc-0", "dc-1", "dc-2"),
+        ),
+    )
+    def test_crash(self, _name, dies):
+        async def scenario():
+            nodes = await start_mesh(Network(), COUNT)
+            self.assertTrue(agree(nodes)())
+            gone = [node for node in nodes if dies(node)]
+            left = [node for node in nodes if not dies(node)]
+            deaths = watch_deaths(left)
+            for node in gone:
+                node.crash()
+            await until(agree(left), 40)
+            victims = {victim for _observer, victim in deaths}
+            self.assertEqual(victims, {node.node_id for node in gone})
+            self.assertFalse(any(node.membership.is_isolated() for node in left))
+            for node in left:
+                for number in range(5):
+                    for server in node.membership.serving(f"service-{number}"):
+                        self.assertNotIn(server.node_id, victims)
+
+        run_virtual(scenario())
+
+
+class NoFalseDeathTests(unittest.TestCase):
+    """Guards against the removal of healthy members by a fault of the network."""
+
+    @params(
+        ("link", bidirectional(is_node(3), is_node(4)), {}),
+        ("one-way link", lambda s, t: is_node(3)(s) and is_node(4)(t), {}),
+        ("two data centres", bidirectional(is_in(1), is_in(4)), {}),
+        ("one-way between data centres", lambda s, t: is_in(1)(s) and is_in(4)(t), {}),
+        ("loss", None, {"loss": 0.1}),
+        ("duplicates and reordering", None, {"duplicates": 0.5, "delay_s": 0.2}),
+    )
+    def test_network(self, _name, is_cut, faults):
+        async def scenario():
+            network = Network()
+            nodes = await start_mesh(network, COUNT)
+            deaths = watch_deaths(nodes)
+            network.is_cut = is_cut or network.is_cut
+            for name, value in faults.items():
+                setattr(network, name, value)
+            await asyncio.sleep(45)
+            self.assertEqual(deaths, [])
+            self.assertTrue(agree(nodes)())
+
+        run_virtual(scenario())
+
+    @params(
+        ("sends nothing", lambda s, t: is_node(5)(s)),
+        ("receives nothing", lambda s, t: is_node(5)(t)),
+        ("cut off", lambda s, t: is_node(5)(s) or is_node(5)(t)),
+    )
+    def test_one_node_with_lossy_links(self, _name, is_cut):
+        """The faulty node accuses nobody, and returns when the fault ends."""
+
+        async def scenario():
+            network = Network()
+            nodes = await start_mesh(network, COUNT)
+            faulty, others = nodes[5], nodes[:5] + nodes[6:]
+            deaths = watch_deaths(nodes)
+            network.is_cut = is_cut
+            await until(agree(others), 30)
+            self.assertTrue(faulty.membership.is_isolated())
+            self.assertEqual({victim for _node, victim in deaths}, {"node-5"})
+            self.assertEqual(len(faulty.membership.members()), COUNT)
+            network.is_cut = lambda source, target: False
+            await until(agree(nodes), 30)
+            await until(lambda: not faulty.membership.is_isolated(), 3)
+            self.assertGreater(faulty.membership.self_member().incarnation, 1)
+
+        run_virtual(scenario())
+
+    @params((2.0, False), (4.0, False), (60.0, True))
+    def test_paused_process(self, pause_s, dies):
+        """A resumed process must not take its own silence for that of others."""
+
+        async def scenario():
+            nodes = await start_mesh(Network(), COUNT)
+            deaths = watch_deaths(nodes)
+            nodes[5].running.clear()
+            await asyncio.sleep(pause_s)
+            self.assertEqual(agree(nodes[:5] + nodes[6:])(), dies)
+            nodes[5].running.set()
+            await until(agree(nodes), 30)
+            self.assertEqual({v for _n, v in deaths}, {"node-5"} if dies else set())
+            incarnation = nodes[5].membership.self_member().incarnation
+            self.assertEqual(incarnation > 1, dies)
+
+        run_virtual(scenario())
+
+
+class PartitionTests(unittest.TestCase):
+    """Guards against parted regions that never meet, or kill each other on meeting."""
+
+    @params(("both ways", False), ("one way", True))
+    def test_two_regions(self, _name, one_way):
+        async def scenario():
+            network = Network()
+            nodes = await start_mesh(network, COUNT)
+            halves = [[n for n in nodes if region(n) == f"region-{i}"] for i in (0, 1)]
+
+            def is_cut(source, target):
+                cut_source = not one_way or region(source) == "region-0"
+                return cut_source and region(source) != region(target)
+
+            network.is_cut = is_cut
+            await until(lambda: all(agree(half)() for half in halves), 60)
+            await asyncio.sleep(60)
+            self.assertFalse(any(n.membership.is_isolated() for n in nodes))
+            deaths = watch_deaths(nodes)
+            network.is_cut = lambda source, target: False
+            await until(agree(nodes), 30)
+            await asyncio.sleep(15)
+            self.assertTrue(agree(nodes)())
+            self.assertEqual(deaths, [])
+
+        run_virtual(scenario())
+
+
+class LifeCycleTests(unittest.TestCase):
+    """Guards against confusion between the lives of a node and between nodes."""
+
+    @params(("clock moved on", 5), ("clock moved back", 0), ("same second", 1))
+    def test_restart(self, _name, incarnation):
+        async def scenario():
+            network = Network()
+            nodes = await start_mesh(network, COUNT)
+            nodes[9].membership.update_self(slots=77)
+            await asyncio.sleep(3)
+            nodes[9].crash()
+            again = Node(network, member(9, incarnation), nodes[9].membership._settings)
+            nodes[9] = again
+            again.start()
+            await asyncio.sleep(15)
+            self.assertTrue(agree(nodes)())
+            own = again.membership.self_member()
+            self.assertEqual(own.slots, 10)
+            for node in nodes:
+                self.assertEqual(node.membership.member("node-9"), own)
+
+        run_virtual(scenario())
+
+    def test_address_taken_over_by_another_node(self):
+        """A new VM with the address of a dead one must not keep the dead one alive."""
+
+        async def scenario():
+            network = Network()
+            nodes = await start_mesh(network, COUNT)
+            nodes[9].crash()
+            old = nodes[9].membership.self_member()
+            fresh = member(50)
+            for field in ("peer", "control", "call"):
+                object.__setattr__(fresh, field, getattr(old, field))
+            nodes[9] = Node(network, fresh, nodes[9].membership._settings)
+            nodes[9].start()
+            await until(agree(nodes), 30)
+
+        run_virtual(scenario())
+
+    def test_leave(self):
+        """A planned stop is known at once, with its heir, and nobody is suspected."""
+
+        async def scenario():
+            nodes = await start_mesh(Network(), COUNT)
+            deaths = watch_deaths(nodes)
+            leaving, others = nodes[9], nodes[:9] + nodes[10:]
+            leaving.membership.update_self(heir="node-10", sealed=True)
+            await leaving.membership.leave()
+            await until(agree(others), 2)
+            await asyncio.wait_for(leaving.task, 1)
+            leaving.crash()
+            await asyncio.sleep(15)
+            self.assertEqual(deaths, [])
+            for node in others:
+                record = node.membership.member("node-9")
+                self.assertEqual((record.heir, record.sealed), ("node-10", True))
+                self.assertIs(record.state, MemberState.STOPPED)
+
+        run_virtual(scenario())
+
+    def test_cold_node_learns_of_members_that_left_and_died(self):
+        async def scenario():
+            network = Network()
+            nodes = await start_mesh(network, COUNT)
+            nodes[9].membership.update_self(heir="node-10")
+            await nodes[9].membership.leave()
+            nodes[9].crash()
+            nodes[8].crash()
+            await asyncio.sleep(15)
+            cold = Node(network, member(50), nodes[0].membership._settings)
+            cold.start()
+            await asyncio.sleep(3)
+            self.assertEqual(cold.membership.member("node-9").heir, "node-10")
+            self.assertIs(cold.membership.status("node-8"), Status.DEAD)
+            self.assertFalse(cold.membership.is_live("node-8"))
+
+        run_virtual(scenario())
+
+
+class SpreadTests(unittest.TestCase):
+    """Guards against changes that do not reach every node within 3 s."""
+
+    @params(("quiet", 0.0), ("lossy", 0.2))
+    def test_records_and_extras(self, _name, loss):
+        async def scenario():
+            network = Network()
+            nodes = await start_mesh(network, 60)
+            network.loss = loss
+            nodes[3].membership.update_self(state=MemberState.DRAINING)
+            nodes[4].versions.number = 8
+            nodes[4].membership.push_extra()
+
+            def is_known(node):
+                record = node.membership.member("node-3")
+                draining = record.state is MemberState.DRAINING
+                return draining and node.versions.number == 8
+
+            await until(lambda: all(map(is_known, nodes)), 3)
+
+        run_virtual(scenario())
+
+    def test_invalid_extras(self):
+        """A payload that cannot be merged must not stop failure detection."""
+
+        async def scenario():
+            nodes = await start_mesh(Network(), 12)
+            nodes[4].versions.number = 8
+            object.__setattr__(nodes[4].versions.extras, "missing", lambda v: b"bad")
+            nodes[4].membership.push_extra()
+            nodes[5].crash()
+            with self.assertLogs("damaskproxy.membership", "ERROR"):
+                await until(agree(nodes[:5] + nodes[6:]), 20)
+
+        run_virtual(scenario())
