Add benchmarks of the decisions on virtual time

Scenarios overload, recovery, swing, stragglers, slow-backends and poison run over fake backend servers on an event loop whose clock jumps, with callers that resend hard.

--- /dev/null
+++ b/benchmarks/results.py
@@ -0,0 +1,126 @@
+"""Figures of one run."""
+
+from collections.abc import Sequence
+
+from benchmarks.fakes import Request
+from benchmarks.mesh import DATA_CENTRES, DEEP_SLOTS, INSTANCES, SERVICES, Mesh
+from benchmarks.scenarios import CAPACITY_PER_S, Scenario
+from damaskproxy.common import Outcome, Priority
+
+__all__ = ["measure", "percentile"]
+
+STEP_S = 0.25
+STEADY_STEPS = 4
+RECOVERED_SHARE = 0.95
+
+
+def percentile(values: Sequence[float], share: float) -> float | None:
+    """Return a percentile by the nearest rank, None without values."""
+    if not values:
+        return None
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
+
+
+def measure(
+    scenario: Scenario, seed: int, policy: str, mesh: Mesh, requests: list[Request]
+) -> dict:
+    """Return the figures of a run, as printed with ``--json``."""
+    begin_s, end_s = scenario.measured
+    innocent = [request for request in requests if not request.crashes]
+    counted = [r for r in innocent if begin_s <= r.first_sent_s < end_s]
+    whole = [request for request in counted if request.whole_after_s is not None]
+    possible = min(len(counted), CAPACITY_PER_S * (end_s - begin_s))
+    times_s = [request.whole_after_s for request in whole]
+    short_s = [request.whole_after_s for request in whole if not request.long_hops]
+    orders = [request for request in innocent if not request.idempotent]
+    return {
+        "scenario": scenario.name,
+        "seed": seed,
+        "policy": policy,
+        "scale": _scale(),
+        "offered": len(counted),
+        "whole": len(whole),
+        "goodput_ratio": round(len(whole) / possible, 4),
+        "goodput_ratio_by_priority": _by_priority(counted),
+        "recovery_s": recovery_s(scenario, innocent),
+        "p50_ms": _ms(percentile(times_s, 0.5)),
+        "p99_ms": _ms(percentile(times_s, 0.99)),
+        "short_p99_ms": _ms(percentile(short_s, 0.99)),
+        "retries_per_request_max": max(r.retries_max for r in requests),
+        "run_twice": sum(request.runs > 1 for request in orders),
+        "told_not_run_but_ran": sum(_was_misled(request) for request in orders),
+        "servers_lost_per_poison_max": max(r.crashed for r in requests),
+        "goodput_variation": _variation(counted, begin_s, end_s),
+        "reasons": dict(sorted(mesh.reasons.items())),
+    }
+
+
+def _scale() -> str:
+    return (
+        f"{len(SERVICES)} services x {INSTANCES} instances in {len(DATA_CENTRES)} data"
+        f" centres, {DEEP_SLOTS} slots in the deep service, {CAPACITY_PER_S:.0f}/s"
+    )
+
+
+def _ms(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds * 1000, 2)
+
+
+def _was_misled(request: Request) -> bool:
+    told_last = request.told and request.told[-1] is Outcome.NOT_RUN
+    return bool(told_last and request.runs)
+
+
+def _by_priority(counted: Sequence[Request]) -> dict[str, float]:
+    ratios = {}
+    for priority in Priority:
+        offered = [request for request in counted if request.priority is priority]
+        whole = sum(request.whole_after_s is not None for request in offered)
+        ratios[priority.name.lower()] = round(whole / max(1, len(offered)), 4)
+    return ratios
+
+
+def _whole_by_step(requests, begin_s, end_s, is_whole) -> list[tuple[int, int]]:
+    steps = [[0, 0] for _ in range(round((end_s - begin_s) / STEP_S))]
+    for request in requests:
+        index = int((request.first_sent_s - begin_s) / STEP_S)
+        if begin_s <= request.first_sent_s and index < len(steps):
+            steps[index][0] += 1
+            steps[index][1] += is_whole(request)
+    return [(offered, whole) for offered, whole in steps]
+
+
+def recovery_s(scenario: Scenario, requests: Sequence[Request]) -> float | None:
+    """Return the time from healing until new requests fare as well as before.
+
+    Notes
+    -----
+    Requests are grouped by the instant of their first send, in steps of 0.25 s; only
+    first sends count, because resends would hide that a request failed. The service has
+    recovered at the start of the first of four steps in a row that reach 0.95 of the
+    share before the trigger. None means not within the run.
+    """
+    if scenario.healed_s is None:
+        return None
+    end_s = sum(length_s for length_s, _ in scenario.phases)
+    steps = _whole_by_step(requests, 0.0, end_s, lambda r: r.first_send_whole)
+    first = int(scenario.healed_s / STEP_S)
+    before = steps[2:4]
+    share = sum(whole for _, whole in before) / sum(count for count, _ in before)
+    good = [whole >= RECOVERED_SHARE * share * count for count, whole in steps]
+    for index in range(first, len(good) - STEADY_STEPS + 1):
+        if all(good[index : index + STEADY_STEPS]):
+            return (index - first) * STEP_S
+    return None
+
+
+def _variation(counted, begin_s, end_s) -> float:
+    """Return the deviation of the whole requests per step, by their mean."""
+    steps = _whole_by_step(
+        counted, begin_s, end_s, lambda r: r.whole_after_s is not None
+    )
+    wholes = [whole for _, whole in steps]
+    mean = sum(wholes) / len(wholes)
+    spread = sum((whole - mean) ** 2 for whole in wholes) / len(wholes)
+    return round(spread**0.5 / mean, 4) if mean else 0.0
--- /dev/null
+++ b/benchmarks/scenarios.py
@@ -0,0 +1,125 @@
+"""Scenarios: demand over time and what happens to the backend servers."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from benchmarks.fakes import WORK_S
+from benchmarks.mesh import DEEP_SLOTS, INSTANCES, SERVICES, Mesh, MeshSettings
+
+__all__ = ["CAPACITY_PER_S", "SCENARIOS", "Scenario"]
+
+CAPACITY_PER_S = DEEP_SLOTS * INSTANCES / WORK_S
+SLOW_SHARE = 4
+SLOW_FACTOR = 10
+
+
+def _nothing(mesh: Mesh) -> None:
+    """Leave the backend servers alone."""
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """One scenario.
+
+    Parameters
+    ----------
+    phases : tuple of (float, float)
+        Length in seconds and demand as a multiple of the capacity.
+    measured : tuple of (float, float)
+        Requests first sent between these instants count.
+    healed_s : float or None
+        When the trigger ends; recovery time counts from here.
+    prepare : callable
+        Schedules what happens to the mesh.
+    long_share : float
+        Share of the tasks that run 50 times longer.
+    poison : tuple of float
+        Instants at which a poison request is sent for the first time.
+    compare : callable or None
+        Returns the same scenario without the disturbance, for a ratio of the p99.
+    """
+
+    name: str
+    phases: tuple[tuple[float, float], ...]
+    measured: tuple[float, float]
+    healed_s: float | None = None
+    prepare: Callable[[Mesh], None] = _nothing
+    long_share: float = 0.0
+    poison: tuple[float, ...] = ()
+    report_lag_s: float = 0.0
+    compare: "Callable[[Scenario], Scenario] | None" = None
+
+    def settings(self, settings: MeshSettings) -> MeshSettings:
+        """Return the settings of the mesh under this scenario."""
+        return replace(settings, report_lag_s=self.report_lag_s)
+
+
+def _slow_deep_service(mesh: Mesh) -> None:
+    loop = asyncio.get_running_loop()
+    for server in mesh.servers[SERVICES[-1]]:
+        loop.call_at(2.0, setattr, server.backend, "slow_factor", SLOW_FACTOR)
+        loop.call_at(5.0, setattr, server.backend, "slow_factor", 1.0)
+
+
+def _add_cold_servers(mesh: Mesh) -> None:
+    """One of four servers of each service joins, cold, as demand rises."""
+    loop = asyncio.get_running_loop()
+    for service in SERVICES:
+        mesh.remove_server(service)
+        loop.call_at(2.0, mesh.add_server, service)
+
+
+def _slow_moments(mesh: Mesh) -> None:
+    """Slow another quarter of the servers for 0.3 s of each second."""
+    loop = asyncio.get_running_loop()
+    for second in range(1, 12):
+        for index, service in enumerate(SERVICES):
+            servers = mesh.servers[service]
+            server = servers[(second + index) % len(servers)]
+            begin_s = second + mesh.rng.uniform(0.0, 0.6)
+            backend = server.backend
+            loop.call_at(begin_s, setattr, backend, "slow_factor", SLOW_FACTOR)
+            loop.call_at(begin_s + 0.3, setattr, backend, "slow_factor", 1.0)
+
+
+def _undisturbed(scenario: Scenario) -> Scenario:
+    return replace(scenario, prepare=_nothing, long_share=0.0, compare=None)
+
+
+SCENARIOS = {
+    scenario.name: scenario
+    for scenario in (
+        Scenario("overload", ((1.0, 0.7), (4.0, 3.0), (4.0, 0.7)), (1.5, 5.0), 5.0),
+        Scenario(
+            "recovery",
+            ((11.0, 0.7),),
+            (1.0, 10.0),
+            5.0,
+            prepare=_slow_deep_service,
+        ),
+        Scenario(
+            "swing",
+            ((2.0, 0.7), (3.0, 1.75), (3.0, 0.7)),
+            (2.0, 5.0),
+            5.0,
+            prepare=_add_cold_servers,
+        ),
+        Scenario(
+            "stragglers",
+            ((10.0, 0.35),),
+            (2.0, 9.0),
+            long_share=0.02,
+            compare=_undisturbed,
+        ),
+        Scenario(
+            "slow-backends",
+            ((12.0, 0.5),),
+            (2.0, 11.0),
+            prepare=_slow_moments,
+            report_lag_s=0.3,
+            compare=_undisturbed,
+        ),
+        Scenario("poison", ((8.0, 0.5),), (1.0, 7.0), poison=(2.0, 3.0, 4.0)),
+    )
+}
--- a/damaskproxy/admission/level.py
+++ b/damaskproxy/admission/level.py
@@ -21,9 +21,9 @@
     -----
     A cut uses the arrivals counted per position and the calls that were started: it
     goes at once to the position below which the arrivals fit. The way back is a cubic
-    of the time since the cut, flat around the level at which the overload was seen, so
-    that the level does not swing around it, and steep beyond, so that a healed backend
-    server is open within two seconds.
+    of the calm time since the cut: flat around the level at which the overload was
+    seen, so that the level does not swing around it, and steep beyond, so that a healed
+    backend server is fully open within two seconds.
     """
 
     def __init__(self, settings: AdmissionSettings):
@@ -31,8 +31,9 @@
         self._arrivals = [0.0] * LEVEL_COUNT
         self._started = 0.0
         self._plateau_s = settings.level_plateau_ms / 1000
+        self._reopen_s = settings.level_reopen_ms / 1000
         self._origin = float(LEVEL_COUNT)
-        self._slope = 0.0
+        self._cut_depth = 0.0
         self._calm_s = 0.0
         self.value = LEVEL_COUNT
 
@@ -70,7 +71,7 @@
         if target >= self.value:
             return
         self._origin = float(self.value)
-        self._slope = (self.value - target) / self._plateau_s**3
+        self._cut_depth = float(self.value - target)
         self._calm_s = 0.0
         self.value = target
 
@@ -84,8 +85,10 @@
 
     def _rise(self, elapsed_s: float) -> None:
         self._calm_s += elapsed_s
-        distance = self._calm_s - self._plateau_s
-        grown = self._origin + self._slope * distance**3
+        missing_s = self._plateau_s - self._calm_s
+        if missing_s > 0:
+            share = (missing_s / self._plateau_s) ** 3
+            grown = self._origin - self._cut_depth * share
+        else:
+            grown = self._origin + LEVEL_COUNT * (-missing_s / self._reopen_s) ** 3
         self.value = max(self.value, min(LEVEL_COUNT, int(grown)))
-        if distance > 0:
-            self.value = min(LEVEL_COUNT, self.value + 1)
--- a/damaskproxy/admission/settings.py
+++ b/damaskproxy/admission/settings.py
@@ -35,7 +35,9 @@
     level_headroom : float
         Share of the measured service rate that a cut of the level leaves unused.
     level_plateau_ms : int
-        Time after a cut in which the level returns to where it was cut.
+        Calm time after a cut in which the level returns to where it was cut.
+    level_reopen_ms : int
+        Calm time after the plateau in which it rises over the whole range.
     newest_first : bool
         Whether standing overload reverses the order within a priority.
     expected_time_check : bool
@@ -57,7 +59,8 @@
     queue_target_ms: Duration = 15
     admission_level: bool = True
     level_headroom: Share = 0.03
-    level_plateau_ms: Duration = 800
+    level_plateau_ms: Duration = 400
+    level_reopen_ms: Duration = 800
     newest_first: bool = True
     expected_time_check: bool = True
     long_factor: Annotated[float, msgspec.Meta(gt=1)] = 8.0
--- a/damaskproxy/balancing/balancer.py
+++ b/damaskproxy/balancing/balancer.py
@@ -19,7 +19,7 @@
 
 logger = logging.getLogger(__name__)
 
-CallResult = Literal["ok", "refused", "failed"]
+CallResult = Literal["ok", "refused", "failed", "cancelled"]
 
 _Group = tuple[list[Member], list[Member]]
 
@@ -115,8 +115,9 @@
             Where it ran.
         elapsed_s : float
             Time since `started`.
-        result : {"ok", "refused", "failed"}
-            Answered, refused before execution, or died without an answer.
+        result : {"ok", "refused", "failed", "cancelled"}
+            Answered, refused before execution, died without an answer, or withdrawn by
+            this node, for instance when a hedge was faster.
         load : Load or None
             Report that came with the answer.
         route : str
@@ -132,6 +133,10 @@
             peer.failures = peer.ejections = 0
             peer.observe_latency(elapsed_s, now_s)
             self._learn(member.service, route, elapsed_s)
+        elif result == "cancelled":
+            # Its time is a lower bound; without it a slow member would look unused.
+            if elapsed_s > peer.latency_s:
+                peer.observe_latency(elapsed_s, now_s)
         elif result == "failed":
             self._count_failure(member, peer, now_s)
 
