--- a/benchmarks/damask_path.py
+++ b/benchmarks/damask_path.py
@@ -117,14 +117,14 @@
     first = asyncio.ensure_future(
         _attempt(mesh, node, target, request, deadline_s, allowance)
     )
-    attempts = {first}
+    attempts = [first]
     try:
         await asyncio.wait(attempts, timeout=max(HEDGE_FLOOR_S, delay_s))
         if first.done():
             return first.result()
         other = _choose(mesh, node, request, service, tried)
         if isinstance(other, Server) and _spend(node, service, request, allowance):
-            attempts.add(
+            attempts.append(
                 asyncio.ensure_future(
                     _attempt(mesh, node, other, request, deadline_s, allowance)
                 )
--- a/benchmarks/fakes.py
+++ b/benchmarks/fakes.py
@@ -129,7 +129,8 @@
         self._rng = rng
         self._now_s = now_s
         self._free = _Slots(slots)
-        self._running: set[asyncio.Task] = set()
+        # Ordered, so that a run is deterministic.
+        self._running: dict[asyncio.Task, None] = {}
         self._deaths = 0
         self._reports: deque[tuple[float, Load]] = deque()
 
@@ -141,7 +142,7 @@
             return Reply(False, "backend-unreachable", Outcome.NOT_RUN)
         deaths = self._deaths
         task = asyncio.ensure_future(self._work(request, hop, outbound))
-        self._running.add(task)
+        self._running[task] = None
         try:
             return await task
         except asyncio.CancelledError:
@@ -149,7 +150,7 @@
                 raise
             return Reply(False, "backend-died", Outcome.UNKNOWN)
         finally:
-            self._running.discard(task)
+            del self._running[task]
 
     async def _work(self, request, hop, outbound) -> Reply:
         free = self._free
@@ -190,7 +191,7 @@
         """End all tasks without an answer and start again after a second."""
         self.is_alive = False
         self._deaths += 1
-        for task in self._running:
+        for task in list(self._running):
             task.cancel()
         asyncio.get_running_loop().call_later(RESTART_S, self.restart)
 
