--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of damaskproxy; each module is run with ``python -m``."""
--- /dev/null
+++ b/benchmarks/added_latency.py
@@ -0,0 +1,190 @@
+"""Time that the mesh adds to a call, against a direct call and plain relays.
+
+``python -m benchmarks.added_latency [--json]``. The caller is this process; the entry
+node, the target node, the backend server, two relays and the stand-ins of the platform
+are processes of their own. Blocks of one second on the three paths take turns, so that
+noise of the machine meets all of them.
+"""
+
+import asyncio
+import json
+import random
+import tempfile
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Annotated
+
+import aiohttp
+import typer
+import uvloop
+
+from benchmarks.cpu import process_cpu_s
+from benchmarks.figures import percentile, send_at_rate
+from benchmarks.mesh import Addresses, start_mesh
+from demo.processes import Processes
+
+__all__ = ["measure_rate", "summarize"]
+
+BLOCK_S = 1.0
+IDLE_S = 3.0
+WARM_UP_CALLS = 200
+BLOCKS = {42: 20, 168: 10, 420: 8}
+SHARES = {"p50": 0.5, "p90": 0.9, "p99": 0.99}
+BODY = b"x" * 1024
+PATHS = ("direct", "relay", "node")
+
+Call = Callable[[], Awaitable[None]]
+
+
+def make_call(session: aiohttp.ClientSession, url: str) -> Call:
+    """Return a closure that makes one call and checks its status."""
+
+    async def call() -> None:
+        async with session.post(url, data=BODY) as response:
+            body = await response.read()
+        if response.status != 200:
+            raise RuntimeError(f"{url}: status {response.status}: {body[:300]!r}")
+
+    return call
+
+
+async def run_blocks(
+    calls: dict[str, Call], rate_per_s: float, blocks: int, rng: random.Random
+) -> tuple[dict[str, list[float]], dict[str, float]]:
+    """Return the times of the calls and the length of the blocks by path."""
+    times_s: dict[str, list[float]] = {path: [] for path in calls}
+    lengths_s = dict.fromkeys(calls, 0.0)
+    loop = asyncio.get_running_loop()
+    for _ in range(blocks):
+        order = list(calls)
+        rng.shuffle(order)
+        for path in order:
+            started_s = loop.time()
+            times_s[path] += await send_at_rate(
+                calls[path], rate_per_s=rate_per_s, duration_s=BLOCK_S, rng=rng
+            )
+            lengths_s[path] += loop.time() - started_s
+    return times_s, lengths_s
+
+
+def summarize(times_s: dict[str, list[float]]) -> dict[str, float]:
+    """Return the figures of one rate.
+
+    The added time at a percentile is the percentile through the nodes less the same
+    percentile of direct calls.
+    """
+    figures = {"calls": len(times_s["node"])}
+    direct = {name: percentile(times_s["direct"], p) for name, p in SHARES.items()}
+    for name, share in SHARES.items():
+        through_s = percentile(times_s["node"], share)
+        figures[f"added_{name}_ms"] = (through_s - direct[name]) * 1000
+    floor_s = percentile(times_s["relay"], 0.99)
+    figures["floor_p50_ms"] = 1000 * (percentile(times_s["relay"], 0.5) - direct["p50"])
+    figures["floor_p99_ms"] = (floor_s - direct["p99"]) * 1000
+    figures["direct_p50_ms"] = direct["p50"] * 1000
+    figures["direct_p99_ms"] = direct["p99"] * 1000
+    return figures
+
+
+async def measure_rate(
+    calls: dict[str, Call],
+    rate_per_s: float,
+    blocks: int,
+    node_cpu_s: Callable[[], float],
+    idle_share: float,
+    seed: int,
+) -> dict[str, float]:
+    """Return the figures of one rate.
+
+    Parameters
+    ----------
+    calls : dict
+        A closure for one call, by path.
+    rate_per_s, blocks : float, int
+        Rate within a block, and blocks per path.
+    node_cpu_s : callable
+        Processor time of both nodes so far.
+    idle_share : float
+        Processor time of both nodes per second without calls.
+    seed : int
+        Seed of the intervals.
+    """
+    before_s = node_cpu_s()
+    started_s = asyncio.get_running_loop().time()
+    times_s, _lengths_s = await run_blocks(
+        calls, rate_per_s, blocks, random.Random(seed)
+    )
+    elapsed_s = asyncio.get_running_loop().time() - started_s
+    busy_s = node_cpu_s() - before_s - idle_share * elapsed_s
+    figures = summarize(times_s)
+    figures["cpu_us_per_call"] = busy_s / len(times_s["node"]) * 1e6
+    return {"rate_per_s": rate_per_s, **figures}
+
+
+async def measure(addresses: Addresses, rates: list[int]) -> list[dict[str, float]]:
+    """Return the figures of all rates."""
+
+    def node_cpu_s() -> float:
+        return sum(map(process_cpu_s, addresses.node_pids))
+
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(
+        connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+    ) as session:
+        calls = {path: make_call(session, addresses.urls[path]) for path in PATHS}
+        for _ in range(WARM_UP_CALLS):
+            await asyncio.gather(*(call() for call in calls.values()))
+        before_s = node_cpu_s()
+        await asyncio.sleep(IDLE_S)
+        idle_share = (node_cpu_s() - before_s) / IDLE_S
+        rows = []
+        for rate_per_s in rates:
+            row = await measure_rate(
+                calls,
+                rate_per_s,
+                BLOCKS[rate_per_s],
+                node_cpu_s,
+                idle_share,
+                rate_per_s,
+            )
+            rows.append({**row, "idle_cpu_share": idle_share})
+        return rows
+
+
+async def run(rates: list[int]) -> list[dict[str, float]]:
+    """Start the processes, measure, and end the processes."""
+    with tempfile.TemporaryDirectory(prefix="damask-latency-") as folder:
+        processes = Processes(Path(folder))
+        try:
+            addresses = await start_mesh(processes, Path(folder))
+            return await measure(addresses, rates)
+        finally:
+            await processes.close()
+
+
+def format_rows(rows: list[dict[str, float]]) -> str:
+    """Return the figures as a table."""
+    names = [name for name in rows[0] if name != "rate_per_s"]
+    lines = ["rate_per_s".ljust(18) + "".join(f"{r['rate_per_s']:>10}" for r in rows)]
+    for name in names:
+        cells = "".join(f"{row[name]:>10.2f}" for row in rows)
+        lines.append(name.ljust(18) + cells)
+    return "\n".join(lines)
+
+
+def main(
+    as_json: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
+    rate: Annotated[
+        list[int] | None, typer.Option(help="Calls a second: 42, 168 or 420.")
+    ] = None,
+) -> None:
+    """Measure the time that the mesh adds to a call."""
+    rates = rate or list(BLOCKS)
+    if unknown := set(rates) - set(BLOCKS):
+        raise typer.BadParameter(f"no such rate: {min(unknown)}")
+    rows = uvloop.run(run(rates))
+    print(json.dumps(rows) if as_json else format_rows(rows))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Development launcher of ``make demo``."""
--- /dev/null
+++ b/demo/layout.py
@@ -0,0 +1,184 @@
+"""Which processes the demo starts, and their settings."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+import msgspec
+
+from damaskproxy.standins.callers_meshes import Mesh
+from demo.processes import free_ports
+
+__all__ = ["Host", "Layout", "backend_arguments", "node_settings", "plan", "section"]
+
+LOOPBACK = "127.0.0.1"
+LISTENERS = ("call", "backend", "peer", "control", "admin")
+MESH_SECRET = "demo-secret-not-for-production"
+SEED_NODES = 3
+OLD, NEW = "old-building", "new-building"
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """A VM of the demo: a node and the backend server beside it."""
+
+    name: str
+    service: str
+    data_centre: str
+    ports: Mapping[str, int]
+    backend_port: int
+
+    def address(self, listener: str) -> str:
+        """Return ``host:port`` of a listener of the node."""
+        return f"{LOOPBACK}:{self.ports[listener]}"
+
+    @property
+    def node(self) -> str:
+        """Name of the process of the node."""
+        return f"{self.name}-node"
+
+    @property
+    def backend(self) -> str:
+        """Name of the process of the backend server."""
+        return f"{self.name}-backend"
+
+
+@dataclass(frozen=True, slots=True)
+class Layout:
+    """All processes of the demo.
+
+    Parameters
+    ----------
+    mesh : Mesh
+        Services and callers.
+    moved : str
+        Service that leaves the old building.
+    hosts : sequence of Host
+        VMs.
+    table_port, objects_port : int
+        Stand-ins of the platform.
+    """
+
+    mesh: Mesh
+    moved: str
+    hosts: Sequence[Host]
+    table_port: int
+    objects_port: int
+
+    @property
+    def table_url(self) -> str:
+        """URL of the table service."""
+        return f"http://{LOOPBACK}:{self.table_port}"
+
+    @property
+    def objects_url(self) -> str:
+        """URL of the object store."""
+        return f"http://{LOOPBACK}:{self.objects_port}"
+
+    def leaving(self) -> list[Host]:
+        """Return the hosts that the move empties."""
+        return [
+            host
+            for host in self.hosts
+            if host.service == self.moved and host.data_centre == OLD
+        ]
+
+
+def plan(mesh: Mesh, moved: str, moved_count: int = 2) -> Layout:
+    """Return a layout with one host per service and building, more for `moved`."""
+    places = [
+        (service, data_centre, number)
+        for service in mesh.routes
+        for data_centre in (OLD, NEW)
+        for number in range(moved_count if service == moved else 1)
+    ]
+    width = len(LISTENERS) + 1
+    ports = free_ports(len(places) * width + 2)
+    hosts = []
+    for index, (service, data_centre, number) in enumerate(places):
+        own = ports[index * width : (index + 1) * width]
+        building = data_centre.partition("-")[0]
+        host = Host(
+            name=f"{building}-{service}-{number + 1}",
+            service=service,
+            data_centre=data_centre,
+            ports=dict(zip(LISTENERS, own)),
+            backend_port=own[-1],
+        )
+        hosts.append(host)
+    return Layout(mesh, moved, tuple(hosts), ports[-2], ports[-1])
+
+
+def node_settings(layout: Layout, host: Host) -> bytes:
+    """Return the settings file of a node."""
+    seeds = [seed.address("control") for seed in layout.hosts[:SEED_NODES]]
+    settings = {
+        "node_id": host.name,
+        "region": "demo",
+        "data_centre": host.data_centre,
+        "mesh_secrets": [MESH_SECRET],
+        "listeners": {
+            name: {"host": LOOPBACK, "port": port} for name, port in host.ports.items()
+        },
+        "platform": {
+            "table_url": layout.table_url,
+            "objects_url": layout.objects_url,
+        },
+        "membership": {"seeds": seeds},
+    }
+    return msgspec.json.encode(settings)
+
+
+def backend_arguments(layout: Layout, host: Host) -> list[object]:
+    """Return the command line of a backend server."""
+    arguments: list[object] = [
+        "--service", host.service,
+        "--node", host.address("backend"),
+        "--port", host.backend_port,
+        "--slots", 16,
+        "--service-time-ms", 8,
+        "--straggler-share", 0.01,
+        "--cold-factor", 3,
+        "--cold-requests", 20,
+        "--slow-every-s", 20,
+        "--slow-factor", 3,
+        "--seed", host.backend_port,
+    ]  # fmt: skip
+    for call in layout.mesh.children.get(host.service, ()):
+        child = f"{call.prefix}={call.method} {call.service}{call.path}"
+        arguments += ["--child", child]
+    return arguments
+
+
+def section(layout: Layout, service: str, leaving: Sequence[str] = ()) -> bytes:
+    """Return the section of a service as operators write it.
+
+    Parameters
+    ----------
+    layout : Layout
+        The demo.
+    service : str
+        Name of the service, and of its section.
+    leaving : sequence of str
+        Data centres that the service leaves.
+    """
+    routes = [
+        {
+            "name": route.name,
+            "method": route.method,
+            "path": route.path,
+            "priority": route.priority.name.lower(),
+            "idempotent": route.idempotent,
+            "deadline_ms": route.deadline_ms,
+            "retry_allowance": route.retry_allowance,
+        }
+        for route in layout.mesh.routes[service]
+    ]
+    placement = {
+        name: "leaving" if name in leaving else "serving" for name in (OLD, NEW)
+    }
+    document = {
+        "name": service,
+        "team": layout.mesh.team,
+        "services": [{"name": service, "routes": routes, "placement": placement}],
+    }
+    return msgspec.json.format(msgspec.json.encode(document), indent=2)
--- /dev/null
+++ b/demo/processes.py
@@ -0,0 +1,112 @@
+"""Child processes of the demo; only this launcher starts processes."""
+
+import asyncio
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import BinaryIO
+
+__all__ = ["Processes", "free_ports"]
+
+KILL_AFTER_S = 5.0
+LOG_TAIL_LINES = 12
+
+
+def free_ports(count: int) -> list[int]:
+    """Return free TCP ports of the loopback interface.
+
+    All sockets are held until the last port is known, so that no port comes twice.
+    """
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for held in sockets:
+            held.bind(("127.0.0.1", 0))
+        return [held.getsockname()[1] for held in sockets]
+    finally:
+        for held in sockets:
+            held.close()
+
+
+class Processes:
+    """Processes that the demo started, by name.
+
+    Parameters
+    ----------
+    folder : Path
+        Receives one log file per process.
+    """
+
+    def __init__(self, folder: Path):
+        self._folder = folder
+        self._running: dict[str, asyncio.subprocess.Process] = {}
+
+    async def start(self, name: str, module: str, *arguments: object) -> None:
+        """Start ``python -m module arguments`` under `name`."""
+        with self.open_log(name) as log:
+            self._running[name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                module,
+                *map(str, arguments),
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    async def run(self, name: str, module: str, *arguments: object) -> int:
+        """Run a command to its end and return its exit status."""
+        await self.start(name, module, *arguments)
+        return await self._running[name].wait()
+
+    def open_log(self, name: str) -> BinaryIO:
+        """Open the log file of a process for appending."""
+        return self.log_path(name).open("ab")
+
+    def log_path(self, name: str) -> Path:
+        """Return the log file of a process."""
+        return self._folder / f"{name}.log"
+
+    def log_tail(self, name: str) -> str:
+        """Return the last lines that a process printed."""
+        text = self.log_path(name).read_text(encoding="utf-8", errors="replace")
+        return "\n".join(text.splitlines()[-LOG_TAIL_LINES:])
+
+    def pid(self, name: str) -> int:
+        """Return the process id of a process."""
+        return self._running[name].pid
+
+    def exit_status(self, name: str) -> int | None:
+        """Return the exit status of a process, None while it runs."""
+        return self._running[name].returncode
+
+    def exited(self) -> list[str]:
+        """Return the names of the processes that have ended."""
+        return [n for n, p in self._running.items() if p.returncode is not None]
+
+    async def wait(self, name: str, timeout_s: float) -> int | None:
+        """Wait for a process to end; None if it still runs after the time."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._running[name].wait()
+        except TimeoutError:
+            return None
+
+    def terminate(self, name: str) -> None:
+        """Send SIGTERM to a process that still runs."""
+        if self._running[name].returncode is None:
+            self._running[name].send_signal(signal.SIGTERM)
+
+    async def stop(self, names: list[str], timeout_s: float) -> list[str]:
+        """Terminate processes and return those that did not end in time."""
+        for name in names:
+            self.terminate(name)
+        ends = await asyncio.gather(*(self.wait(name, timeout_s) for name in names))
+        return [name for name, status in zip(names, ends) if status is None]
+
+    async def close(self) -> None:
+        """End all processes, by force if need be."""
+        running = [n for n, p in self._running.items() if p.returncode is None]
+        for name in await self.stop(running, KILL_AFTER_S):
+            self._running[name].kill()
+            await self._running[name].wait()
--- /dev/null
+++ b/demo/starting.py
@@ -0,0 +1,151 @@
+"""Starting the processes of a mesh and waiting until they serve."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from pathlib import Path
+
+import aiohttp
+
+from demo.layout import (
+    Host,
+    Layout,
+    backend_arguments,
+    node_settings,
+    section,
+)
+from demo.processes import Processes
+
+__all__ = [
+    "DemoError",
+    "fetch_status",
+    "put_section",
+    "start_backend",
+    "start_node",
+    "start_platform",
+    "wait_for",
+    "wait_for_url",
+    "wait_until_serving",
+]
+
+POLL_S = 0.1
+START_TIMEOUT_S = 20.0
+HTTP_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
+
+
+class DemoError(Exception):
+    """A process of the demo did not do what it was started for."""
+
+
+async def wait_for(
+    what: str, holds: Callable[[], Awaitable[bool]], timeout_s: float = START_TIMEOUT_S
+) -> float:
+    """Wait until a condition holds and return the time it took in seconds.
+
+    Raises
+    ------
+    DemoError
+        If it does not hold in time.
+    """
+    started_s = time.monotonic()
+    while not await holds():
+        if time.monotonic() - started_s > timeout_s:
+            raise DemoError(f"{what}: not within {timeout_s:.0f} s")
+        await asyncio.sleep(POLL_S)
+    return time.monotonic() - started_s
+
+
+async def wait_for_url(url: str) -> None:
+    """Wait until an HTTP server answers at `url`, with any status."""
+
+    async def answers() -> bool:
+        try:
+            async with aiohttp.request("GET", url, timeout=HTTP_TIMEOUT):
+                return True
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
+    await wait_for(url, answers)
+
+
+async def fetch_status(host: Host) -> dict | None:
+    """Return the status of a node, None if it does not answer."""
+    url = f"http://{host.address('admin')}/status"
+    try:
+        async with aiohttp.request("GET", url, timeout=HTTP_TIMEOUT) as response:
+            return await response.json()
+    except (aiohttp.ClientError, TimeoutError):
+        return None
+
+
+async def start_platform(processes: Processes, layout: Layout) -> None:
+    """Start the stand-ins of the table service and of the object store."""
+    await processes.start(
+        "table", "damaskproxy.standins.table_cli", "--port", layout.table_port
+    )
+    await processes.start(
+        "objects", "damaskproxy.standins.objects_cli", "--port", layout.objects_port
+    )
+    await asyncio.gather(
+        wait_for_url(layout.table_url), wait_for_url(layout.objects_url)
+    )
+
+
+async def put_section(
+    processes: Processes,
+    layout: Layout,
+    folder: Path,
+    service: str,
+    leaving: Sequence[str] = (),
+) -> None:
+    """Write the section of a service with ``damask-move edit``.
+
+    Raises
+    ------
+    DemoError
+        If the edit is refused.
+    """
+    path = folder / f"section-{service}.json"
+    path.write_bytes(section(layout, service, leaving))
+    name = f"move-{service}"
+    status = await processes.run(
+        name, "damaskproxy.move.cli", "edit", "--table", layout.table_url, path
+    )
+    if status:
+        raise DemoError(f"damask-move edit of {service}:\n{processes.log_tail(name)}")
+
+
+async def start_node(
+    processes: Processes, layout: Layout, host: Host, folder: Path
+) -> None:
+    """Start the node of a host."""
+    path = folder / f"{host.node}.json"
+    path.write_bytes(node_settings(layout, host))
+    await processes.start(host.node, "damaskproxy.node.cli", "run", path)
+
+
+async def start_backend(
+    processes: Processes, host: Host, layout: Layout, *extra: object
+) -> None:
+    """Start the backend server of a host; later options win."""
+    arguments = backend_arguments(layout, host)
+    await processes.start(
+        host.backend, "damaskproxy.standins.backend_cli", *arguments, *extra
+    )
+
+
+async def wait_until_serving(layout: Layout, counts: Mapping[str, int]) -> float:
+    """Wait until each node knows this many serving members of each service."""
+
+    async def is_ready(host: Host) -> bool:
+        status = await fetch_status(host)
+        if status is None:
+            return False
+        serving = [m["service"] for m in status["members"] if m["state"] == "serving"]
+        known = all(serving.count(name) == count for name, count in counts.items())
+        return known and set(status["sections"]) >= set(layout.mesh.routes)
+
+    async def all_ready() -> bool:
+        return all(await asyncio.gather(*map(is_ready, layout.hosts)))
+
+    return await wait_for("nodes ready and members known", all_ready)
