--- a/demo/layout.py
+++ b/demo/layout.py
@@ -124,6 +124,10 @@
             "objects_url": layout.objects_url,
         },
         "membership": {"seeds": seeds},
+        # Shorter than in service, so that the story fits into less than a minute.
+        "drain": {"report_ms": 500},
+        "poller": {"cold_spread_ms": 500, "alone_ms": 1000},
+        "log": {"level": "INFO"},
     }
     return msgspec.json.encode(settings)
 
@@ -149,7 +153,9 @@
     return arguments
 
 
-def section(layout: Layout, service: str, leaving: Sequence[str] = ()) -> bytes:
+def section(
+    layout: Layout, service: str, version: int = 0, leaving: Sequence[str] = ()
+) -> bytes:
     """Return the section of a service as operators write it.
 
     Parameters
@@ -158,6 +164,8 @@
         The demo.
     service : str
         Name of the service, and of its section.
+    version : int
+        Version that the edit is made on, 0 for a new section.
     leaving : sequence of str
         Data centres that the service leaves.
     """
@@ -179,6 +187,7 @@
     document = {
         "name": service,
         "team": layout.mesh.team,
+        "version": version,
         "services": [{"name": service, "routes": routes, "placement": placement}],
     }
     return msgspec.json.format(msgspec.json.encode(document), indent=2)
--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -41,7 +41,8 @@
     events : list of HistoryEvent
         History of callers and backend servers.
     in_force_s : float
-        Time until the section of the move was in force on all nodes.
+        Time from the start of the edit command, thus before its acceptance, until the
+        section was in force on all nodes.
     left : dict of str to float
         Time until each leaving backend server had stopped, since the edit.
     faults : list of str
@@ -72,8 +73,8 @@
     await wait_until_serving(layout, counts)
 
 
-async def wait_until_in_force(layout: Layout, version: int) -> float:
-    """Wait until all nodes have the version of the moved section; return the time."""
+async def wait_until_in_force(layout: Layout, version: int) -> None:
+    """Wait until all nodes have the version of the moved section."""
 
     async def in_force() -> bool:
         statuses = await asyncio.gather(*map(fetch_status, layout.hosts))
@@ -82,7 +83,7 @@
             for status in statuses
         )
 
-    return await wait_for("section in force on all nodes", in_force, 10.0)
+    await wait_for("section in force on all nodes", in_force, 10.0)
 
 
 async def leave(
@@ -123,10 +124,12 @@
     before = await fetch_status(layout.hosts[0])
     version = before["sections"][layout.moved]
     say(f"damask-move edit: {layout.moved} leaves {OLD}")
-    await put_section(processes, layout, folder, layout.moved, leaving=(OLD,))
     edited_s = time.monotonic()
-    story.in_force_s = await wait_until_in_force(layout, version + 1)
-    say(f"in force on {len(layout.hosts)} nodes after {story.in_force_s:.1f} s")
+    await put_section(processes, layout, folder, layout.moved, version, (OLD,))
+    await wait_until_in_force(layout, version + 1)
+    story.in_force_s = time.monotonic() - edited_s
+    count = len(layout.hosts)
+    say(f"in force on {count} nodes {story.in_force_s:.1f} s after the command began")
     await asyncio.gather(
         *(
             leave(processes, host, edited_s, timeout_s, story)
--- a/demo/starting.py
+++ b/demo/starting.py
@@ -96,6 +96,7 @@
     layout: Layout,
     folder: Path,
     service: str,
+    version: int = 0,
     leaving: Sequence[str] = (),
 ) -> None:
     """Write the section of a service with ``damask-move edit``.
@@ -106,7 +107,7 @@
         If the edit is refused.
     """
     path = folder / f"section-{service}.json"
-    path.write_bytes(section(layout, service, leaving))
+    path.write_bytes(section(layout, service, version, leaving))
     name = f"move-{service}"
     status = await processes.run(
         name, "damaskproxy.move.cli", "edit", "--table", layout.table_url, path
