Keep the HTTP client of the platform from repeating writes

Cause: aiohttp sends an idempotent method again when a reused connection was closed. The repetition also hides an unknown outcome from the caller of the client.

--- a/damaskproxy/platform/http.py
+++ b/damaskproxy/platform/http.py
@@ -74,6 +74,9 @@
             self._session = aiohttp.ClientSession(
                 connector=connector, timeout=self._timeout, trust_env=False
             )
+            # The client repeats a PUT whose connection was closed. A repeated write
+            # hides that the first one may have taken effect.
+            self._session._retry_connection = False
         return self._session
 
     async def send(
