Add routing, settings and the node

The whole path runs: a caller's request enters at any node, reaches the ledger node of its key, is dispatched to the node beside a backend server, and the outbound calls of that server inherit priority, deadline and retry tokens. Found on the way: header names of aiohttp are no plain strings and could not be encoded (test added); staying servers in another data centre got no calls and never counted as warm, so that the first drain waited for ever (a quarter of the calls now goes to staying servers while others leave; test_move).

--- /dev/null
+++ b/damaskproxy/config/__init__.py
@@ -0,0 +1,19 @@
+"""Settings of a node: JSON file, validated models, errors that name the field."""
+
+from damaskproxy.config.loading import SettingsError, load_settings, parse_settings
+from damaskproxy.config.settings import (
+    Listener,
+    Listeners,
+    LogSettings,
+    NodeSettings,
+)
+
+__all__ = [
+    "Listener",
+    "Listeners",
+    "LogSettings",
+    "NodeSettings",
+    "SettingsError",
+    "load_settings",
+    "parse_settings",
+]
--- /dev/null
+++ b/damaskproxy/node/admin.py
@@ -0,0 +1,77 @@
+"""Administration listener: health, readiness, metrics and status."""
+
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from aiohttp import web
+from prometheus_client import CollectorRegistry
+from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
+
+__all__ = ["AdminListener"]
+
+OK = 200
+UNAVAILABLE = 503
+
+
+class AdminListener:
+    """Handler of the ``admin`` listener.
+
+    Parameters
+    ----------
+    registry : CollectorRegistry
+        Metrics that ``/metrics`` prints.
+    not_ready : callable
+        Returns why the node takes no work, or an empty string.
+    status : callable
+        Returns the object that ``/status`` prints.
+    refresh : callable
+        Brings the gauges up to date.
+    """
+
+    def __init__(
+        self,
+        registry: CollectorRegistry,
+        not_ready: Callable[[], str],
+        status: Callable[[], dict],
+        refresh: Callable[[], None],
+    ):
+        self._registry = registry
+        self._not_ready = not_ready
+        self._status = status
+        self._refresh = refresh
+        self._pages: dict[str, Callable[[], Awaitable[web.Response]]] = {
+            "/healthz": self._health,
+            "/readyz": self._ready,
+            "/metrics": self._metrics,
+            "/status": self._print_status,
+        }
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one page."""
+        page = self._pages.get(request.path)
+        if page is None:
+            known = ", ".join(self._pages)
+            return web.Response(status=404, text=f"pages: {known}\n")
+        if request.method not in ("GET", "HEAD"):
+            return web.Response(status=405, headers={"Allow": "GET, HEAD"})
+        return await page()
+
+    async def _health(self) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def _ready(self) -> web.Response:
+        reason = self._not_ready()
+        status = UNAVAILABLE if reason else OK
+        return web.Response(status=status, text=f"{reason or 'ready'}\n")
+
+    async def _metrics(self) -> web.Response:
+        self._refresh()
+        return web.Response(
+            body=generate_latest(self._registry),
+            headers={"Content-Type": CONTENT_TYPE_LATEST},
+        )
+
+    async def _print_status(self) -> web.Response:
+        return web.Response(
+            body=msgspec.json.encode(self._status()), content_type="application/json"
+        )
--- /dev/null
+++ b/damaskproxy/node/cli.py
@@ -0,0 +1,115 @@
+"""Command line of ``damask-node``."""
+
+import asyncio
+import json
+import sys
+import urllib.error
+import urllib.request
+from pathlib import Path
+from typing import Annotated
+
+import typer
+import uvloop
+
+from damaskproxy import __version__
+from damaskproxy.common import DamaskError
+from damaskproxy.config import NodeSettings, SettingsError, load_settings
+from damaskproxy.events import configure_logging
+from damaskproxy.node.lifecycle import run_node
+from damaskproxy.node.status import format_status
+
+__all__ = ["main"]
+
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+EXIT_UNREACHABLE = 3
+STATUS_TIMEOUT_S = 5.0
+
+app = typer.Typer(
+    help="Overload control beside a backend server.",
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+)
+
+SettingsPath = Annotated[Path, typer.Argument(help="JSON file with the settings.")]
+
+
+def _fail(message: str, code: int) -> typer.Exit:
+    print(f"damask-node: {message}", file=sys.stderr)
+    return typer.Exit(code)
+
+
+def _load(path: Path) -> NodeSettings:
+    try:
+        return load_settings(path)
+    except SettingsError as error:
+        raise _fail(str(error), EXIT_SETTINGS) from error
+
+
+def _print_version(wanted: bool) -> None:
+    if wanted:
+        print(f"damask-node {__version__}")
+        raise typer.Exit
+
+
+@app.callback()
+def _options(
+    version: Annotated[
+        bool,
+        typer.Option(
+            "--version", callback=_print_version, is_eager=True, help="Print and exit."
+        ),
+    ] = False,
+) -> None:
+    del version
+
+
+@app.command()
+def run(settings_path: SettingsPath) -> None:
+    """Run a node until SIGTERM; a stop lets the requests in flight finish."""
+    settings = _load(settings_path)
+    configure_logging(style=settings.log.style, level=settings.log.level)
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            code = runner.run(run_node(settings))
+    except DamaskError as error:
+        raise _fail(str(error), EXIT_FAILED) from error
+    except KeyboardInterrupt:
+        code = EXIT_FAILED
+    raise typer.Exit(code)
+
+
+@app.command()
+def check(settings_path: SettingsPath) -> None:
+    """Check a settings file without starting."""
+    settings = _load(settings_path)
+    print(f"{settings_path}: ok (node {settings.node_id})")
+
+
+@app.command()
+def status(
+    admin: Annotated[
+        str, typer.Option(help="Address of the admin listener, IP:PORT.")
+    ] = "127.0.0.1:9901",
+    as_json: Annotated[
+        bool, typer.Option("--json", help="Print the JSON object.")
+    ] = False,
+) -> None:
+    """Print what a running node knows."""
+    url = f"http://{admin}/status"
+    try:
+        with urllib.request.urlopen(url, timeout=STATUS_TIMEOUT_S) as response:
+            known = json.load(response)
+    except (urllib.error.URLError, OSError, ValueError) as error:
+        raise _fail(f"no status from {admin}: {error}", EXIT_UNREACHABLE) from error
+    print(json.dumps(known, indent=2) if as_json else format_status(known))
+
+
+def main() -> None:
+    """Run the command line."""
+    app(prog_name="damask-node")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/damaskproxy/node/control.py
@@ -0,0 +1,99 @@
+"""Handlers and calls of the control service that concern more than membership."""
+
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from damaskproxy.ledger import Handover, Heir, Ledger, receive_handover
+from damaskproxy.membership import (
+    ControlClient,
+    ControlError,
+    Describe,
+    DescribeReply,
+    Handover as HandoverMessage,
+    HandoverReply,
+    Membership,
+)
+from damaskproxy.move import NodeReport, SectionStore
+from damaskproxy.routing import Execution, Target
+from damaskproxy.world import Member
+
+__all__ = [
+    "make_describe_handler",
+    "make_describer",
+    "make_handover_handler",
+    "make_handover_sender",
+]
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Handover)
+
+
+def make_handover_handler(ledger: Ledger):
+    """Return the handler that takes over ledgers."""
+
+    async def handle(message: HandoverMessage) -> HandoverReply:
+        try:
+            handover = _decoder.decode(message.entries)
+        except msgspec.MsgspecError as error:
+            raise ControlError(f"malformed hand-over: {error}") from error
+        return HandoverReply(receive_handover(ledger, handover))
+
+    return handle
+
+
+def make_handover_sender(
+    client: ControlClient, membership: Membership
+) -> Callable[[Heir, Handover], Awaitable[bool]]:
+    """Return the function that sends a part of a ledger to an heir."""
+
+    async def send(heir: Heir, handover: Handover) -> bool:
+        member = membership.member(heir.node_id)
+        if member is None or member.incarnation != heir.incarnation:
+            raise ControlError(f"{heir.node_id} is no longer known")
+        message = HandoverMessage(
+            handover.handover_id,
+            handover.node_id,
+            handover.incarnation,
+            _encoder.encode(handover),
+            handover.sealed,
+        )
+        reply = await client.call(member.control, "Handover", message)
+        return reply.accepted
+
+    return send
+
+
+def make_describe_handler(
+    membership: Membership, execution: Execution, target: Target, sections: SectionStore
+):
+    """Return the handler that reports load and section versions."""
+
+    async def handle(_message: Describe) -> DescribeReply:
+        admission = target.admission
+        load = admission.load() if admission else None
+        return DescribeReply(
+            membership.self_member().state,
+            target.in_flight,
+            load.limit if load else 0,
+            load.latency_ms if load else 0.0,
+            execution.is_warm,
+            sections.versions(),
+        )
+
+    return handle
+
+
+def make_describer(
+    client: ControlClient,
+) -> Callable[[Member], Awaitable[NodeReport | None]]:
+    """Return the function that asks a node for its load."""
+
+    async def describe(member: Member) -> NodeReport | None:
+        try:
+            reply = await client.call(member.control, "Describe", Describe())
+        except ControlError:
+            return None
+        return NodeReport(reply.in_flight, reply.limit, reply.warm)
+
+    return describe
--- /dev/null
+++ b/damaskproxy/node/listeners.py
@@ -0,0 +1,92 @@
+"""HTTP listeners on aiohttp's low-level server."""
+
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+from damaskproxy.config import Listener
+from damaskproxy.node.errors import NodeError
+from damaskproxy.world import Address
+
+__all__ = ["HttpListener"]
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+# The parser's own bounds lie above the configured ones, so that an oversized header
+# gets problem details instead of a bare 400.
+PARSER_LINE_BYTES = 64 << 10
+LISTEN_BACKLOG = 1024
+
+
+class HttpListener:
+    """One listening socket with one handler for all requests.
+
+    Parameters
+    ----------
+    name : str
+        Name in the settings, for errors.
+    listener : Listener
+        Where to listen.
+    handler : callable
+        Coroutine function that answers a request.
+    max_body_bytes : int
+        Largest request body.
+    """
+
+    def __init__(
+        self, name: str, listener: Listener, handler: Handler, *, max_body_bytes: int
+    ):
+        self._name = name
+        self._listener = listener
+        self._max_body_bytes = max_body_bytes
+        server = web.Server(
+            handler,
+            request_factory=self._make_request,
+            handler_cancellation=True,
+            max_line_size=PARSER_LINE_BYTES,
+            max_field_size=PARSER_LINE_BYTES,
+            keepalive_timeout=75,
+            access_log=None,
+        )
+        self._runner = web.ServerRunner(server, shutdown_timeout=1.0)
+        self._site: web.TCPSite | None = None
+
+    def _make_request(self, message, payload, protocol, writer, task):
+        return web.BaseRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            protocol._loop,
+            client_max_size=self._max_body_bytes,
+        )
+
+    async def start(self) -> Address:
+        """Listen and return the address, with the port that was taken.
+
+        Raises
+        ------
+        NodeError
+            If the address cannot be used.
+        """
+        await self._runner.setup()
+        self._site = web.TCPSite(
+            self._runner,
+            self._listener.host,
+            self._listener.port,
+            backlog=LISTEN_BACKLOG,
+        )
+        try:
+            await self._site.start()
+        except OSError as error:
+            address = f"{self._listener.host}:{self._listener.port}"
+            raise NodeError(
+                f"listener {self._name}: cannot listen on {address}: {error.strerror}"
+            ) from error
+        host, port = self._runner.addresses[0][:2]
+        return Address(host, port)
+
+    async def close(self) -> None:
+        """Stop listening and close the connections."""
+        await self._runner.cleanup()
--- /dev/null
+++ b/damaskproxy/routing/__init__.py
@@ -0,0 +1,42 @@
+"""Calls: listeners, streams between nodes, dispatch and the local backend server."""
+
+from damaskproxy.routing.attempts import AttemptRegistry, RunningAttempt
+from damaskproxy.routing.backend_client import BackendAnswer, BackendClient
+from damaskproxy.routing.backend_listener import BackendIdentity, BackendListener
+from damaskproxy.routing.dispatcher import Dispatcher, retry_reason
+from damaskproxy.routing.errors import BackendError, PeerError, RoutingError
+from damaskproxy.routing.execution import Execution
+from damaskproxy.routing.gateway import CallHandler, Gateway
+from damaskproxy.routing.local_backend import Announcement, LocalBackend
+from damaskproxy.routing.peer_server import PeerServer
+from damaskproxy.routing.peer_stream import PeerStreams, StreamLostError
+from damaskproxy.routing.requests import RequestReader
+from damaskproxy.routing.settings import RoutingSettings
+from damaskproxy.routing.submitter import Submitter
+from damaskproxy.routing.target import Target
+
+__all__ = [
+    "Announcement",
+    "AttemptRegistry",
+    "BackendAnswer",
+    "BackendClient",
+    "BackendError",
+    "BackendIdentity",
+    "BackendListener",
+    "CallHandler",
+    "Dispatcher",
+    "Execution",
+    "Gateway",
+    "LocalBackend",
+    "PeerError",
+    "PeerServer",
+    "PeerStreams",
+    "RequestReader",
+    "RoutingError",
+    "RoutingSettings",
+    "RunningAttempt",
+    "StreamLostError",
+    "Submitter",
+    "Target",
+    "retry_reason",
+]
--- /dev/null
+++ b/damaskproxy/routing/dispatcher.py
@@ -0,0 +1,345 @@
+"""Sends a call to a backend server of its service, with retries and hedging."""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from damaskproxy.balancing import Balancer
+from damaskproxy.common import (
+    Outcome,
+    Refusal,
+    RefusalReason,
+    RetryReason,
+    new_attempt_id,
+)
+from damaskproxy.membership import Membership
+from damaskproxy.quarantine import Quarantine
+from damaskproxy.retries import Allowance, RetryRatio
+from damaskproxy.routing.errors import PeerError
+from damaskproxy.routing.peer_stream import PeerStreams, StreamLostError
+from damaskproxy.routing.results import refused
+from damaskproxy.routing.target import Target
+from damaskproxy.wire import Answer, Call, Refused
+from damaskproxy.world import Member
+
+__all__ = ["Dispatcher", "retry_reason"]
+
+MS_PER_S = 1000
+MAX_OVERLOAD_RETRIES = 1
+# Share of the calls that go to servers that stay while others leave. Without it the
+# preference for the same data centre could keep the staying servers cold, and then no
+# server may leave.
+WARM_UP_SHARE = 0.25
+# Streams over which the result of one non-idempotent attempt is asked for.
+RESUME_LIMIT = 3
+
+_NEVER_RETRIED = frozenset(
+    {
+        RefusalReason.DEADLINE_PASSED,
+        RefusalReason.START_BY_PASSED,
+        RefusalReason.CANCELLED,
+        RefusalReason.QUARANTINED,
+        RefusalReason.BAD_REQUEST,
+        RefusalReason.OVERLOAD_DEADLINE,
+        RefusalReason.TOO_DEEP,
+    }
+)
+_OVERLOAD = frozenset(
+    {
+        RefusalReason.OVERLOAD_EARLY,
+        RefusalReason.OVERLOAD_LEVEL,
+        RefusalReason.OVERLOAD_QUEUE_FULL,
+    }
+)
+_LOST = {
+    RefusalReason.BACKEND_DIED: RetryReason.BACKEND_DIED,
+    RefusalReason.PEER_LOST: RetryReason.PEER_LOST,
+}
+_REFUSED = {
+    RefusalReason.BACKEND_UNREACHABLE: RetryReason.BACKEND_UNREACHABLE,
+    RefusalReason.BACKEND_SHED: RetryReason.BACKEND_SHED,
+}
+
+
+def retry_reason(result: Refused, *, idempotent: bool) -> RetryReason | None:
+    """Return why a further attempt can help after `result`, or None.
+
+    Parameters
+    ----------
+    result : Refused
+        What the attempt came to.
+    idempotent : bool
+        Whether a second run does no harm; otherwise only an attempt that was
+        certainly not started is repeated.
+    """
+    if result.reason in _NEVER_RETRIED:
+        return None
+    if result.outcome is Outcome.NOT_RUN:
+        return _REFUSED.get(result.reason, RetryReason.NOT_STARTED)
+    if idempotent:
+        return _LOST.get(result.reason)
+    return None
+
+
+class Dispatcher:
+    """Chooses backend servers for calls and repeats attempts where that can help.
+
+    Parameters
+    ----------
+    membership : Membership
+        Serving members by service.
+    balancer : Balancer
+        Choice among them.
+    streams : PeerStreams
+        Streams to other nodes.
+    target : Target
+        The backend server beside this node.
+    quarantine : Quarantine
+        Requests that are suspected of killing backend servers.
+    ratio : RetryRatio
+        Limit of retries per service.
+    now_s : callable
+        Monotonic clock.
+    rng : random.Random
+        Source of attempt ids.
+    count_retry : callable
+        Called with the reason of each further attempt.
+    staying : callable
+        Returns the members of a service whose data centre it does not leave.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        balancer: Balancer,
+        streams: PeerStreams,
+        target: Target,
+        quarantine: Quarantine,
+        ratio: RetryRatio,
+        now_s: Callable[[], float],
+        rng: random.Random,
+        count_retry: Callable[[RetryReason], None],
+        staying: Callable[[str, Sequence[Member]], Sequence[Member]] = (
+            lambda service, members: members
+        ),
+    ):
+        self._membership = membership
+        self._balancer = balancer
+        self._streams = streams
+        self._target = target
+        self._quarantine = quarantine
+        self._ratio = ratio
+        self._now_s = now_s
+        self._rng = rng
+        self._count_retry = count_retry
+        self._staying = staying
+
+    async def send(self, call: Call) -> Answer | Refused:
+        """Run `call` on a backend server of its service.
+
+        Returns
+        -------
+        Answer or Refused
+            With the retry tokens that are left.
+        """
+        deadline_s = self._now_s() + call.deadline_ms / MS_PER_S
+        allowance = Allowance(call.retry_tokens)
+        self._ratio.first_attempt(call.service)
+        tried: set[str] = set()
+        overloads = 0
+        while True:
+            # A death of the last attempt may have made the call a suspect.
+            suspicion = self._quarantine.check(call)
+            if isinstance(suspicion, Refusal):
+                return refused(call, suspicion, tokens_left=allowance.tokens)
+            if suspicion is not None:
+                call = msgspec.structs.replace(call, suspect=True)
+                tried |= suspicion.avoid
+            result = await self._attempt(call, deadline_s, allowance, tried)
+            if isinstance(result, Answer):
+                return _with_tokens(result, allowance)
+            overloads += result.reason in _OVERLOAD
+            reason = retry_reason(result, idempotent=call.idempotent)
+            if reason is None or overloads > MAX_OVERLOAD_RETRIES:
+                return _with_tokens(result, allowance)
+            if not self._may_retry(call, deadline_s, allowance, tried):
+                return _with_tokens(result, allowance)
+            self._count_retry(reason)
+
+    def _may_retry(self, call, deadline_s, allowance, tried) -> bool:
+        if self._now_s() >= deadline_s:
+            return False
+        members = self._membership.serving(call.service)
+        if all(member.node_id in tried for member in members):
+            return False
+        return self._ratio.allow(call.service) and allowance.take()
+
+    async def _attempt(self, call, deadline_s, allowance, tried) -> Answer | Refused:
+        """Make one attempt, and a hedge when the first takes long."""
+        member = self._choose(call, tried)
+        if isinstance(member, Refusal):
+            return refused(call, member)
+        tried.add(member.node_id)
+        early = self._balancer.early_refusal(member, call.priority, call.ordinal)
+        if early is not None:
+            return refused(call, early)
+        delay_s = None
+        if call.idempotent and allowance.tokens and not call.suspect:
+            delay_s = self._balancer.hedge_delay_s(call.service, call.route)
+        first = self._make(call, deadline_s, allowance)
+        if delay_s is None:
+            return await self._exchange(member, first, allowance, deadline_s)
+        return await self._hedged(member, first, delay_s, allowance, tried, deadline_s)
+
+    def _choose(self, call: Call, tried) -> Member | Refusal:
+        members = self._membership.serving(call.service)
+        staying = self._staying(call.service, members)
+        if staying is not members and self._rng.random() < WARM_UP_SHARE:
+            usable = [member for member in staying if member.node_id not in tried]
+            members = usable or members
+        return self._balancer.choose(call.service, members, exclude=tried)
+
+    def _make(self, call: Call, deadline_s: float, allowance: Allowance) -> Call:
+        """Return `call` as a new attempt.
+
+        Notes
+        -----
+        One token stays here, since those that are lent do not come back when the
+        answer is lost.
+        """
+        remaining_ms = max(0, int((deadline_s - self._now_s()) * MS_PER_S))
+        return msgspec.structs.replace(
+            call,
+            attempt_id=new_attempt_id(self._rng),
+            deadline_ms=remaining_ms,
+            start_by_ms=min(call.start_by_ms, remaining_ms),
+            retry_tokens=allowance.lend(max(0, allowance.tokens - 1)),
+        )
+
+    async def _hedged(self, member, first, delay_s, allowance, tried, deadline_s):
+        task = asyncio.create_task(self._exchange(member, first, allowance, deadline_s))
+        second = None
+        try:
+            done, _ = await asyncio.wait({task}, timeout=delay_s)
+            if done:
+                return task.result()
+            second = self._start_hedge(first, allowance, tried, deadline_s)
+            if second is None:
+                return await task
+            return await _first_answer(task, second)
+        finally:
+            for pending in (task, second):
+                if pending is not None and not pending.done():
+                    pending.cancel()
+
+    def _start_hedge(self, first, allowance, tried, deadline_s) -> asyncio.Task | None:
+        other = self._choose(first, tried)
+        if isinstance(other, Refusal):
+            return None
+        if self._balancer.early_refusal(other, first.priority, first.ordinal):
+            return None
+        if not self._ratio.allow(first.service) or not allowance.take():
+            return None
+        self._count_retry(RetryReason.SLOW)
+        tried.add(other.node_id)
+        hedge = self._make(first, deadline_s, allowance)
+        return asyncio.create_task(self._exchange(other, hedge, allowance, deadline_s))
+
+    async def _exchange(self, member, call, allowance, deadline_s) -> Answer | Refused:
+        """Run one attempt on `member` and tell the balancer how it went."""
+        started_s = self._now_s()
+        self._balancer.started(member)
+        outcome, load = "failed", None
+        try:
+            result = await self._deliver(member, call, deadline_s)
+            load = result.load
+            outcome = _outcome_of(result)
+            allowance.give_back(min(result.tokens_left, call.retry_tokens))
+            return result
+        except asyncio.CancelledError:
+            outcome = "cancelled"
+            raise
+        finally:
+            self._balancer.finished(
+                member,
+                elapsed_s=self._now_s() - started_s,
+                result=outcome,
+                load=load,
+                route=call.route,
+            )
+
+    async def _deliver(self, member, call, deadline_s) -> Answer | Refused:
+        if member.node_id == self._membership.self_member().node_id:
+            return await self._target.run(call)
+        if not call.idempotent:
+            return await self._deliver_once(member, call, deadline_s)
+        try:
+            async with asyncio.timeout(max(0.0, deadline_s - self._now_s())):
+                return await self._streams.call(member, call)
+        except TimeoutError:
+            return _lost(call, RefusalReason.DEADLINE_PASSED, "no answer in time")
+        except StreamLostError as error:
+            return _lost(call, RefusalReason.PEER_LOST, str(error))
+        except PeerError as error:
+            return _unreached(call, str(error))
+
+    async def _deliver_once(self, member, call, deadline_s) -> Answer | Refused:
+        """Deliver a non-idempotent call and wait until its outcome is known.
+
+        Notes
+        -----
+        The target keeps the result of each attempt. When the stream breaks, the same
+        frame gets that result over a new stream. There is no time-out: the stream of a
+        dead member is closed by the membership.
+        """
+        may_have_started = False
+        for _ in range(RESUME_LIMIT):
+            try:
+                return await self._streams.call(member, call)
+            except StreamLostError:
+                may_have_started = True
+            except PeerError as error:
+                if may_have_started:
+                    return _lost(call, RefusalReason.PEER_LOST, str(error))
+                return _unreached(call, str(error))
+            remaining_ms = max(0, int((deadline_s - self._now_s()) * MS_PER_S))
+            call = msgspec.structs.replace(
+                call,
+                deadline_ms=remaining_ms,
+                start_by_ms=min(call.start_by_ms, remaining_ms),
+            )
+        return _lost(call, RefusalReason.PEER_LOST, "the stream broke repeatedly")
+
+
+async def _first_answer(first: asyncio.Task, second: asyncio.Task):
+    """Return the first answer of two attempts, else what the last one came to."""
+    pending = {first, second}
+    result = None
+    while pending:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            result = task.result()
+            if isinstance(result, Answer):
+                return result
+    return result
+
+
+def _outcome_of(result: Answer | Refused) -> str:
+    if isinstance(result, Answer):
+        return "ok"
+    return "refused" if result.outcome is Outcome.NOT_RUN else "failed"
+
+
+def _lost(call: Call, reason: RefusalReason, detail: str) -> Refused:
+    return refused(call, Refusal(reason, Outcome.UNKNOWN, detail=detail))
+
+
+def _unreached(call: Call, detail: str) -> Refused:
+    refusal = Refusal(RefusalReason.PEER_LOST, Outcome.NOT_RUN, detail=detail)
+    return refused(call, refusal, tokens_left=call.retry_tokens)
+
+
+def _with_tokens(result: Answer | Refused, allowance: Allowance) -> Answer | Refused:
+    return msgspec.structs.replace(result, tokens_left=allowance.tokens)
--- /dev/null
+++ b/damaskproxy/routing/peer_stream.py
@@ -0,0 +1,293 @@
+"""Outgoing streams to peers: calls, answers and cancellations over one WebSocket."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+import aiohttp
+
+from damaskproxy.events import log_event
+from damaskproxy.routing import events
+from damaskproxy.routing.errors import PeerError
+from damaskproxy.routing.settings import RoutingSettings
+from damaskproxy.wire import (
+    Answer,
+    Call,
+    Cancel,
+    Hello,
+    Refused,
+    WireError,
+    decode_frame,
+    encode_frame,
+)
+from damaskproxy.world import Member
+
+__all__ = ["PEER_PATH", "PeerStream", "PeerStreams", "StreamLostError"]
+
+logger = logging.getLogger(__name__)
+
+PEER_PATH = "/peer"
+MS_PER_S = 1000
+FRAME_OVERHEAD_BYTES = 64 << 10
+
+
+class StreamLostError(PeerError):
+    """The stream broke after the call was sent, so it may have started."""
+
+
+class PeerStream:
+    """One stream to one incarnation of a peer, opened by its first call.
+
+    Parameters
+    ----------
+    member : Member
+        The peer.
+    hello : Hello
+        Identity of this node.
+    session : aiohttp.ClientSession
+        Client that opens the WebSocket.
+    settings : RoutingSettings
+        Time-outs and sizes.
+    on_late_answer : callable
+        Called for an answer whose attempt is no longer waited for.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        hello: Hello,
+        session: aiohttp.ClientSession,
+        settings: RoutingSettings,
+        on_late_answer: Callable[[], None],
+    ):
+        self.member = member
+        self._hello = hello
+        self._session = session
+        self._settings = settings
+        self._on_late_answer = on_late_answer
+        self._waiting: dict[str, asyncio.Future] = {}
+        self._socket: aiohttp.ClientWebSocketResponse | None = None
+        self._task: asyncio.Task | None = None
+        self._connected: asyncio.Future | None = None
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the stream has ended and a new one is needed."""
+        return self._task is not None and self._task.done()
+
+    async def call(self, call: Call) -> Answer | Refused:
+        """Send `call` and wait for its answer.
+
+        Raises
+        ------
+        PeerError
+            If the call was not sent.
+        StreamLostError
+            If the stream broke while the answer was awaited.
+        """
+        socket = self._socket or await self._open()
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[call.attempt_id] = future
+        try:
+            await self._send(socket, encode_frame(call))
+            return await future
+        except asyncio.CancelledError:
+            await self._cancel(socket, call.attempt_id)
+            raise
+        finally:
+            self._waiting.pop(call.attempt_id, None)
+
+    async def _send(self, socket: aiohttp.ClientWebSocketResponse, data: bytes) -> None:
+        try:
+            await socket.send_bytes(data)
+        except (ConnectionError, aiohttp.ClientError) as error:
+            # Part of the frame may be on its way.
+            raise StreamLostError(str(error)) from error
+
+    async def _cancel(self, socket, attempt_id: str) -> None:
+        if not socket.closed:
+            try:
+                await asyncio.shield(
+                    socket.send_bytes(encode_frame(Cancel(attempt_id)))
+                )
+            except (ConnectionError, aiohttp.ClientError):
+                return
+
+    async def _open(self) -> aiohttp.ClientWebSocketResponse:
+        if self._task is None:
+            self._connected = asyncio.get_running_loop().create_future()
+            self._task = asyncio.create_task(self._run(self._connected))
+        return await asyncio.shield(self._connected)
+
+    async def _run(self, connected: asyncio.Future) -> None:
+        """Connect, then read frames until the stream ends."""
+        try:
+            async with asyncio.timeout(self._settings.connect_timeout_ms / MS_PER_S):
+                socket = await self._connect()
+        except (PeerError, TimeoutError) as error:
+            self._fail_connecting(connected, error)
+            return
+        self._socket = socket
+        if not connected.done():
+            connected.set_result(socket)
+        log_event(logger, events.PEER_CONNECTED, peer=self.member.node_id)
+        try:
+            await self._read(socket)
+        finally:
+            self._socket = None
+            self._fail_waiting()
+            await socket.close()
+
+    def _fail_connecting(self, connected: asyncio.Future, error: Exception) -> None:
+        text = str(error) or "time-out"
+        log_event(logger, events.PEER_LOST, peer=self.member.node_id, error=text)
+        if not connected.done():
+            connected.set_exception(
+                PeerError(f"cannot reach {self.member.node_id}: {text}")
+            )
+            connected.exception()
+
+    async def _connect(self) -> aiohttp.ClientWebSocketResponse:
+        address = self.member.peer
+        limit = self._settings.max_body_bytes + FRAME_OVERHEAD_BYTES
+        try:
+            socket = await self._session.ws_connect(
+                f"http://{address.host}:{address.port}{PEER_PATH}",
+                max_msg_size=limit,
+                compress=0,
+            )
+            await socket.send_bytes(encode_frame(self._hello))
+            reply = decode_frame(await socket.receive_bytes())
+        except (aiohttp.ClientError, OSError, TypeError, WireError) as error:
+            raise PeerError(str(error)) from error
+        expected = Hello(self.member.node_id, self.member.incarnation)
+        if reply != expected:
+            await socket.close()
+            raise PeerError(f"{address} is {reply}, expected {expected}")
+        return socket
+
+    async def _read(self, socket: aiohttp.ClientWebSocketResponse) -> None:
+        async for message in socket:
+            if message.type is not aiohttp.WSMsgType.BINARY:
+                continue
+            try:
+                frame = decode_frame(message.data)
+            except WireError as error:
+                log_event(
+                    logger,
+                    events.PEER_FRAME_INVALID,
+                    peer=self.member.node_id,
+                    error=str(error),
+                )
+                return
+            self._take(frame)
+
+    def _take(self, frame) -> None:
+        if not isinstance(frame, (Answer, Refused)):
+            return
+        future = self._waiting.get(frame.attempt_id)
+        if future is None or future.done():
+            self._on_late_answer()
+            return
+        future.set_result(frame)
+
+    def _fail_waiting(self) -> None:
+        if self._waiting:
+            log_event(
+                logger,
+                events.PEER_LOST,
+                peer=self.member.node_id,
+                waiting=len(self._waiting),
+            )
+        for future in self._waiting.values():
+            if not future.done():
+                future.set_exception(StreamLostError("the stream to the peer broke"))
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no call is waiting for an answer."""
+        return not self._waiting
+
+    async def close(self) -> None:
+        """Close the stream; calls that wait fail as lost."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+
+class PeerStreams:
+    """The streams of this node, one for each peer in use.
+
+    Parameters
+    ----------
+    hello : Hello
+        Identity of this node.
+    settings : RoutingSettings
+        Time-outs and sizes.
+    now_s : callable
+        Monotonic clock.
+    on_late_answer : callable
+        Called for an answer whose attempt is no longer waited for.
+    """
+
+    def __init__(
+        self,
+        hello: Hello,
+        settings: RoutingSettings,
+        now_s: Callable[[], float],
+        on_late_answer: Callable[[], None] = lambda: None,
+    ):
+        self._hello = hello
+        self._settings = settings
+        self._now_s = now_s
+        self._on_late_answer = on_late_answer
+        self._streams: dict[str, PeerStream] = {}
+        self._used_s: dict[str, float] = {}
+        self._session: aiohttp.ClientSession | None = None
+
+    def __len__(self) -> int:
+        return len(self._streams)
+
+    async def call(self, member: Member, call: Call) -> Answer | Refused:
+        """Send `call` to `member`; see `PeerStream.call`."""
+        self._used_s[member.node_id] = self._now_s()
+        return await self._stream(member).call(call)
+
+    def _stream(self, member: Member) -> PeerStream:
+        stream = self._streams.get(member.node_id)
+        if (
+            stream is None
+            or stream.is_closed
+            or stream.member.incarnation != member.incarnation
+        ):
+            if self._session is None:
+                self._session = aiohttp.ClientSession(
+                    connector=aiohttp.TCPConnector(limit=0)
+                )
+            stream = PeerStream(
+                member, self._hello, self._session, self._settings, self._on_late_answer
+            )
+            self._streams[member.node_id] = stream
+        return stream
+
+    async def drop(self, node_id: str) -> None:
+        """Close the stream to a peer that is dead; its waiting calls fail as lost."""
+        stream = self._streams.pop(node_id, None)
+        self._used_s.pop(node_id, None)
+        if stream is not None:
+            await stream.close()
+
+    async def close_idle(self) -> None:
+        """Close the streams that were not used for the idle time."""
+        before_s = self._now_s() - self._settings.peer_idle_ms / MS_PER_S
+        for node_id, stream in list(self._streams.items()):
+            if stream.is_idle and self._used_s.get(node_id, 0.0) < before_s:
+                await self.drop(node_id)
+
+    async def close(self) -> None:
+        """Close all streams."""
+        for node_id in list(self._streams):
+            await self.drop(node_id)
+        if self._session is not None:
+            await self._session.close()
--- /dev/null
+++ b/damaskproxy/routing/tests/test_dispatcher.py
@@ -0,0 +1,197 @@
+"""Which attempts are repeated, and what a caller may conclude afterwards."""
+
+import random
+import unittest
+
+from nose2.tools import params
+
+from damaskproxy.common import Outcome, Refusal, RefusalReason, RetryReason
+from damaskproxy.retries import RetryRatio
+from damaskproxy.routing import Dispatcher, PeerError, StreamLostError, retry_reason
+from damaskproxy.routing.tests.builders import make_call, make_member
+from damaskproxy.wire import Answer, Refused
+
+NOT_RUN, UNKNOWN = Outcome.NOT_RUN, Outcome.UNKNOWN
+
+
+class RetryReasonTests(unittest.TestCase):
+    """Guards against second runs of non-idempotent calls and useless retries."""
+
+    @params(
+        (
+            RefusalReason.LEAVING,
+            NOT_RUN,
+            RetryReason.NOT_STARTED,
+            RetryReason.NOT_STARTED,
+        ),
+        (
+            RefusalReason.BACKEND_UNREACHABLE,
+            NOT_RUN,
+            RetryReason.BACKEND_UNREACHABLE,
+            RetryReason.BACKEND_UNREACHABLE,
+        ),
+        (
+            RefusalReason.BACKEND_SHED,
+            NOT_RUN,
+            RetryReason.BACKEND_SHED,
+            RetryReason.BACKEND_SHED,
+        ),
+        (RefusalReason.BACKEND_DIED, UNKNOWN, RetryReason.BACKEND_DIED, None),
+        (RefusalReason.PEER_LOST, UNKNOWN, RetryReason.PEER_LOST, None),
+        (RefusalReason.BACKEND_ERROR, UNKNOWN, None, None),
+        (RefusalReason.DEADLINE_PASSED, UNKNOWN, None, None),
+        (RefusalReason.DEADLINE_PASSED, NOT_RUN, None, None),
+        (RefusalReason.QUARANTINED, NOT_RUN, None, None),
+        (RefusalReason.OVERLOAD_DEADLINE, NOT_RUN, None, None),
+        (RefusalReason.START_BY_PASSED, NOT_RUN, None, None),
+    )
+    def test_reason(self, reason, outcome, idempotent, non_idempotent):
+        result = Refused("a", reason, outcome)
+        self.assertEqual(retry_reason(result, idempotent=True), idempotent)
+        self.assertEqual(retry_reason(result, idempotent=False), non_idempotent)
+
+
+class FakeMembership:
+    """Three members of one service and this node."""
+
+    def __init__(self):
+        self.members = [make_member(f"node-{i}") for i in range(3)]
+
+    def serving(self, service):
+        return self.members
+
+    def self_member(self):
+        return make_member("entry")
+
+
+class FakeBalancer:
+    """Takes the first member that was not tried."""
+
+    def __init__(self):
+        self.results = []
+
+    def choose(self, service, members, *, exclude):
+        usable = [m for m in members if m.node_id not in exclude]
+        return usable[0] if usable else Refusal(RefusalReason.NO_BACKEND, NOT_RUN)
+
+    def early_refusal(self, member, priority, ordinal):
+        return None
+
+    def hedge_delay_s(self, service, route):
+        return None
+
+    def started(self, member):
+        pass
+
+    def finished(self, member, *, elapsed_s, result, load, route):
+        self.results.append(result)
+
+
+class NoSuspicion:
+    """Quarantine that lets every call pass."""
+
+    def check(self, call):
+        return None
+
+
+class FakeStreams:
+    """Plays a script of results; exceptions are raised."""
+
+    def __init__(self, script):
+        self.script = list(script)
+        self.sent = []
+
+    async def call(self, member, call):
+        self.sent.append((member.node_id, call))
+        step = self.script.pop(0)
+        if isinstance(step, Exception):
+            raise step
+        if isinstance(step, Answer):
+            return Answer(call.attempt_id, step.status, [], b"", call.retry_tokens)
+        reason, outcome = step
+        return Refused(call.attempt_id, reason, outcome, tokens_left=call.retry_tokens)
+
+
+def make_dispatcher(script):
+    """Return a dispatcher over scripted streams, the streams and the retry counts."""
+    streams = FakeStreams(script)
+    retries = []
+    dispatcher = Dispatcher(
+        FakeMembership(),
+        FakeBalancer(),
+        streams,
+        None,
+        NoSuspicion(),
+        RetryRatio(),
+        lambda: 0.0,
+        random.Random(1),
+        retries.append,
+    )
+    return dispatcher, streams, retries
+
+
+OK = Answer("", 200, [], b"")
+LEAVING = (RefusalReason.LEAVING, NOT_RUN)
+DIED = (RefusalReason.BACKEND_DIED, UNKNOWN)
+FULL = (RefusalReason.OVERLOAD_QUEUE_FULL, NOT_RUN)
+
+
+class DispatcherTests(unittest.IsolatedAsyncioTestCase):
+    """Guards the promises of a dispatch against lost answers and refusals."""
+
+    @params(
+        # name, idempotent, script, attempts, result
+        ("answered", True, [OK], 1, 200),
+        ("leaving, then answered", False, [LEAVING, OK], 2, 200),
+        ("died, idempotent", True, [DIED, OK], 2, 200),
+        ("died, non-idempotent", False, [DIED], 1, RefusalReason.BACKEND_DIED),
+        ("not sent", False, [PeerError("x"), OK], 2, 200),
+        ("stream lost, idempotent", True, [StreamLostError("x"), OK], 2, 200),
+        ("stream lost, resumed", False, [StreamLostError("x"), OK], 2, 200),
+        (
+            "stream lost, then unreachable",
+            False,
+            [StreamLostError("x"), PeerError("x")],
+            2,
+            RefusalReason.PEER_LOST,
+        ),
+        ("overloaded twice", True, [FULL, FULL], 2, RefusalReason.OVERLOAD_QUEUE_FULL),
+        ("all members tried", True, [LEAVING] * 3, 3, RefusalReason.LEAVING),
+    )
+    async def test_script(self, _name, idempotent, script, attempts, expected):
+        dispatcher, streams, _ = make_dispatcher(script)
+        result = await dispatcher.send(make_call(idempotent=idempotent))
+        self.assertEqual(len(streams.sent), attempts)
+        if isinstance(result, Answer):
+            self.assertEqual(result.status, expected)
+        else:
+            self.assertEqual(result.reason, expected)
+
+    async def test_resumed_attempt_keeps_its_identity(self):
+        """A frame that is repeated under a new id would run a second time."""
+        dispatcher, streams, _ = make_dispatcher([StreamLostError("x"), OK])
+        await dispatcher.send(make_call(idempotent=False))
+        (first, call), (second, repeated) = streams.sent
+        self.assertEqual((first, call.attempt_id), (second, repeated.attempt_id))
+
+    async def test_unreachable_after_lost_stream_is_unknown(self):
+        """A failed reconnection says nothing about the frame that was sent before."""
+        script = [StreamLostError("x"), PeerError("x")]
+        dispatcher, _, _ = make_dispatcher(script)
+        result = await dispatcher.send(make_call(idempotent=False))
+        self.assertEqual(result.outcome, UNKNOWN)
+
+    @params((0, 1), (1, 2), (2, 3), (5, 3))
+    async def test_attempts_are_bounded_by_tokens(self, tokens, attempts):
+        dispatcher, streams, retries = make_dispatcher([LEAVING] * 6)
+        call = make_call(idempotent=True, retry_tokens=tokens)
+        result = await dispatcher.send(call)
+        self.assertEqual(len(streams.sent), attempts)
+        self.assertEqual(result.tokens_left, tokens - len(retries))
+
+    async def test_tokens_of_a_lost_answer_are_lost(self):
+        """Tokens that were lent to a lost attempt may be in use below it."""
+        dispatcher, streams, _ = make_dispatcher([StreamLostError("x"), OK])
+        result = await dispatcher.send(make_call(idempotent=True, retry_tokens=4))
+        self.assertEqual(streams.sent[0][1].retry_tokens, 3)
+        self.assertEqual(result.tokens_left, 0)
--- /dev/null
+++ b/damaskproxy/routing/tests/test_peers.py
@@ -0,0 +1,138 @@
+"""Streams between nodes over loopback: crossed, late, lost and cancelled answers."""
+
+import asyncio
+import unittest
+
+from aiohttp import web
+
+from damaskproxy.routing import (
+    PeerError,
+    PeerServer,
+    PeerStreams,
+    RoutingSettings,
+    StreamLostError,
+)
+from damaskproxy.routing.tests.builders import make_call, make_member
+from damaskproxy.wire import Answer, Hello
+from damaskproxy.world import Address
+
+
+class FakeNode:
+    """Peer whose answers the test controls."""
+
+    def __init__(self):
+        self.arrived = {}
+        self.cancelled = []
+        self.seen = asyncio.Event()
+
+    async def serve(self, call):
+        release = asyncio.get_running_loop().create_future()
+        self.arrived[call.attempt_id] = release
+        self.seen.set()
+        return await release
+
+    def answer(self, attempt_id, body):
+        """Let the call `attempt_id` end with `body`."""
+        self.arrived[attempt_id].set_result(Answer(attempt_id, 200, [], body))
+
+
+class PeerTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against answers that reach the wrong call."""
+
+    async def asyncSetUp(self):
+        self.node = FakeNode()
+        self.identity = Hello("peer", 7)
+        self.server = PeerServer(
+            lambda: self.identity,
+            self.node.serve,
+            self.node.cancelled.append,
+            RoutingSettings(),
+        )
+        self.runner = web.ServerRunner(web.Server(self.server.handle))
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        address = Address(*self.runner.addresses[0][:2])
+        self.member = make_member("peer", incarnation=7, peer=address)
+        self.late = []
+        self.streams = PeerStreams(
+            Hello("me", 1), RoutingSettings(), lambda: 0.0, lambda: self.late.append(1)
+        )
+
+    async def asyncTearDown(self):
+        await self.streams.close()
+        await self.server.close()
+        await self.runner.cleanup()
+
+    async def start(self, attempt_id):
+        """Start a call and wait until the peer has it."""
+        self.node.seen.clear()
+        call = make_call(attempt_id=attempt_id)
+        task = asyncio.create_task(self.streams.call(self.member, call))
+        await self.node.seen.wait()
+        return task
+
+    async def test_answers_out_of_order(self):
+        first = await self.start("1")
+        second = await self.start("2")
+        self.node.answer("2", b"two")
+        self.assertEqual((await second).body, b"two")
+        self.node.answer("1", b"one")
+        self.assertEqual((await first).body, b"one")
+        self.assertEqual(len(self.streams), 1)
+
+    async def test_late_answer_is_dropped(self):
+        """The answer to a call that was given up must not reach the next one."""
+        first = await self.start("1")
+        first.cancel()
+        await asyncio.gather(first, return_exceptions=True)
+        second = await self.start("2")
+        self.node.answer("1", b"one")
+        self.node.answer("2", b"two")
+        self.assertEqual((await second).body, b"two")
+        self.assertEqual(self.late, [1])
+        self.assertEqual(self.node.cancelled, ["1"])
+
+    async def test_stream_breaks(self):
+        """A call that was sent may have started."""
+        task = await self.start("1")
+        await self.server.close()
+        with self.assertRaises(StreamLostError):
+            await task
+
+    async def test_reconnects_after_a_break(self):
+        task = await self.start("1")
+        await self.server.close()
+        await asyncio.gather(task, return_exceptions=True)
+        second = await self.start("2")
+        self.node.answer("2", b"two")
+        self.assertEqual((await second).body, b"two")
+
+    async def test_other_incarnation(self):
+        """An address that a later incarnation took over must not get the call."""
+        self.identity = Hello("peer", 8)
+        with self.assertRaises(PeerError) as caught:
+            await self.streams.call(self.member, make_call())
+        self.assertNotIsInstance(caught.exception, StreamLostError)
+        self.assertEqual(self.node.arrived, {})
+
+    async def test_nobody_listens(self):
+        await self.runner.cleanup()
+        with self.assertRaises(PeerError) as caught:
+            await self.streams.call(self.member, make_call())
+        self.assertNotIsInstance(caught.exception, StreamLostError)
+
+    async def test_dead_member(self):
+        """Calls to a member that is declared dead must not wait for their deadline."""
+        task = await self.start("1")
+        await self.streams.drop("peer")
+        with self.assertRaises(StreamLostError):
+            await task
+
+    async def test_refused_frame_closes_the_stream(self):
+        """A frame that breaks the schema must not be guessed at."""
+        task = await self.start("1")
+        stream = self.streams._stream(self.member)
+        await stream._socket.send_bytes(b"\xc1")
+        with self.assertRaises(StreamLostError):
+            await task
--- /dev/null
+++ b/damaskproxy/routing/tests/test_target.py
@@ -0,0 +1,157 @@
+"""What a target node does with repeated, cancelled, late and refused calls."""
+
+import asyncio
+import unittest
+
+from nose2.tools import params
+
+from damaskproxy.admission import AdmissionController
+from damaskproxy.common import Outcome, Refusal, RefusalReason
+from damaskproxy.ledger import AttemptGuard
+from damaskproxy.routing import Announcement, LocalBackend, RoutingSettings, Target
+from damaskproxy.routing.tests.builders import make_call
+from damaskproxy.wire import Answer
+
+NOT_RUN, UNKNOWN = Outcome.NOT_RUN, Outcome.UNKNOWN
+
+
+class Clock:
+    """Clock that the test moves."""
+
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+class FakeExecution:
+    """Answers when the test lets it."""
+
+    def __init__(self):
+        self.ran = []
+        self.release = asyncio.Event()
+
+    async def run(self, call, *, deadline_s, start_by_s, suspect):
+        self.ran.append(call.attempt_id)
+        await self.release.wait()
+        return Answer(call.attempt_id, 200, [], call.body, call.retry_tokens), 0.0
+
+
+class NoSuspicion:
+    """Quarantine that lets every call pass."""
+
+    async def turn(self, call, *, timeout_s):
+        return None
+
+
+class TargetTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against second runs and against work for callers that have left."""
+
+    def setUp(self):
+        self.clock = Clock()
+        self.refusal = None
+        self.execution = FakeExecution()
+        backend = LocalBackend(RoutingSettings(), self.clock, lambda: None)
+        backend.announce(Announcement("orders", 1, slots=1))
+        self.target = Target(
+            backend,
+            self.execution,
+            AttemptGuard(now_s=self.clock),
+            NoSuspicion(),
+            lambda slots: AdmissionController(slots, now_s=self.clock),
+            lambda: self.refusal,
+            self.clock,
+        )
+
+    async def start(self, call):
+        """Start `call` and let it reach the execution or the queue."""
+        task = asyncio.create_task(self.target.run(call))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        return task
+
+    async def test_repeated_call_joins_the_first(self):
+        """A frame that is sent again after its stream broke must not run again."""
+        call = make_call(idempotent=False)
+        first = await self.start(call)
+        second = await self.start(call)
+        self.execution.release.set()
+        self.assertEqual((await first).status, 200)
+        self.assertEqual((await second).status, 200)
+        third = await self.target.run(call)
+        self.assertEqual(third.status, 200)
+        self.assertEqual(self.execution.ran, [call.attempt_id])
+
+    @params(True, False)
+    async def test_cancel_before_arrival(self, idempotent):
+        call = make_call(idempotent=idempotent)
+        self.target.cancel(call.attempt_id)
+        result = await self.target.run(call)
+        self.assertEqual(result.reason, RefusalReason.CANCELLED)
+        self.assertEqual(result.outcome, NOT_RUN)
+        self.assertEqual(self.execution.ran, [])
+
+    async def test_cancel_of_a_started_call(self):
+        call = make_call(idempotent=True)
+        task = await self.start(call)
+        self.target.cancel(call.attempt_id)
+        result = await task
+        self.assertEqual((result.reason, result.outcome), ("cancelled", UNKNOWN))
+        self.assertEqual(self.target.in_flight, 0)
+
+    async def test_started_non_idempotent_call_runs_to_its_end(self):
+        call = make_call(idempotent=False)
+        task = await self.start(call)
+        self.target.cancel(call.attempt_id)
+        self.execution.release.set()
+        self.assertEqual((await task).status, 200)
+
+    async def test_cancel_of_a_waiting_call(self):
+        """A waiting call that is withdrawn must leave the queue and never run."""
+        await self.start(make_call(attempt_id="1" * 32))
+        waiting = await self.start(make_call(attempt_id="2" * 32, idempotent=False))
+        self.target.cancel("2" * 32)
+        result = await waiting
+        self.assertEqual((result.reason, result.outcome), ("cancelled", NOT_RUN))
+        self.execution.release.set()
+        await asyncio.sleep(0)
+        self.assertEqual(self.execution.ran, ["1" * 32])
+
+    async def test_pause_while_waiting(self):
+        """A node that was paused must not start a call after its start-by time."""
+        first = await self.start(make_call(attempt_id="1" * 32, deadline_ms=60_000))
+        waiting = await self.start(
+            make_call(
+                attempt_id="2" * 32,
+                idempotent=False,
+                deadline_ms=60_000,
+                start_by_ms=2000,
+            )
+        )
+        self.clock.now_s += 10
+        self.execution.release.set()
+        await first
+        result = await waiting
+        self.assertEqual((result.reason, result.outcome), ("start-by-passed", NOT_RUN))
+        self.assertEqual(self.execution.ran, ["1" * 32])
+
+    @params(RefusalReason.LEAVING, RefusalReason.ISOLATED, RefusalReason.NOT_READY)
+    async def test_gate(self, reason):
+        self.refusal = Refusal(reason, NOT_RUN)
+        result = await self.target.run(make_call(retry_tokens=2))
+        self.assertEqual((result.reason, result.outcome), (reason, NOT_RUN))
+        self.assertEqual(result.tokens_left, 2)
+
+    async def test_drain_returns_waiting_calls(self):
+        first = await self.start(make_call(attempt_id="1" * 32))
+        waiting = await self.start(make_call(attempt_id="2" * 32))
+        self.target.refuse_waiting(Refusal(RefusalReason.LEAVING, NOT_RUN))
+        self.assertEqual((await waiting).reason, RefusalReason.LEAVING)
+        self.execution.release.set()
+        self.assertEqual((await first).status, 200)
+
+    async def test_other_service(self):
+        """An address that now belongs to another service must not run the call."""
+        result = await self.target.run(make_call(service="stores"))
+        self.assertEqual((result.reason, result.outcome), ("no-backend", NOT_RUN))
