--- a/damaskproxy/move/tests/test_cli.py
+++ b/damaskproxy/move/tests/test_cli.py
@@ -76,6 +76,7 @@
         ("edit /nonexistent", {}, 1, "No such file"),
         ("edit {next}", DOWN, 5, "nothing was changed"),
         ("edit {next}", LOST, 6, "damask-move resolve "),
+        ("edit {next}", LOST | {"lose_count": 1}, 0, "accepted"),
         ("edit {next}", {"lose": Lose.AFTER}, 0, "accepted"),
         ("edit {stale} --edit-id edit-first", {}, 3, "edit_id"),
         ("validate {next}", DOWN, 0, "valid: section horns"),
--- a/damaskproxy/move/tests/test_store.py
+++ b/damaskproxy/move/tests/test_store.py
@@ -108,6 +108,14 @@
             store.apply(versions[index])
         self.assertEqual(store.service("orders").routes[0].deadline_ms, 5)
 
+    def test_service_that_returns(self):
+        """A service is back in its old section before it has left the new one."""
+        store = SectionStore()
+        store.apply(make_section(1, "old"))
+        store.apply(make_section(1, "new"))
+        store.apply(make_section(3, "old", deadline_ms=5))
+        self.assertEqual(store.service("orders").routes[0].deadline_ms, 5)
+
     def test_section_survives_the_wire(self):
         section = routed_section()
         self.assertEqual(decode_section(encode_section(section)), section)
