--- a/damaskproxy/move/watch.py
+++ b/damaskproxy/move/watch.py
@@ -10,7 +10,16 @@
 __all__ = ["NodeStatus", "Progress", "progress_of", "read_statuses", "status_url"]
 
 MAX_CONCURRENT = 32
+MAX_NAMED = 10
 DRAINING = "draining"
+STOPPED = "stopped"
+
+
+class MemberStatus(msgspec.Struct, frozen=True):
+    """A member, as a node knows it."""
+
+    node_id: str
+    state: str
 
 
 class NodeStatus(msgspec.Struct, frozen=True):
@@ -24,28 +33,19 @@
         Versions in force.
     in_flight : int
         Calls that run on its backend server.
-    members : int, dict or list
-        Members that it knows: their number, number by state, or records.
+    members : list of MemberStatus
+        Members that it knows.
     hold : str or None
-        What holds its leaving or its planned stop.
+        What holds its start, its leaving or its planned stop.
     """
 
     node_id: str
     state: str
     sections: dict[str, int] = {}
     in_flight: int = 0
-    members: int | dict[str, int | dict] | list = 0
+    members: list[MemberStatus] = []
     hold: str | None = ""
 
-    def member_count(self) -> int:
-        """Return how many members the node knows."""
-        if isinstance(self.members, int):
-            return self.members
-        if isinstance(self.members, dict):
-            values = self.members.values()
-            return sum(value if isinstance(value, int) else 1 for value in values)
-        return len(self.members)
-
 
 @dataclass(frozen=True, slots=True)
 class SectionProgress:
@@ -80,13 +80,13 @@
     draining : tuple of NodeStatus
         Nodes that drain.
     held : tuple of NodeStatus
-        Other nodes whose leaving is held.
+        Other nodes that wait for something.
     silent : tuple of str
         Nodes that did not answer.
     asked : int
         Nodes that were asked.
-    members : int
-        Most members that one node knows.
+    unheard : tuple of MemberStatus
+        Members that a node knows and that did not answer themselves.
     """
 
     sections: tuple[SectionProgress, ...]
@@ -94,7 +94,7 @@
     held: tuple[NodeStatus, ...]
     silent: tuple[str, ...]
     asked: int
-    members: int
+    unheard: tuple[MemberStatus, ...]
 
     def is_in_force(self) -> bool:
         """Tell whether every section is in force on every node asked."""
@@ -102,8 +102,9 @@
         return not self.silent and not behind
 
     def is_settled(self) -> bool:
-        """Tell whether, beyond that, nothing drains or waits to."""
-        return self.is_in_force() and not self.draining and not self.held
+        """Tell whether, beyond that, no node drains or waits."""
+        drains = any(node.state == DRAINING for node in self.unheard)
+        return self.is_in_force() and not (self.draining or self.held or drains)
 
     def lines(self) -> list[str]:
         """Return the state as lines for a person."""
@@ -114,10 +115,15 @@
         ]
         lines += [f"waiting: {node.node_id}{held_by(node)}" for node in self.held]
         lines += [f"no answer: {node}" for node in self.silent]
-        if self.members > self.asked:
-            missing = self.members - self.asked
-            lines.append(f"not asked: {missing} of {self.members} known members")
-        return lines
+        return lines + self._unheard_lines()
+
+    def _unheard_lines(self) -> list[str]:
+        if not self.unheard:
+            return []
+        draining = [node.node_id for node in self.unheard if node.state == DRAINING]
+        named = draining[:MAX_NAMED] + ["and more"] * (len(draining) > MAX_NAMED)
+        tail = f"; draining: {', '.join(named)}" * bool(named)
+        return [f"not heard: {len(self.unheard)} other members{tail}"]
 
     def _section_line(self, section: SectionProgress) -> str:
         line = f"{section.name} version {section.version}: in force on"
@@ -193,10 +199,22 @@
         tuple(node for node in answered if node.state != DRAINING and node.hold),
         tuple(name for name, status in statuses.items() if status is None),
         len(statuses),
-        max((node.member_count() for node in answered), default=0),
+        unheard_members(answered),
     )
 
 
+def unheard_members(answered: Sequence[NodeStatus]) -> tuple[MemberStatus, ...]:
+    """Return the members that are known, not stopped, and not in `answered`."""
+    heard = {node.node_id for node in answered}
+    found = {
+        member.node_id: member
+        for node in answered
+        for member in node.members
+        if member.state != STOPPED and member.node_id not in heard
+    }
+    return tuple(found[node_id] for node_id in sorted(found))
+
+
 def section_progress(
     name: str, version: int, nodes: Sequence[NodeStatus]
 ) -> SectionProgress:
