Index only the services of the section that changed

A cold node that applied 550 sections one after the other built the whole index each time and held the event loop for 427 ms, long enough for membership to distrust its own suspicions.

--- a/damaskproxy/move/store.py
+++ b/damaskproxy/move/store.py
@@ -37,6 +37,7 @@
 
     def __init__(self):
         self._sections: dict[str, Section] = {}
+        self._owners: dict[str, str] = {}
         self._services: dict[str, Service] = {}
         self._routes: dict[str, tuple[Route, ...]] = {}
         self._callbacks: list[Callable[[Section], None]] = []
@@ -55,22 +56,32 @@
         # Insertion order is the order of application.
         self._sections.pop(section.name, None)
         self._sections[section.name] = section
-        self._index()
+        self._index(section, current)
         for callback in tuple(self._callbacks):
             callback(section)
         return True
 
-    def _index(self) -> None:
-        sections = self._sections.values()
-        self._services = {
-            service.name: service
-            for section in sections
-            for service in section.services
-        }
-        self._routes = {
-            name: tuple(sorted(service.routes, key=specificity))
-            for name, service in self._services.items()
-        }
+    def _index(self, section: Section, before: Section | None) -> None:
+        """Index only what changed: at 550 sections a full index takes 0.8 ms."""
+        for service in section.services:
+            self._place(section.name, service)
+        names = {service.name for service in section.services}
+        for service in before.services if before else ():
+            if service.name not in names and self._owners[service.name] == section.name:
+                self._replace(service.name)
+
+    def _place(self, owner: str, service: Service) -> None:
+        self._owners[service.name] = owner
+        self._services[service.name] = service
+        self._routes[service.name] = tuple(sorted(service.routes, key=specificity))
+
+    def _replace(self, name: str) -> None:
+        """Let the latest other section with a service decide, or drop the service."""
+        del self._owners[name], self._services[name], self._routes[name]
+        for section in self._sections.values():
+            for service in section.services:
+                if service.name == name:
+                    self._place(section.name, service)
 
     def route(self, service: str, method: str, path: str) -> Match | Refusal:
         """Return the service and the route of a call.
--- a/damaskproxy/move/tests/test_store.py
+++ b/damaskproxy/move/tests/test_store.py
@@ -115,6 +115,10 @@
         store.apply(make_section(1, "new"))
         store.apply(make_section(3, "old", deadline_ms=5))
         self.assertEqual(store.service("orders").routes[0].deadline_ms, 5)
+        store.apply(make_section(4, "old", service=None))
+        self.assertEqual(store.service("orders").routes[0].deadline_ms, 2000)
+        store.apply(make_section(2, "new", service=None))
+        self.assertFalse(store.route("orders", "POST", "/orders"))
 
     def test_section_survives_the_wire(self):
         section = routed_section()
