--- a/damaskproxy/membership/tests/network.py
+++ b/damaskproxy/membership/tests/network.py
@@ -1,6 +1,7 @@
 """In-memory network of membership nodes on an event loop with virtual time."""
 
 import asyncio
+import logging
 import random
 import selectors
 
@@ -35,8 +36,16 @@
 
 
 def run_virtual(coroutine):
-    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
-        return runner.run(coroutine)
+    """Run a scenario; the events that it logs are expected and not printed."""
+    logger = logging.getLogger("damaskproxy.membership")
+    logger.propagate, propagates = False, logger.propagate
+    logger.addHandler(silent := logging.NullHandler())
+    try:
+        with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+            return runner.run(coroutine)
+    finally:
+        logger.removeHandler(silent)
+        logger.propagate = propagates
 
 
 class Versions:
