--- a/damaskproxy/history/tests/test_history.py
+++ b/damaskproxy/history/tests/test_history.py
@@ -90,6 +90,11 @@
             "sent s1;sent s2;told s1 not-run;told s2 not-run;ran a1",
             F.TOLD_NOT_RUN_BUT_RAN,
         ),
+        (
+            "two outstanding",
+            "sent s1;sent s2;ran a;told s1 not-run;told s2 unknown",
+            None,
+        ),
         ("told run, did not", "sent s1;told s1 run", F.TOLD_RUN_BUT_DID_NOT),
         ("other answer", RUN + "answer s1 other", F.WRONG_ANSWER),
         ("answer without run", "sent s1;answer s1 done", F.WRONG_ANSWER),
--- a/damaskproxy/ledger/tests/test_guard.py
+++ b/damaskproxy/ledger/tests/test_guard.py
@@ -6,8 +6,8 @@
 from nose2.tools import params
 
 from damaskproxy.ledger import AttemptGuard, LedgerSettings, Repeated
-from damaskproxy.ledger.tests.support import answer, call_of, not_run
 from damaskproxy.wire import Refused
+from tools.faults.ledger_node import answer, call_of, not_run
 
 FULL = "overload-queue-full/unknown"
 
--- a/damaskproxy/ledger/tests/test_handover.py
+++ b/damaskproxy/ledger/tests/test_handover.py
@@ -12,10 +12,10 @@
     hand_over,
     receive_handover,
 )
-from damaskproxy.ledger.tests.support import Node, call_of
 from damaskproxy.ledger.tests.test_ledger import Script, shown
-from damaskproxy.ledger.tests.virtual_time import run_virtual
 from damaskproxy.wire import Answer
+from tools.faults.ledger_node import Node, call_of
+from tools.faults.virtual_time import run_virtual
 
 SETTINGS = LedgerSettings(handover_entries_max=2, handover_attempts=2)
 
--- a/damaskproxy/ledger/tests/test_ledger.py
+++ b/damaskproxy/ledger/tests/test_ledger.py
@@ -8,9 +8,9 @@
 
 from damaskproxy.common import Outcome, RefusalReason as R
 from damaskproxy.ledger import LedgerSettings
-from damaskproxy.ledger.tests.support import Node, answer, call_of, not_run, unknown
-from damaskproxy.ledger.tests.virtual_time import run_virtual
 from damaskproxy.wire import Answer
+from tools.faults.ledger_node import Node, answer, call_of, not_run, unknown
+from tools.faults.virtual_time import run_virtual
 
 OVERLOAD = R.OVERLOAD_LEVEL
 SPENT = R.RETRY_ALLOWANCE_SPENT
--- /dev/null
+++ b/damaskproxy/ledger/tests/test_matrix.py
@@ -0,0 +1,47 @@
+"""The fault matrix holds, and each mechanism in it is needed."""
+
+import logging
+import unittest
+
+from hypothesis import given, settings, strategies as st
+from nose2.tools import params
+
+from damaskproxy.ledger.tests.matrix import FAULT_TABLE
+from tools.fault_matrix import PAGE, broken_pairs
+from tools.faults.cells import collect, render
+
+cells = st.sampled_from(FAULT_TABLE.cells)
+
+
+class MatrixTests(unittest.TestCase):
+    """Guards against broken promises under faults, and against idle mechanisms."""
+
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def test_page_agrees(self):
+        """Each cell keeps its promises, its fault occurs, and the page says so."""
+        page = render(collect())
+        self.assertNotIn("BROKEN", page)
+        self.assertNotIn("not reached", page)
+        self.assertEqual(page, PAGE.read_text(encoding="utf-8"))
+
+    @params(*FAULT_TABLE.proofs)
+    def test_proof(self, proof):
+        """With the mechanism the run keeps its promises, without it one breaks."""
+        kept, _ = FAULT_TABLE.run(proof.cells, proof.seed)
+        self.assertTrue(kept.ok, kept.lines())
+        broken, _ = FAULT_TABLE.run(proof.cells, proof.seed, proof.mechanism)
+        self.assertGreater(broken.counts[proof.finding], 0, broken.lines())
+
+    def test_pairs(self):
+        count, broken = broken_pairs(FAULT_TABLE, every=97)
+        self.assertGreater(count, 100)
+        self.assertEqual(broken, [])
+
+    @settings(derandomize=True, max_examples=60, deadline=None)
+    @given(st.lists(cells, max_size=5), st.integers(0, 10**6))
+    def test_any_faults(self, faults, seed):
+        verdict, _ = FAULT_TABLE.run(tuple(faults), seed)
+        self.assertTrue(verdict.ok, verdict.lines())
--- a/damaskproxy/quarantine/tests/test_quarantine.py
+++ b/damaskproxy/quarantine/tests/test_quarantine.py
@@ -8,14 +8,14 @@
 from nose2.tools import params
 
 from damaskproxy.common import Refusal
-from damaskproxy.ledger.tests.support import call_of, now_s
-from damaskproxy.ledger.tests.virtual_time import run_virtual
 from damaskproxy.quarantine import (
     Quarantine,
     QuarantineRecord,
     QuarantineSettings,
     SuspectPass,
 )
+from tools.faults.ledger_node import call_of
+from tools.faults.virtual_time import now_s, run_virtual
 
 POISON = b"poison"
 ATTEMPTS = 4
--- a/damaskproxy/ledger/tests/virtual_time.py
+++ b/tools/faults/virtual_time.py
@@ -3,7 +3,7 @@
 import asyncio
 import selectors
 
-__all__ = ["run_virtual"]
+__all__ = ["now_s", "run_virtual"]
 
 
 class _JumpingSelector(selectors.DefaultSelector):
@@ -27,6 +27,11 @@
         return self.jumps.jumped_s
 
 
+def now_s():
+    """Return the time of the running loop in seconds."""
+    return asyncio.get_running_loop().time()
+
+
 def run_virtual(coroutine):
     """Run `coroutine` on a new loop with virtual time and return its result."""
     loop = _VirtualLoop()
