Let late replies settle unknown attempts, and limit repeated log events

An attempt whose answer was late stayed unknown for 24 h although its target had answered. Ledger.late_reply takes the reply of an attempt that ended with outcome unknown; a late copy of an earlier refusal cannot settle a later attempt of the same key, which a test guards.

--- a/damaskproxy/events/__init__.py
+++ b/damaskproxy/events/__init__.py
@@ -1,6 +1,13 @@
 """Numbered log events and the formatters that print them."""
 
 from damaskproxy.events.catalogue import Event, define, defined_events
-from damaskproxy.events.logs import configure_logging, log_event
+from damaskproxy.events.logs import Throttle, configure_logging, log_event
 
-__all__ = ["Event", "configure_logging", "define", "defined_events", "log_event"]
+__all__ = [
+    "Event",
+    "Throttle",
+    "configure_logging",
+    "define",
+    "defined_events",
+    "log_event",
+]
--- a/damaskproxy/events/logs.py
+++ b/damaskproxy/events/logs.py
@@ -2,13 +2,16 @@
 
 import logging
 import sys
+from collections.abc import Callable
 from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
 from damaskproxy.events.catalogue import Event
 
-__all__ = ["configure_logging", "log_event"]
+__all__ = ["Throttle", "configure_logging", "log_event"]
+
+THROTTLE_S = 10.0
 
 TERMINAL_FORMAT = "%(asctime)s %(levelname)-7s %(message)s"
 JSON_FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
@@ -35,6 +38,27 @@
         log_data.update(log_data.pop("fields", None) or {})
 
 
+class Throttle:
+    """Limits events that could occur with each request to one in 10 s.
+
+    Parameters
+    ----------
+    now_s : callable
+        Monotonic clock.
+    """
+
+    def __init__(self, now_s: Callable[[], float]):
+        self._now_s = now_s
+        self._next_s = float("-inf")
+
+    def ready(self) -> bool:
+        """Tell whether the event may be logged now."""
+        if self._now_s() < self._next_s:
+            return False
+        self._next_s = self._now_s() + THROTTLE_S
+        return True
+
+
 def log_event(
     logger: logging.Logger, event: Event, /, *, exc_info: bool = False, **fields: object
 ) -> None:
--- a/damaskproxy/ledger/attempts.py
+++ b/damaskproxy/ledger/attempts.py
@@ -48,9 +48,21 @@
         call: Call,
         dispatch: Dispatch,
         record: Record,
+        *,
         finish: Callable[[Answer | Refused], None],
+        unresolved: Callable[[str], object],
     ) -> Answer | Refused:
-        """Run the attempts of `call` and pass the last reply to `finish`."""
+        """Run the attempts of `call`.
+
+        Parameters
+        ----------
+        call, dispatch, record : Call, Dispatch, Record
+            The request, the way to a target, and the record of its key.
+        finish : callable
+            Receives the last reply.
+        unresolved : callable
+            Receives the id of an attempt that ended with outcome unknown.
+        """
         arrived_s = self._now_s()
         start_by_s = arrived_s + min(call.start_by_ms, call.deadline_ms) / 1000
         deadline_s = arrived_s + call.deadline_ms / 1000
@@ -62,7 +74,7 @@
             while True:
                 result = unfinished
                 result = await self._once(
-                    call, dispatch, record, deadline_s, start_by_s
+                    call, dispatch, record, deadline_s, start_by_s, unresolved
                 )
                 if not self._retries(result, record, refusals):
                     return result
@@ -77,6 +89,7 @@
         record: Record,
         deadline_s: float,
         start_by_s: float,
+        unresolved: Callable[[str], object],
     ) -> Answer | Refused:
         now_s = self._now_s()
         if now_s >= start_by_s:
@@ -95,6 +108,8 @@
             log_event(logger, events.DISPATCH_FAILED, exc_info=True)
             result = refuse(call, RefusalReason.PEER_LOST, Outcome.UNKNOWN)
         record.tokens_left = min(record.tokens_left, result.tokens_left)
+        if isinstance(result, Refused) and result.outcome is Outcome.UNKNOWN:
+            unresolved(attempt.attempt_id)
         return result
 
     def _retries(
--- a/damaskproxy/ledger/inheritance.py
+++ b/damaskproxy/ledger/inheritance.py
@@ -79,7 +79,25 @@
         entry_count: int | None,
         heir_incarnation: int | None,
     ) -> bool:
-        """Activate a hand-over; see ``Ledger.adopt``."""
+        """Activate a hand-over, and tell whether it is accepted.
+
+        Parameters
+        ----------
+        issuer : tuple of str and int
+            Node and incarnation that issued the keys.
+        entries : sequence of LedgerEntry
+            The entries, or the last part of them after `stage`.
+        sealed : bool
+            Whether nothing may be dispatched for these keys.
+        handover_id : str
+            The same in each message of one hand-over.
+        entry_count : int, optional
+            Entries in all parts; the hand-over is refused when some are missing.
+        heir_incarnation : int, optional
+            Incarnation of this node that the sender means. A message that reaches a
+            later incarnation is refused: its entries are older than what the earlier
+            incarnation has dispatched.
+        """
         if heir_incarnation not in (None, self._incarnation):
             return self._refuse(handover_id, "meant for another incarnation")
         if not self.stage(handover_id, entries):
--- a/damaskproxy/ledger/ledger.py
+++ b/damaskproxy/ledger/ledger.py
@@ -2,33 +2,36 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Callable, Sequence
 from functools import partial
 
 import msgspec
 
-from damaskproxy.common import DamaskError, Outcome, RefusalReason
-from damaskproxy.events import log_event
+from damaskproxy.common import Outcome, RefusalReason
+from damaskproxy.events import Throttle, log_event
 from damaskproxy.ledger import events
 from damaskproxy.ledger.attempts import AttemptRunner, Dispatch, refuse
 from damaskproxy.ledger.books import Attempt, Book, Books, Issuer, Record, entry_of
 from damaskproxy.ledger.entries import (
     LedgerEntry,
-    answer_of_entry,
     fingerprint_of,
     mismatch,
     refused_of,
 )
 from damaskproxy.ledger.inheritance import Inheritance
 from damaskproxy.ledger.keys import IssuedKey, KeyRing
+from damaskproxy.ledger.recall import (
+    ReadOutcome,
+    from_record,
+    from_table,
+    read_nothing,
+)
 from damaskproxy.ledger.recent import RecentIds
 from damaskproxy.ledger.retrying import may_retry
 from damaskproxy.ledger.settings import LedgerSettings
 from damaskproxy.wire import Answer, Call, Refused
 
-__all__ = ["Dispatch", "Ledger", "ReadOutcome"]
-
-ReadOutcome = Callable[[str], Awaitable[LedgerEntry | None]]
+__all__ = ["Ledger"]
 
 logger = logging.getLogger(__name__)
 
@@ -36,10 +39,6 @@
 FULL_RETRY_AFTER_MS = 1000
 
 
-async def _read_nothing(_key: str) -> LedgerEntry | None:
-    return None
-
-
 class Ledger:
     """Ledger of this node and of the ledgers it inherited.
 
@@ -79,7 +78,7 @@
         wall_s: Callable[[], float],
         new_attempt_id: Callable[[], str],
         settings: LedgerSettings | None = None,
-        read_outcome: ReadOutcome = _read_nothing,
+        read_outcome: ReadOutcome = read_nothing,
         on_outcome: Callable[[LedgerEntry], None] = lambda entry: None,
         retry: Callable[[Sequence[Refused]], bool] = may_retry,
     ):
@@ -100,6 +99,11 @@
         self._early_cancels: RecentIds[bool] = RecentIds(
             memory_s, settings.attempts_max, now_s=now_s
         )
+        # Attempts that ended with outcome unknown, and the places of their records.
+        self._unresolved: RecentIds[tuple[Book, int]] = RecentIds(
+            memory_s, settings.attempts_max, now_s=now_s
+        )
+        self._full_log = Throttle(now_s)
         self._running: set[asyncio.Task] = set()
         self._frozen = False
         self._books.open((node_id, incarnation), sealed=False)
@@ -138,23 +142,42 @@
             return refuse(call, RefusalReason.KEY_EXPIRED, Outcome.UNKNOWN)
         book = self._books.get(issued.issuer)
         if book is None:
-            return await self._from_table(call, RefusalReason.LEDGER_LOST)
+            return await self._from_table(call)
         record = book.records.get(issued.serial)
         if record is not None and record.fingerprint != fingerprint_of(call):
             return mismatch(call)
         if record is not None and record.attempt is None:
             if record.outcome is Outcome.RUN:
-                return await self._recorded(call, book, issued.serial)
+                entry = self._entry(book, issued.serial, record)
+                return await from_record(call, entry, self._read_outcome)
             if record.outcome is Outcome.UNKNOWN:
                 return await self._from_table(call, record.reason)
         if book.sealed:
-            return await self._from_table(call, RefusalReason.LEDGER_LOST)
+            return await self._from_table(call)
         return await self._join_or_start(call, dispatch, book, issued, record)
 
     def cancel(self, attempt_id: str) -> None:
         """Withdraw a submission that has not arrived; else cancel its `submit`."""
         self._early_cancels.put(attempt_id, True, evict=True)
 
+    def late_reply(self, reply: Answer | Refused) -> bool:
+        """Take the reply to an attempt whose outcome was unknown so far.
+
+        Returns
+        -------
+        bool
+            Whether it told something new; a resend of the key then gets it.
+        """
+        place = self._unresolved.get(reply.attempt_id)
+        if place is None:
+            return False
+        book, serial = place
+        record = book.records.get(serial)
+        if record is None or record.attempt or record.outcome is not Outcome.UNKNOWN:
+            return False
+        self._finish(book, serial, record, reply)
+        return record.outcome is not Outcome.UNKNOWN
+
     def freeze(self) -> None:
         """Start no attempt for any key from now on; running attempts go on."""
         if self._frozen:
@@ -206,22 +229,8 @@
     ) -> bool:
         """Take over the ledger of another node, and tell whether it is held here.
 
-        Parameters
-        ----------
-        node_id, incarnation : str, int
-            Issuer of the keys.
-        entries : sequence of LedgerEntry
-            The entries, or the last part of them after `stage`.
-        sealed : bool
-            Whether nothing may be dispatched for these keys.
-        handover_id : str
-            An id that was adopted changes nothing and is confirmed again.
-        entry_count : int, optional
-            Entries in all parts; the hand-over is refused when some are missing.
-        heir_incarnation : int, optional
-            Incarnation of this node that the sender means. A message that reaches a
-            later incarnation is refused: its entries are older than what the earlier
-            incarnation has dispatched.
+        The parameters are those of `Inheritance.adopt`. A hand-over id that was adopted
+        by this incarnation changes nothing and is confirmed again.
         """
         if self._inheritance.is_done(handover_id):
             return True
@@ -240,9 +249,8 @@
         """Note that the table holds the answer of `key`, so its body may be dropped."""
         issued = self._key_ring.parse_any_age(key)
         book = self._books.get(issued.issuer) if issued else None
-        record = book.records.get(issued.serial) if book else None
-        if record is not None:
-            record.written = True
+        if book and issued.serial in book.records:
+            book.records[issued.serial].written = True
 
     def sweep(self) -> None:
         """Drop what retention no longer covers; called each minute."""
@@ -316,10 +324,16 @@
         record = book.records[serial]
         record.outcome = Outcome.UNKNOWN
         record.attempt = attempt = Attempt()
-        finish = partial(self._finish, book, serial, record)
-        attempt.task = asyncio.ensure_future(
-            self._runner.run(call, dispatch, record, finish)
+        work = self._runner.run(
+            call,
+            dispatch,
+            record,
+            finish=partial(self._finish, book, serial, record),
+            unresolved=lambda attempt_id: self._unresolved.put(
+                attempt_id, (book, serial), evict=True
+            ),
         )
+        attempt.task = asyncio.ensure_future(work)
         self._running.add(attempt.task)
         attempt.task.add_done_callback(self._running.discard)
         return attempt
@@ -364,32 +378,18 @@
             result, attempt_id=call.attempt_id, tokens_left=tokens_left, load=None
         )
 
-    async def _recorded(self, call: Call, book: Book, serial: int) -> Answer | Refused:
-        entry = self._entry(book, serial, book.records[serial])
-        stored = None if entry.body is not None else await self._read(call)
-        return answer_of_entry(call, stored or entry)
-
     async def _from_table(
-        self, call: Call, reason: RefusalReason | None
+        self, call: Call, reason: RefusalReason | None = RefusalReason.LEDGER_LOST
     ) -> Answer | Refused:
-        stored = await self._read(call)
-        if stored is not None:
-            return answer_of_entry(call, stored)
-        return refuse(call, reason or RefusalReason.LEDGER_LOST, Outcome.UNKNOWN)
-
-    async def _read(self, call: Call) -> LedgerEntry | None:
-        try:
-            async with asyncio.timeout(call.deadline_ms / 1000):
-                return await self._read_outcome(call.key)
-        except (DamaskError, TimeoutError):
-            return None
+        return await from_table(call, reason, self._read_outcome)
 
     def _entry(self, book: Book, serial: int, record: Record) -> LedgerEntry:
         key = self._key_ring.text_of(book.issuer, serial, record.expiry_s)
         return entry_of(key, record)
 
     def _full(self, call: Call, outcome: Outcome) -> Refused:
-        log_event(logger, events.ENTRIES_FULL, entries=self._books.count)
+        if self._full_log.ready():
+            log_event(logger, events.ENTRIES_FULL, entries=self._books.count)
         return refuse(
             call,
             RefusalReason.OVERLOAD_QUEUE_FULL,
--- a/damaskproxy/ledger/pins.py
+++ b/damaskproxy/ledger/pins.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import logging
+import time
 from collections import OrderedDict
 
 from damaskproxy.common import Outcome, Refusal, RefusalReason
-from damaskproxy.events import log_event
+from damaskproxy.events import Throttle, log_event
 from damaskproxy.ledger import events
 from damaskproxy.ledger.keys import KEY_PREFIX, IssuedKey, KeyRing
 from damaskproxy.ledger.settings import LedgerSettings
@@ -61,6 +62,7 @@
         self._errors = errors or platform_errors()
         self._timeout_s = settings.pin_timeout_ms / 1000
         self._cache_max = settings.pin_cache_max
+        self._log = Throttle(time.monotonic)
         self._cache: OrderedDict[str, str] = OrderedDict()
 
     async def resolve(self, service: str, key: str) -> IssuedKey | Refusal:
@@ -98,7 +100,8 @@
             async with asyncio.timeout(self._timeout_s):
                 return await self._insert(row_key, offered)
         except self._errors.all as error:
-            log_event(logger, events.PIN_UNAVAILABLE, cause=type(error).__name__)
+            if self._log.ready():
+                log_event(logger, events.PIN_UNAVAILABLE, cause=type(error).__name__)
             return None
 
     async def _insert(self, row_key: str, offered: str) -> str:
--- a/damaskproxy/ledger/tests/test_ledger.py
+++ b/damaskproxy/ledger/tests/test_ledger.py
@@ -189,6 +189,26 @@
 
         self.assertEqual(run_virtual(scenario()), (reply, 0))
 
+    @params(
+        ("answer", [unknown], answer, 201),
+        ("not-run", [unknown], not_run, "retry-allowance-spent/not-run"),
+        ("still unknown", [unknown], unknown, "peer-lost/unknown"),
+        ("copy of an earlier refusal", [not_run, unknown], None, "peer-lost/unknown"),
+    )
+    def test_late_reply(self, _name, steps, late, expected):
+        """A late reply settles its own attempt, never a later one of the same key."""
+
+        async def scenario():
+            node, script = Node(), Script(*steps)
+            (key,) = node.ring.issue(1)
+            await node.ledger.submit(call_of(key), script)
+            first, last = script.attempts[0], script.attempts[-1]
+            node.ledger.late_reply(late(last) if late else not_run(first))
+            reply = await node.ledger.submit(call_of(key, "s2"), script)
+            return shown(reply), len(script.attempts)
+
+        self.assertEqual(run_virtual(scenario()), (expected, len(steps)))
+
 
 class RetentionTests(unittest.TestCase):
     """Guards against growth without bound and against records lost too early."""
--- a/damaskproxy/quarantine/records.py
+++ b/damaskproxy/quarantine/records.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from damaskproxy.events import log_event
+from damaskproxy.events import Throttle, log_event
 from damaskproxy.quarantine import events
 from damaskproxy.quarantine.settings import QuarantineSettings
 
@@ -69,6 +69,7 @@
         self._settings = settings
         self._records: dict[str, QuarantineRecord] = {}
         self._versions: dict[str, int] = {}
+        self._full_log = Throttle(lambda: wall_ms() / 1000)
         self.version = 0
 
     def __len__(self) -> int:
@@ -129,7 +130,8 @@
             self._drop(identity)
         if len(self._records) < self._settings.records_max:
             return True
-        log_event(logger, events.RECORDS_FULL, records=len(self._records))
+        if self._full_log.ready():
+            log_event(logger, events.RECORDS_FULL, records=len(self._records))
         least = min(self._records.values(), key=_weight)
         if _weight(new) <= _weight(least):
             return False
--- a/tools/faults/ledger_mesh.py
+++ b/tools/faults/ledger_mesh.py
@@ -168,7 +168,7 @@
         return f"id-{self.ids}"
 
     async def exchange(
-        self, step_out, step_back, handle, *, peer, timeout_s, cancel=None
+        self, step_out, step_back, handle, *, peer, timeout_s, cancel=None, late=None
     ):
         """Send a request and return its reply, which is correlated by this call."""
         reply = asyncio.get_running_loop().create_future()
@@ -176,6 +176,8 @@
         async def deliver_reply(result):
             if not reply.done():
                 reply.set_result(result)
+            elif late is not None:
+                late(result)
 
         async def deliver():
             result = await handle()
@@ -275,6 +277,7 @@
                 partial(target.run, call),
                 peer=target.name,
                 timeout_s=2.0,
+                late=node.ledger.late_reply,
                 cancel=partial(target.guard.cancel, call.attempt_id),
             )
         except TimeoutError:
