--- a/damaskproxy/ledger/ledger.py
+++ b/damaskproxy/ledger/ledger.py
@@ -2,33 +2,37 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Callable, Sequence
 from functools import partial
 
 import msgspec
 
-from damaskproxy.common import DamaskError, Outcome, RefusalReason
-from damaskproxy.events import log_event
+from damaskproxy.common import Outcome, RefusalReason
+from damaskproxy.events import Throttle, log_event
 from damaskproxy.ledger import events
 from damaskproxy.ledger.attempts import AttemptRunner, Dispatch, refuse
 from damaskproxy.ledger.books import Attempt, Book, Books, Issuer, Record, entry_of
+from damaskproxy.ledger.compact import CompactBlock
 from damaskproxy.ledger.entries import (
     LedgerEntry,
-    answer_of_entry,
     fingerprint_of,
     mismatch,
     refused_of,
 )
 from damaskproxy.ledger.inheritance import Inheritance
 from damaskproxy.ledger.keys import IssuedKey, KeyRing
+from damaskproxy.ledger.recall import (
+    ReadOutcome,
+    from_record,
+    from_table,
+    read_nothing,
+)
 from damaskproxy.ledger.recent import RecentIds
 from damaskproxy.ledger.retrying import may_retry
 from damaskproxy.ledger.settings import LedgerSettings
 from damaskproxy.wire import Answer, Call, Refused
 
-__all__ = ["Dispatch", "Ledger", "ReadOutcome"]
-
-ReadOutcome = Callable[[str], Awaitable[LedgerEntry | None]]
+__all__ = ["Ledger"]
 
 logger = logging.getLogger(__name__)
 
@@ -36,10 +40,6 @@
 FULL_RETRY_AFTER_MS = 1000
 
 
-async def _read_nothing(_key: str) -> LedgerEntry | None:
-    return None
-
-
 class Ledger:
     """Ledger of this node and of the ledgers it inherited.
 
@@ -79,7 +79,7 @@
         wall_s: Callable[[], float],
         new_attempt_id: Callable[[], str],
         settings: LedgerSettings | None = None,
-        read_outcome: ReadOutcome = _read_nothing,
+        read_outcome: ReadOutcome = read_nothing,
         on_outcome: Callable[[LedgerEntry], None] = lambda entry: None,
         retry: Callable[[Sequence[Refused]], bool] = may_retry,
     ):
@@ -93,13 +93,12 @@
             now_s=now_s, new_attempt_id=new_attempt_id, retry=retry
         )
         self._books = Books(now_s=now_s, wall_s=wall_s, settings=settings)
-        memory_s = settings.attempt_memory_ms / 1000
-        self._submissions: RecentIds[bool] = RecentIds(
-            memory_s, settings.attempts_max, now_s=now_s
-        )
-        self._early_cancels: RecentIds[bool] = RecentIds(
-            memory_s, settings.attempts_max, now_s=now_s
-        )
+        memory = (settings.attempt_memory_ms / 1000, settings.attempts_max)
+        self._submissions: RecentIds[bool] = RecentIds(*memory, now_s=now_s)
+        self._early_cancels: RecentIds[bool] = RecentIds(*memory, now_s=now_s)
+        # Places of the records of attempts that ended with outcome unknown.
+        self._unresolved: RecentIds[tuple[Book, int]] = RecentIds(*memory, now_s=now_s)
+        self._full_log = Throttle(now_s)
         self._running: set[asyncio.Task] = set()
         self._frozen = False
         self._books.open((node_id, incarnation), sealed=False)
@@ -138,23 +137,42 @@
             return refuse(call, RefusalReason.KEY_EXPIRED, Outcome.UNKNOWN)
         book = self._books.get(issued.issuer)
         if book is None:
-            return await self._from_table(call, RefusalReason.LEDGER_LOST)
-        record = book.records.get(issued.serial)
+            return await self._from_table(call)
+        record = self._books.find(book, issued)
         if record is not None and record.fingerprint != fingerprint_of(call):
             return mismatch(call)
         if record is not None and record.attempt is None:
             if record.outcome is Outcome.RUN:
-                return await self._recorded(call, book, issued.serial)
+                entry = self._entry(book, issued.serial, record)
+                return await from_record(call, entry, self._read_outcome)
             if record.outcome is Outcome.UNKNOWN:
                 return await self._from_table(call, record.reason)
         if book.sealed:
-            return await self._from_table(call, RefusalReason.LEDGER_LOST)
+            return await self._from_table(call)
         return await self._join_or_start(call, dispatch, book, issued, record)
 
     def cancel(self, attempt_id: str) -> None:
         """Withdraw a submission that has not arrived; else cancel its `submit`."""
         self._early_cancels.put(attempt_id, True, evict=True)
 
+    def late_reply(self, reply: Answer | Refused) -> bool:
+        """Take the reply to an attempt whose outcome was unknown so far.
+
+        Returns
+        -------
+        bool
+            Whether it told something new; a resend of the key then gets it.
+        """
+        place = self._unresolved.get(reply.attempt_id)
+        if place is None:
+            return False
+        book, serial = place
+        record = book.records.get(serial)
+        if record is None or record.attempt or record.outcome is not Outcome.UNKNOWN:
+            return False
+        self._finish(book, serial, record, reply)
+        return record.outcome is not Outcome.UNKNOWN
+
     def freeze(self) -> None:
         """Start no attempt for any key from now on; running attempts go on."""
         if self._frozen:
@@ -169,16 +187,12 @@
         while self._running:
             await asyncio.wait(self._running)
 
-    def running(self) -> int:
-        """Return the number of attempts that run."""
-        return len(self._running)
-
     def issuers(self) -> list[tuple[Issuer, bool]]:
         """Return the issuers of the books held here, and whether each is sealed."""
         return [(book.issuer, book.sealed) for book in self._books]
 
     def snapshot(self, issuer: Issuer | None = None) -> list[LedgerEntry]:
-        """Return the entries of one book or of all.
+        """Return the full records of one book or of all.
 
         A running attempt appears with outcome unknown.
         """
@@ -189,9 +203,20 @@
             for serial, record in book.records.items()
         ]
 
-    def stage(self, handover_id: str, entries: Sequence[LedgerEntry]) -> bool:
-        """Keep entries of a hand-over that is not activated yet."""
-        return not self._frozen and self._inheritance.stage(handover_id, entries)
+    def compact_blocks(self, issuer: Issuer) -> list[CompactBlock]:
+        """Return the records of one book that `snapshot` leaves out."""
+        return self._books.get(issuer).compact.blocks()
+
+    def stage(
+        self,
+        handover_id: str,
+        entries: Sequence[LedgerEntry],
+        *,
+        blocks: Sequence[CompactBlock] = (),
+    ) -> bool:
+        """Keep a part of a hand-over that is not activated yet."""
+        staged = self._inheritance.stage
+        return not self._frozen and staged(handover_id, entries, blocks)
 
     def adopt(
         self,
@@ -201,57 +226,36 @@
         sealed: bool,
         *,
         handover_id: str = "",
-        entry_count: int | None = None,
-        heir_incarnation: int | None = None,
+        **parts: object,
     ) -> bool:
         """Take over the ledger of another node, and tell whether it is held here.
 
-        Parameters
-        ----------
-        node_id, incarnation : str, int
-            Issuer of the keys.
-        entries : sequence of LedgerEntry
-            The entries, or the last part of them after `stage`.
-        sealed : bool
-            Whether nothing may be dispatched for these keys.
-        handover_id : str
-            An id that was adopted changes nothing and is confirmed again.
-        entry_count : int, optional
-            Entries in all parts; the hand-over is refused when some are missing.
-        heir_incarnation : int, optional
-            Incarnation of this node that the sender means. A message that reaches a
-            later incarnation is refused: its entries are older than what the earlier
-            incarnation has dispatched.
+        The other parameters are those of `Inheritance.adopt`. A hand-over id that was
+        adopted by this incarnation changes nothing and is confirmed again.
         """
         if self._inheritance.is_done(handover_id):
             return True
         if self._frozen:
             return False
-        return self._inheritance.adopt(
-            (node_id, incarnation),
-            entries,
-            sealed,
-            handover_id=handover_id,
-            entry_count=entry_count,
-            heir_incarnation=heir_incarnation,
-        )
+        parts["handover_id"] = handover_id
+        return self._inheritance.adopt((node_id, incarnation), entries, sealed, **parts)
 
     def mark_written(self, key: str) -> None:
         """Note that the table holds the answer of `key`, so its body may be dropped."""
         issued = self._key_ring.parse_any_age(key)
         book = self._books.get(issued.issuer) if issued else None
-        record = book.records.get(issued.serial) if book else None
-        if record is not None:
-            record.written = True
+        if book and issued.serial in book.records:
+            book.records[issued.serial].written = True
 
     def sweep(self) -> None:
-        """Drop what retention no longer covers; called each minute."""
+        """Drop what retention no longer covers; called every few seconds."""
         self._books.sweep()
 
     def stats(self) -> dict[str, int]:
         """Return the figures of ``/status``."""
         return {
             "entries": self._books.count,
+            "compact_blocks": self._books.compact_blocks(),
             "body_bytes": self._books.body_bytes,
             "running": len(self._running),
             "submissions": len(self._submissions),
@@ -299,15 +303,15 @@
         """Make the record of an attempt, or say why none may start."""
         if min(call.deadline_ms, call.start_by_ms) == 0:
             return refuse(call, RefusalReason.DEADLINE_PASSED, Outcome.NOT_RUN)
+        if record is not None and record.tokens_left == 0:
+            return refuse(call, RefusalReason.RETRY_ALLOWANCE_SPENT, Outcome.NOT_RUN)
+        if issued.serial not in book.records and not self._books.has_room():
+            return self._full(call, Outcome.NOT_RUN)
         if record is None:
-            if self._books.is_full():
-                return self._full(call, Outcome.NOT_RUN)
             record = Record(fingerprint_of(call), issued.expiry_s, call.retry_tokens)
-            self._books.add(book, issued.serial, record)
-            return None
-        if record.tokens_left == 0:
-            return refuse(call, RefusalReason.RETRY_ALLOWANCE_SPENT, Outcome.NOT_RUN)
-        record.tokens_left -= 1
+        else:
+            record.tokens_left -= 1
+        self._books.add(book, issued.serial, record)
         return None
 
     def _start(
@@ -316,10 +320,16 @@
         record = book.records[serial]
         record.outcome = Outcome.UNKNOWN
         record.attempt = attempt = Attempt()
-        finish = partial(self._finish, book, serial, record)
-        attempt.task = asyncio.ensure_future(
-            self._runner.run(call, dispatch, record, finish)
+        work = self._runner.run(
+            call,
+            dispatch,
+            record,
+            finish=partial(self._finish, book, serial, record),
+            unresolved=lambda attempt_id: self._unresolved.put(
+                attempt_id, (book, serial), evict=True
+            ),
         )
+        attempt.task = asyncio.ensure_future(work)
         self._running.add(attempt.task)
         attempt.task.add_done_callback(self._running.discard)
         return attempt
@@ -332,13 +342,14 @@
         if isinstance(result, Refused):
             record.outcome = result.outcome
             record.reason = result.reason
+            self._books.complete(book, serial, record)
             return
         record.outcome = Outcome.RUN
         record.reason = None
         record.status = result.status
         record.headers, record.body = result.headers, result.body
-        self._books.keep_body(record)
         entry = self._entry(book, serial, record)
+        self._books.complete(book, serial, record)
         self._on_outcome(
             msgspec.structs.replace(entry, headers=result.headers, body=result.body)
         )
@@ -364,32 +375,18 @@
             result, attempt_id=call.attempt_id, tokens_left=tokens_left, load=None
         )
 
-    async def _recorded(self, call: Call, book: Book, serial: int) -> Answer | Refused:
-        entry = self._entry(book, serial, book.records[serial])
-        stored = None if entry.body is not None else await self._read(call)
-        return answer_of_entry(call, stored or entry)
-
     async def _from_table(
-        self, call: Call, reason: RefusalReason | None
+        self, call: Call, reason: RefusalReason | None = RefusalReason.LEDGER_LOST
     ) -> Answer | Refused:
-        stored = await self._read(call)
-        if stored is not None:
-            return answer_of_entry(call, stored)
-        return refuse(call, reason or RefusalReason.LEDGER_LOST, Outcome.UNKNOWN)
-
-    async def _read(self, call: Call) -> LedgerEntry | None:
-        try:
-            async with asyncio.timeout(call.deadline_ms / 1000):
-                return await self._read_outcome(call.key)
-        except (DamaskError, TimeoutError):
-            return None
+        return await from_table(call, reason, self._read_outcome)
 
     def _entry(self, book: Book, serial: int, record: Record) -> LedgerEntry:
         key = self._key_ring.text_of(book.issuer, serial, record.expiry_s)
         return entry_of(key, record)
 
     def _full(self, call: Call, outcome: Outcome) -> Refused:
-        log_event(logger, events.ENTRIES_FULL, entries=self._books.count)
+        if self._full_log.ready():
+            log_event(logger, events.ENTRIES_FULL, entries=self._books.count)
         return refuse(
             call,
             RefusalReason.OVERLOAD_QUEUE_FULL,
