Choose by own calls in flight instead of reported ones

Cause: load reports that are 0.3 s late made all nodes choose the same member. Conclusion: reports count for limit and level only; reported_load_weight brings the rest back where a node sends too few calls to see anything itself.

--- a/damaskproxy/balancing/balancer.py
+++ b/damaskproxy/balancing/balancer.py
@@ -236,11 +236,12 @@
         peer = self._peers[member.node_id]
         decay_s = self._settings.latency_decay_ms / 1000
         latency_s = peer.expected_latency_s(usual_s, now_s, decay_s)
-        busy, limit = peer.in_flight, max(1, member.slots)
+        busy, limit = float(peer.in_flight), max(1, member.slots)
         if self._is_fresh(peer, now_s):
             load = peer.load
             reported = load.in_flight + load.queued + peer.started_since_load
-            busy, limit = max(busy, reported), max(1, load.limit)
+            busy = max(busy, reported * self._settings.reported_load_weight)
+            limit = max(1, load.limit)
         score = latency_s * (busy + 1) / limit
         if member.data_centre != self._data_centre:
             score *= self._settings.remote_factor
--- a/damaskproxy/balancing/settings.py
+++ b/damaskproxy/balancing/settings.py
@@ -22,6 +22,9 @@
         How much worse a member of another data centre is taken to be.
     load_fresh_ms : int
         Age at which a load report no longer counts.
+    reported_load_weight : float
+        Weight of the reported calls in flight against those of this node. Reports are
+        late, so all callers choose the same member, the more so the higher the weight.
     latency_decay_ms : int
         Time in which a latency above the usual one fades.
     slow_start_answers : int
@@ -47,6 +50,7 @@
     candidates: Annotated[int, msgspec.Meta(ge=1, le=8)] = 3
     remote_factor: Annotated[float, msgspec.Meta(ge=1)] = 1.3
     load_fresh_ms: Duration = 300
+    reported_load_weight: Share = 0.0
     latency_decay_ms: Duration = 1000
     slow_start_answers: Count = 50
     slow_start_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.1
