--- a/damaskproxy/balancing/balancer.py
+++ b/damaskproxy/balancing/balancer.py
@@ -95,6 +95,8 @@
     def started(self, member: Member) -> None:
         """Count a call that is sent to `member`."""
         peer = self._peer(member)
+        if not peer.in_flight:
+            peer.waiting_since_s = self._now_s()
         peer.in_flight += 1
         peer.started_since_load += 1
 
@@ -126,6 +128,7 @@
         peer = self._peer(member)
         now_s = self._now_s()
         peer.in_flight = max(0, peer.in_flight - 1)
+        peer.waiting_since_s = now_s
         if load is not None:
             peer.observe_load(load, now_s)
         if result == "ok":
--- a/damaskproxy/balancing/peers.py
+++ b/damaskproxy/balancing/peers.py
@@ -16,7 +16,8 @@
     -----
     The latency jumps to half the distance of a slower answer and returns slowly, in
     answers and with time, so that a slowed member is left within a few calls and is
-    tried again although nothing is sent to it.
+    tried again although nothing is sent to it. While calls are out, the time since the
+    last answer is a lower bound of the latency that needs no answer to be seen.
     """
 
     __slots__ = (
@@ -31,6 +32,7 @@
         "load_at_s",
         "seen_at_s",
         "started_since_load",
+        "waiting_since_s",
     )
 
     def __init__(self, incarnation: int, answers: int):
@@ -45,6 +47,7 @@
         self.load: Load | None = None
         self.load_at_s = -math.inf
         self.started_since_load = 0
+        self.waiting_since_s = 0.0
 
     def observe_latency(self, elapsed_s: float, now_s: float) -> None:
         """Learn from the time of one answer."""
@@ -64,9 +67,10 @@
 
     def expected_latency_s(self, usual_s: float, now_s: float, decay_s: float) -> float:
         """Return the latency, drawn towards the usual one as it ages."""
-        if not self.latency_s:
-            return usual_s
-        if self.latency_s <= usual_s:
-            return self.latency_s
-        age = math.exp((self.seen_at_s - now_s) / decay_s)
-        return usual_s + (self.latency_s - usual_s) * age
+        latency_s = self.latency_s or usual_s
+        if latency_s > usual_s:
+            age = math.exp((self.seen_at_s - now_s) / decay_s)
+            latency_s = usual_s + (latency_s - usual_s) * age
+        if self.in_flight:
+            return max(latency_s, now_s - self.waiting_since_s)
+        return latency_s
