--- a/demo/starting.py
+++ b/demo/starting.py
@@ -78,6 +78,16 @@
         return None
 
 
+async def is_ready(host: Host) -> bool:
+    """Tell whether a node takes calls."""
+    url = f"http://{host.address('admin')}/readyz"
+    try:
+        async with aiohttp.request("GET", url, timeout=HTTP_TIMEOUT) as response:
+            return response.status == 200
+    except (aiohttp.ClientError, TimeoutError):
+        return False
+
+
 async def start_platform(processes: Processes, layout: Layout) -> None:
     """Start the stand-ins of the table service and of the object store."""
     await processes.start(
@@ -138,15 +148,15 @@
 async def wait_until_serving(layout: Layout, counts: Mapping[str, int]) -> float:
     """Wait until each node knows this many serving members of each service."""
 
-    async def is_ready(host: Host) -> bool:
+    async def knows_all(host: Host) -> bool:
         status = await fetch_status(host)
-        if status is None:
+        if status is None or not await is_ready(host):
             return False
         serving = [m["service"] for m in status["members"] if m["state"] == "serving"]
         known = all(serving.count(name) == count for name, count in counts.items())
         return known and set(status["sections"]) >= set(layout.mesh.routes)
 
     async def all_ready() -> bool:
-        return all(await asyncio.gather(*map(is_ready, layout.hosts)))
+        return all(await asyncio.gather(*map(knows_all, layout.hosts)))
 
     return await wait_for("nodes ready and members known", all_ready)
