--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks of damaskproxy; each module is run with ``python -m``."""
+"""Benchmarks of damaskproxy; run ``python -m benchmarks --help``."""
--- a/benchmarks/added_latency.py
+++ b/benchmarks/added_latency.py
@@ -20,7 +20,7 @@
 
 from benchmarks.cpu import process_cpu_s
 from benchmarks.figures import percentile, send_at_rate
-from benchmarks.mesh import Addresses, start_mesh
+from benchmarks.latency_mesh import Addresses, start_mesh
 from demo.processes import Processes
 
 __all__ = ["measure_rate", "summarize"]
--- a/benchmarks/mesh.py
+++ b/benchmarks/mesh.py
@@ -1,71 +1,161 @@
-"""Smallest mesh for the added latency: an entry node, and a target node."""
+"""Mesh of fake backend servers, each beside the decisions of one node."""
 
-from dataclasses import dataclass
-from pathlib import Path
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
 
-from damaskproxy.common import Priority
-from damaskproxy.standins.callers_meshes import Mesh
-from damaskproxy.world import Route
-from demo.layout import LISTENERS, LOOPBACK, NEW, Host, Layout
-from demo.processes import Processes, free_ports
-from demo.starting import (
-    put_section,
-    start_backend,
-    start_node,
-    start_platform,
-    wait_for_url,
-    wait_until_serving,
-)
+from benchmarks.fakes import FakeBackend, Reply, Request
+from damaskproxy.admission import AdmissionController, AdmissionSettings
+from damaskproxy.balancing import Balancer, BalancingSettings
+from damaskproxy.retries import RetryRatio, RetrySettings
+from damaskproxy.world import Address, Member, MemberState
 
-__all__ = ["Addresses", "start_mesh"]
+__all__ = ["Mesh", "MeshSettings", "Server"]
 
-SERVICE = "echo"
-CALL_PATH = "/call"
-ROUTE = Route("call", "POST", "/", Priority.NORMAL, True, 5000, 2)
-MESH = Mesh("bench", "bench", "caller", {SERVICE: (ROUTE,)}, {}, ())
+SERVICES = ("entry", "second", "third", "deep")
+INSTANCES = 4
+DATA_CENTRES = ("a", "b", "c", "d")
+DEEP_SLOTS = 4
+UPSTREAM_MARGIN = 1.3
+LOCAL_S = 0.0002
+REMOTE_S = 0.0015
+ADDRESS = Address("127.0.0.1", 1)
 
 
 @dataclass(frozen=True, slots=True)
-class Addresses:
-    """URL of each path, and process ids of the two nodes."""
-
-    urls: dict[str, str]
-    node_pids: list[int]
-
-
-def plan_mesh() -> Layout:
-    """Return the layout: the second host has a backend server, the first has none."""
-    ports = free_ports(2 * len(LISTENERS) + 3)
-    hosts = []
-    for number, name in enumerate(("entry", "target")):
-        own = ports[number * len(LISTENERS) :]
-        listeners = dict(zip(LISTENERS, own))
-        hosts.append(Host(name, SERVICE, NEW, listeners, ports[-3]))
-    return Layout(MESH, SERVICE, tuple(hosts), ports[-2], ports[-1])
-
-
-async def start_mesh(processes: Processes, folder: Path) -> Addresses:
-    """Start all processes of the benchmark and wait until they serve."""
-    layout = plan_mesh()
-    entry, target = layout.hosts
-    await start_platform(processes, layout)
-    await put_section(processes, layout, folder, SERVICE)
-    for host in layout.hosts:
-        await start_node(processes, layout, host, folder)
-    quiet = ("--service-time-ms", 0, "--spread", 0, "--log-level", "WARNING")
-    await start_backend(processes, target, layout, *quiet)
-    backend = f"http://{LOOPBACK}:{target.backend_port}"
-    first, second = free_ports(2)
-    relay_urls = [f"http://{LOOPBACK}:{port}" for port in (first, second)]
-    await processes.start("relay-1", "benchmarks.relay", first, relay_urls[1])
-    await processes.start("relay-2", "benchmarks.relay", second, backend)
-    await wait_for_url(f"{relay_urls[0]}/damask/load")
-    await wait_until_serving(layout, {SERVICE: 1})
-    return Addresses(
-        urls={
-            "direct": f"{backend}{CALL_PATH}",
-            "relay": f"{relay_urls[0]}{CALL_PATH}",
-            "node": f"http://{entry.address('call')}/{SERVICE}{CALL_PATH}",
-        },
-        node_pids=[processes.pid(host.node) for host in layout.hosts],
-    )
+class MeshSettings:
+    """Settings of one run; a mechanism is switched off by its own settings."""
+
+    admission: AdmissionSettings = field(default_factory=AdmissionSettings)
+    balancing: BalancingSettings = field(default_factory=BalancingSettings)
+    retries: RetrySettings = field(default_factory=RetrySettings)
+    retry_allowance: int = 3
+    hedging: bool = True
+    report_lag_s: float = 0.0
+
+
+class Server:
+    """One VM: a fake backend server and the decisions of the node beside it."""
+
+    def __init__(self, mesh: "Mesh", service: str, index: int, slots: int):
+        now_s, settings = mesh.now_s, mesh.settings
+        seed = f"{mesh.seed}/{service}/{index}"
+        self.mesh = mesh
+        self.hop = SERVICES.index(service)
+        self.backend = FakeBackend(slots, rng=random.Random(seed), now_s=now_s)
+        self.admission = AdmissionController(
+            slots, now_s=now_s, settings=settings.admission
+        )
+        self.data_centre = DATA_CENTRES[index % len(DATA_CENTRES)]
+        self.balancer = Balancer(
+            self.data_centre,
+            now_s=now_s,
+            rng=random.Random(f"{seed}/balancer"),
+            settings=settings.balancing,
+        )
+        self.ratio = RetryRatio(settings.retries)
+        self.turn = index
+        self.suspect_turn = asyncio.Lock()
+        self.member = Member(
+            node_id=f"{service}-{index}",
+            incarnation=1,
+            version=1,
+            region="r",
+            data_centre=self.data_centre,
+            peer=ADDRESS,
+            control=ADDRESS,
+            call=ADDRESS,
+            state=MemberState.SERVING,
+            service=service,
+            slots=slots,
+        )
+
+    def distance_s(self, other: "Server") -> float:
+        """Return the one-way delay to another server."""
+        return LOCAL_S if self.data_centre == other.data_centre else REMOTE_S
+
+
+class Mesh:
+    """Four services of four instances in four data centres.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of all random sources.
+    now_s : callable
+        Clock.
+    settings : MeshSettings
+        Settings of the decisions.
+
+    Notes
+    -----
+    A task holds its slot during its outbound call, so an upstream service has more
+    slots: enough for 1.3 times the rate of the deep service, which is the bottleneck.
+    """
+
+    def __init__(self, seed: int, now_s: Callable[[], float], settings: MeshSettings):
+        self.seed = seed
+        self.now_s = now_s
+        self.settings = settings
+        self.rng = random.Random(f"{seed}/mesh")
+        self.reasons: Counter[str] = Counter()
+        self.records: dict[str, asyncio.Future] = {}
+        self.suspects: Counter[str] = Counter()
+        self.servers: dict[str, list[Server]] = {}
+        for hop, service in enumerate(SERVICES):
+            slots = slots_of(hop)
+            self.servers[service] = [
+                Server(self, service, index, slots) for index in range(INSTANCES)
+            ]
+        self.by_id = {server.member.node_id: server for server in self.all_servers()}
+        self._members: dict[str, tuple[Member, ...]] = {}
+        for service in SERVICES:
+            self._refresh(service)
+
+    def all_servers(self) -> list[Server]:
+        """Return the servers of all services."""
+        return [server for servers in self.servers.values() for server in servers]
+
+    def members(self, service: str) -> tuple[Member, ...]:
+        """Return the members that membership knows as serving."""
+        return self._members[service]
+
+    def add_server(self, service: str) -> Server:
+        """Add a cold server, as when capacity is added during a swing."""
+        servers = self.servers[service]
+        slots = slots_of(SERVICES.index(service))
+        server = Server(self, service, len(servers), slots)
+        server.backend.answered = 0
+        servers.append(server)
+        self.by_id[server.member.node_id] = server
+        self._refresh(service)
+        return server
+
+    def remove_server(self, service: str) -> None:
+        """Remove the last server before any call has reached it."""
+        server = self.servers[service].pop()
+        del self.by_id[server.member.node_id]
+        self._refresh(service)
+
+    def suspect(self, request: Request) -> None:
+        """Count the death of a backend server that was running `request`."""
+        self.suspects[request.request_id] += 1
+
+    def _refresh(self, service: str) -> None:
+        members = (server.member for server in self.servers[service])
+        self._members[service] = tuple(members)
+
+
+def slots_of(hop: int) -> int:
+    """Return the slots of each instance of the service at `hop`."""
+    depth_below = len(SERVICES) - hop
+    if depth_below == 1:
+        return DEEP_SLOTS
+    return round(DEEP_SLOTS * depth_below * UPSTREAM_MARGIN)
+
+
+def refused(refusal) -> Reply:
+    """Return the reply that stands for a refusal."""
+    return Reply(False, str(refusal.reason), refusal.outcome)
