--- a/damaskproxy/standins/callers.py
+++ b/damaskproxy/standins/callers.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from damaskproxy.common import Outcome
+from damaskproxy.common import Outcome, RefusalReason
 from damaskproxy.standins.backend_answer import request_bytes, request_digest
 from damaskproxy.standins.callers_keys import KeyPool
 from damaskproxy.standins.callers_meshes import Mesh, RequestKind
@@ -32,6 +32,10 @@
 
 # A caller waits a little longer than the longest route deadline for an answer.
 ANSWER_TIMEOUT_S = 8.0
+# Refusals of an entry node that is about to go or cut off; another one takes the call.
+ENTRY_REASONS = frozenset(
+    (RefusalReason.STOPPING, RefusalReason.NOT_READY, RefusalReason.ISOLATED)
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,8 +219,8 @@
         return told
 
     def _may_resend(self, told: Told) -> bool:
-        """Resend after ``unknown``, and where no node took the request."""
-        if told.status == 0:
+        """Resend after ``unknown``, and where the entry node takes no requests."""
+        if told.status == 0 or told.reason in ENTRY_REASONS:
             return True
         return told.outcome is Outcome.UNKNOWN and not told.whole
 
@@ -233,7 +237,10 @@
                 timeout=aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S),
             ) as response:
                 body = await response.read()
-                return read_told(response.status, body, request.digest)
+            told = read_told(response.status, body, request.digest)
+            if told.reason in ENTRY_REASONS:
+                self._entries.shun(base)
+            return told
         except aiohttp.ClientConnectorError:
             self._entries.shun(base)
             return Told(0, Outcome.NOT_RUN, NO_ENTRY)
--- a/damaskproxy/standins/tests/test_callers.py
+++ b/damaskproxy/standins/tests/test_callers.py
@@ -19,6 +19,7 @@
 
 CONFIG = CallerConfig(rate_per_s=2000, duration_s=0.006, seed=3, resend_pause_s=0)
 UNKNOWN = {"reason": "ledger-lost", "outcome": "unknown"}
+STOPPING = {"reason": "stopping", "outcome": "not-run"}
 NOT_RUN = {"reason": "overload-level", "outcome": "not-run"}
 
 
@@ -78,6 +79,7 @@
             5,
         ),
         ("not-run is final", lambda *_: web.json_response(NOT_RUN, status=503), "x", 1),
+        ("stopping", lambda *_: web.json_response(STOPPING, status=503), "stopping", 5),
         ("cut is resent", abort, "connection-cut", 5),
         ("a stranger's answer", lambda r, _d: whole(r, "0" * 32), "", 1),
     )
