--- a/damaskproxy/node/tests/test_cli.py
+++ b/damaskproxy/node/tests/test_cli.py
@@ -52,9 +52,9 @@
     def test_version(self):
         self.assertEqual(run("--version").stdout, f"damask-node {__version__}\n")
 
-    @params([], ["run"], ["check"], ["status"])
-    def test_help(self, *command):
-        done = run(*command, "--help")
+    @params("", "run", "check", "status")
+    def test_help(self, command):
+        done = run(*command.split(), "--help")
         self.assertEqual(done.returncode, 0)
         self.assertIn("Usage", done.stdout)
 
