--- a/damaskproxy/ledger/ledger.py
+++ b/damaskproxy/ledger/ledger.py
@@ -280,9 +280,6 @@
             return refuse(call, RefusalReason.CANCELLED, outcome)
         if running:
             return await self._wait(call, record.attempt, deadline_s, starter=False)
-        if repeated:
-            # The first copy was told not-run, so this copy must not run.
-            return refuse(call, RefusalReason.CANCELLED, Outcome.UNKNOWN)
         if book.frozen:
             # The heir may have started the key already.
             return refuse(
@@ -291,6 +288,10 @@
                 Outcome.UNKNOWN,
                 retry_after_ms=MOVING_RETRY_AFTER_MS,
             )
+        if repeated:
+            # The first copy ended without a start, so this one must not start either.
+            reason = record.reason if record is not None else None
+            return refuse(call, reason or RefusalReason.CANCELLED, Outcome.NOT_RUN)
         refused = self._reserve(call, book, issued, record)
         if refused is not None:
             return refused
--- a/damaskproxy/ledger/outcomes.py
+++ b/damaskproxy/ledger/outcomes.py
@@ -26,6 +26,7 @@
 logger = logging.getLogger(__name__)
 
 COMMIT_ATTEMPTS = 3
+BACKOFF_MAX = 10
 READ_CACHE_S = 5.0
 READ_CACHE_ROWS_MAX = 64
 COMMIT_MAX_BYTES = 1 << 20
@@ -161,10 +162,11 @@
 
     def _pause_s(self) -> float:
         """Return the pause before the next batch, longer after failures."""
-        longest_s = self._settings.backoff_max_ms / 1000
-        pause_s = self._interval_s()
-        if self._failures:
-            pause_s = min(max(longest_s, pause_s), pause_s * 2**self._failures)
+        interval_s = self._interval_s()
+        if not self._failures:
+            return self._rng.uniform(0.75, 1.25) * interval_s
+        longest_s = max(interval_s, self._settings.backoff_max_ms / 1000)
+        pause_s = min(longest_s, interval_s * 2 ** min(self._failures, BACKOFF_MAX))
         return self._rng.uniform(0.5, 1.0) * pause_s
 
     async def _write_batch(self) -> bool:
--- a/tools/faults/ledger_mesh.py
+++ b/tools/faults/ledger_mesh.py
@@ -59,7 +59,7 @@
     "handover": (0, 1),
     "adopt": (0, 1),
     "pin": (0, 0, 1, 2),
-    "record": (0, 1, 2, 3),
+    "record": (0, 1, 2),
     "read": (0, 0, 1),
 }
 
@@ -69,6 +69,8 @@
 
     def __init__(self, cells, seed, mutations=None):
         self.rng = random.Random(seed)
+        # The pauses of the writers do not shift the choices of the rest of the run.
+        self.writer_rng = random.Random(seed)
         self.mutations = mutations or {}
         self.table = MemoryTable()
         self.recorder = Recorder(now_s=now_s)
@@ -109,7 +111,7 @@
             Table(self, step, process),
             ring,
             now_s=now_s,
-            rng=self.rng,
+            rng=self.writer_rng,
             settings=SETTINGS,
             on_written=on_written,
             errors=ERRORS,
@@ -218,11 +220,14 @@
         if not isinstance(issued, IssuedKey):
             return issued
         call = msgspec.structs.replace(call, key=issued.text)
+        # The same submission id in both tries: the first may still be on its way, and
+        # must not start when the second was told not-run.
+        frame = msgspec.structs.replace(call, attempt_id=self.new_id())
         reply = None
         for _ in range(2):
-            frame = msgspec.structs.replace(call, attempt_id=self.new_id())
             try:
-                reply = await self.submit(frame, self.holder(issued))
+                copy = self.mutate("submission", frame)
+                reply = await self.submit(copy, self.holder(issued))
             except TimeoutError:
                 continue
             if getattr(reply, "reason", None) not in (
