Generate the pages of events and settings from the code

make pages rewrites both; tests fail while a page is out of date, while a setting has no meaning, and while the interface page gives another status than the code. The models of listeners and the log state the meaning of their fields for the page.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: all setup demo test format lint check clean
+.PHONY: all setup demo test format lint check pages clean
 
 all: test
 
@@ -30,5 +30,10 @@
 
 check: lint test
 
+# Pages that are generated from the code; a test fails while they are out of date.
+pages: setup
+	$(BIN)/python -m tools.event_catalogue
+	$(BIN)/python -m tools.settings_page
+
 clean:
 	rm -rf $(VENV) build *.egg-info
--- a/damaskproxy/config/settings.py
+++ b/damaskproxy/config/settings.py
@@ -25,7 +25,15 @@
 
 
 class Listener(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """IP number and port that a node listens on; port 0 takes a free one."""
+    """IP number and port that a node listens on.
+
+    Parameters
+    ----------
+    host : str
+        IP number; names are refused.
+    port : int
+        Port; 0 takes a free one.
+    """
 
     host: str = "127.0.0.1"
     port: Port = 0
@@ -56,7 +64,15 @@
 
 
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """How the log is printed."""
+    """How the log is printed.
+
+    Parameters
+    ----------
+    style : str
+        One JSON object a line, or a line for a person.
+    level : str
+        Lowest level that is printed.
+    """
 
     style: Literal["json", "terminal"] = "json"
     level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
--- a/tools/event_catalogue.py
+++ b/tools/event_catalogue.py
@@ -38,19 +38,19 @@
     return defined_events()
 
 
-def render(events: list[Event]) -> str:
+def render() -> str:
     """Return the page."""
     rows = [
         f"| {event.number} | `{event.name}` | {logging.getLevelName(event.level)} "
         f"| {event.meaning} |\n"
-        for event in events
+        for event in all_events()
     ]
     return HEAD + "".join(rows)
 
 
 def main() -> None:
     """Rewrite the page."""
-    PAGE.write_text(render(all_events()), encoding="utf-8")
+    PAGE.write_text(render(), encoding="utf-8")
 
 
 if __name__ == "__main__":
--- a/tools/tests/test_pages.py
+++ b/tools/tests/test_pages.py
@@ -1,12 +1,17 @@
 """Pages for users agree with the lists in the code."""
 
+import re
 import unittest
 from pathlib import Path
 
 from nose2.tools import params
 
 from damaskproxy.common import RefusalReason, RetryReason
+from damaskproxy.routing.problems import status_of
+from tools import event_catalogue as event_page, settings_page
+from tools.event_catalogue import PAGE as EVENTS
 from tools.markdown import first_column
+from tools.settings_page import PAGE as SETTINGS
 
 DOCS = Path(__file__).resolve().parents[2] / "docs"
 
@@ -19,9 +24,23 @@
         page = (DOCS / "operations.md").read_text(encoding="utf-8")
         self.assertEqual(sorted(first_column(page, heading)), sorted(map(str, reasons)))
 
-    def test_interface_page_names_known_reasons_only(self):
+    def test_interface_page_gives_the_status_of_every_reason(self):
         page = (DOCS / "interface.md").read_text(encoding="utf-8")
         table = page.partition("| status | reasons |")[2].partition("\n\n")[0]
-        named = [cell.strip("`, ") for cell in table.split("`")[1::2]]
-        self.assertEqual(set(named) - set(map(str, RefusalReason)), set())
-        self.assertEqual(len(named), len(set(named)))
+        listed = dict.fromkeys(map(str, RefusalReason), 503)
+        for row in re.findall(r"^\| (\d+) \| (`.*) \|$", table, re.MULTILINE):
+            for reason in re.findall(r"`([^`]+)`", row[1]):
+                listed[reason] = int(row[0])
+        self.assertEqual(listed, {str(r): status_of(r) for r in RefusalReason})
+
+    @params((EVENTS, event_page), (SETTINGS, settings_page))
+    def test_generated_page_is_current(self, page, module):
+        self.assertEqual(
+            page.read_text(encoding="utf-8"),
+            module.render(),
+            f"run: python -m {module.__name__}",
+        )
+
+    def test_every_setting_has_a_meaning(self):
+        page = SETTINGS.read_text(encoding="utf-8")
+        self.assertEqual([line for line in page.splitlines() if "|  |" in line], [])
