--- a/damaskproxy/balancing/balancer.py
+++ b/damaskproxy/balancing/balancer.py
@@ -95,6 +95,8 @@
     def started(self, member: Member) -> None:
         """Count a call that is sent to `member`."""
         peer = self._peer(member)
+        if not peer.in_flight:
+            peer.waiting_since_s = self._now_s()
         peer.in_flight += 1
         peer.started_since_load += 1
 
@@ -126,6 +128,7 @@
         peer = self._peer(member)
         now_s = self._now_s()
         peer.in_flight = max(0, peer.in_flight - 1)
+        peer.waiting_since_s = now_s
         if load is not None:
             peer.observe_load(load, now_s)
         if result == "ok":
@@ -236,11 +239,12 @@
         peer = self._peers[member.node_id]
         decay_s = self._settings.latency_decay_ms / 1000
         latency_s = peer.expected_latency_s(usual_s, now_s, decay_s)
-        busy, limit = peer.in_flight, max(1, member.slots)
+        busy, limit = float(peer.in_flight), max(1, member.slots)
         if self._is_fresh(peer, now_s):
             load = peer.load
             reported = load.in_flight + load.queued + peer.started_since_load
-            busy, limit = max(busy, reported), max(1, load.limit)
+            busy = max(busy, reported * self._settings.reported_load_weight)
+            limit = max(1, load.limit)
         score = latency_s * (busy + 1) / limit
         if member.data_centre != self._data_centre:
             score *= self._settings.remote_factor
