--- a/benchmarks/figures.py
+++ b/benchmarks/figures.py
@@ -5,8 +5,13 @@
 import resource
 import time
 from collections.abc import Awaitable, Callable, Sequence
+from contextlib import suppress
 
-__all__ = ["cpu_s", "median", "percentile", "send_at_rate"]
+__all__ = ["CallRefused", "cpu_s", "median", "percentile", "send_at_rate"]
+
+
+class CallRefused(Exception):
+    """A call that was refused; it is not timed."""
 
 
 def percentile(values: Sequence[float], share: float) -> float:
@@ -47,7 +52,8 @@
     Parameters
     ----------
     call : callable
-        Makes one call; raises if it fails.
+        Makes one call; raises `CallRefused` if it is refused, and another exception
+        if it fails.
     rate_per_s, duration_s : float
         Mean rate, and time after which no call starts.
     rng : random.Random
@@ -56,14 +62,15 @@
     Returns
     -------
     list of float
-        Time of each call in seconds.
+        Time of each call that was not refused, in seconds.
     """
     times_s = []
 
     async def timed():
         started_s = time.perf_counter()
-        await call()
-        times_s.append(time.perf_counter() - started_s)
+        with suppress(CallRefused):
+            await call()
+            times_s.append(time.perf_counter() - started_s)
 
     tasks = set()
     start_s = next_s = time.perf_counter()
