Give the transport tests deadlines that a busy machine does not reach

Cause: rows of test_errors failed with a deadline of 20 ms on a machine with a load of 10, where the reply took longer.

--- a/damaskproxy/membership/tests/test_transport.py
+++ b/damaskproxy/membership/tests/test_transport.py
@@ -27,7 +27,12 @@
 from damaskproxy.world import Address, MemberState
 
 LOOPBACK = Address("127.0.0.1", 0)
-SETTINGS = MembershipSettings(probe_timeout_ms=400, describe_timeout_ms=20)
+# A busy machine does not reach these deadlines; a hanging call reaches the short one.
+LONG_MS = 30_000
+SETTINGS = MembershipSettings(
+    probe_timeout_ms=LONG_MS, describe_timeout_ms=LONG_MS, handover_timeout_ms=LONG_MS
+)
+SHORT_DESCRIBE = MembershipSettings(probe_timeout_ms=LONG_MS, describe_timeout_ms=20)
 EXCHANGE = Exchange(to_record(member(1)), digest=(1 << 64) - 1, buckets=bytes(2048))
 
 
@@ -101,6 +106,9 @@
     @awaited
     async def test_errors(self, name, handler, text):
         _server, address = await self.serve(Describe=handler)
+        if name == "deadline":
+            self.client = ControlClient(SHORT_DESCRIBE, now_s=time.monotonic)
+            self.addAsyncCleanup(self.client.close)
         logs = self.assertLogs if name == "broken" else self.assertNoLogs
         with (
             logs("damaskproxy.membership", "ERROR"),
@@ -143,6 +151,8 @@
             await release.wait()
             return ProbeReply(True)
 
+        self.client = ControlClient(SHORT_DESCRIBE, now_s=time.monotonic)
+        self.addAsyncCleanup(self.client.close)
         _server, address = await self.serve(ProbeVia=wait, Describe=hang)
         request = ProbeVia("node-1", ("127.0.0.1", 1))
         slow = asyncio.create_task(self.client.call(address, "ProbeVia", request))
