--- a/damaskproxy/context/request.py
+++ b/damaskproxy/context/request.py
@@ -53,7 +53,8 @@
         """Return the budget that is left, at least 0, or None without a deadline."""
         if self.deadline_s is None:
             return None
-        return max(0, int((self.deadline_s - self.now_s()) * 1000))
+        # Rounding first keeps float error from taking a millisecond at each hop.
+        return max(0, int(round((self.deadline_s - self.now_s()) * 1000, 3)))
 
     def outbound_headers(self) -> dict[str, str]:
         """Return the headers that tie an outbound call to this request."""
--- a/damaskproxy/node/lifecycle.py
+++ b/damaskproxy/node/lifecycle.py
@@ -221,7 +221,9 @@
         alone_s = 0.0
         while not task.done() and alone_s < NO_HEIR_GRACE_S:
             await asyncio.wait({task}, timeout=WAIT_S)
-            is_alone = choose(frozenset()) is None and not parts.ledger.stats()["running"]
+            is_alone = (
+                choose(frozenset()) is None and not parts.ledger.stats()["running"]
+            )
             alone_s = alone_s + WAIT_S if is_alone else 0.0
         if task.done():
             return task.result()
