--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of damaskproxy; run ``python -m benchmarks --help``."""
--- /dev/null
+++ b/benchmarks/control_peers.py
@@ -0,0 +1,307 @@
+"""Synthetic peers of the measured node.
+
+All peers share one member list and one set of sections. Only the peers that exchange
+messages with the measured node exist as listeners and tasks; the others are records.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from dataclasses import replace
+
+from benchmarks.control_subject import SUBJECT_ID, SectionVersions
+from damaskproxy.membership import (
+    ControlClient,
+    ControlError,
+    ControlServer,
+    MembershipSettings,
+    ProbeReply,
+    Status,
+)
+from damaskproxy.membership.exchange import Exchanger
+from damaskproxy.membership.neighbours import Outbox
+from damaskproxy.membership.own import OwnRecord
+from damaskproxy.membership.records import MemberList
+from damaskproxy.membership.ring import Ring
+from damaskproxy.world import Address, Member, MemberState
+
+__all__ = ["DATA_CENTRES", "Peers"]
+
+DATA_CENTRES = 6
+DATA_CENTRES_PER_REGION = 3
+MEMBERS_PER_SERVICE = 9
+MEMORY_S = 86_400.0
+# A flood takes this long to reach the neighbours of the measured node.
+SPREAD_S = (0.05, 0.5)
+NETWORK_DELAY_S = (0.0005, 0.01)
+TICK_S = 0.25
+HANG_S = 60.0
+GROUP_PORT_HOST = "127.0.0.1"
+
+
+def place_of(number: int) -> tuple[str, str]:
+    """Return region and data centre of a synthetic member."""
+    place = number % DATA_CENTRES
+    return f"region-{place // DATA_CENTRES_PER_REGION}", f"dc-{place}"
+
+
+class Identity:
+    """A peer that answers, and that probes the measured node if it is a predecessor."""
+
+    def __init__(self, peers: "Peers", member: Member):
+        self.data_centre = member.data_centre
+        self.own = OwnRecord(member, now_s=peers.now_s, on_change=peers.put)
+        self.outbox = Outbox()
+        self.exchanger = Exchanger(
+            self.own,
+            peers.members,
+            call=peers.client.call,
+            extras=peers.sections.extras,
+            on_news=lambda node_ids, source: None,
+            on_extra_news=lambda source: None,
+            on_reply=lambda: None,
+        )
+        self.server = ControlServer(
+            {"Exchange": self._handle, "ProbeVia": self._probe_via}
+        )
+        self._peers = peers
+
+    async def _handle(self, request):
+        await self._peers.pass_gate(self.data_centre)
+        return self.exchanger.handle(request)
+
+    async def _probe_via(self, request):
+        await self._peers.pass_gate(self.data_centre)
+        return ProbeReply(self._peers.is_up(request.node_id))
+
+
+class Peers:
+    """Mesh of synthetic members around one measured node.
+
+    Parameters
+    ----------
+    count : int
+        Members of the mesh, the measured node included.
+    section_count : int
+        Number of sections.
+    seed : int
+        Seed of the random choices.
+    now_s : callable
+        Monotonic clock.
+    """
+
+    def __init__(
+        self, count: int, section_count: int, seed: int, now_s: Callable[[], float]
+    ):
+        self.now_s = now_s
+        self.rng = random.Random(seed)
+        self.settings = MembershipSettings()
+        self.client = ControlClient(self.settings, now_s=now_s)
+        self.sections = SectionVersions(section_count)
+        self.members = MemberList(now_s=now_s, memory_s=MEMORY_S)
+        self.count = count
+        self.services = max(1, count // MEMBERS_PER_SERVICE)
+        self.numbers = iter(range(count - 1, 1 << 30))
+        self.hung: set[str] = set()
+        self.down: set[str] = set()
+        self.failed: set[str] = set()
+        self.identities: dict[str, Identity] = {}
+        self.tasks: list[asyncio.Task] = []
+        self._groups: dict[str, Identity] = {}
+
+    # Set-up
+
+    async def start(self) -> Address:
+        """Start the listeners and return the address that serves as seed."""
+        numbers = range(self.count - 1)
+        for place in range(DATA_CENTRES):
+            group = Identity(self, self._member(place))
+            address = await group.server.start(Address(GROUP_PORT_HOST, 0))
+            group.own.member = replace(group.own.member, control=address)
+            self._groups[group.data_centre] = group
+            self.identities[group.own.member.node_id] = group
+        for number in numbers:
+            self.members.put(self._member(number), Status.ALIVE)
+        for node_id in self._neighbours_ever():
+            await self._give_identity(node_id)
+        return self._groups["dc-0"].own.member.control
+
+    def _member(self, number: int) -> Member:
+        region, data_centre = place_of(number)
+        low, high = number % 250, number // 250
+        control = Address("0.0.0.0", 0)
+        if data_centre in self._groups:
+            control = self._groups[data_centre].own.member.control
+        return Member(
+            f"vm-{number:05}.{data_centre}",
+            1,
+            0,
+            region,
+            data_centre,
+            Address(f"10.{number % DATA_CENTRES}.{high}.{low}", 7001),
+            control,
+            Address(f"172.{number % DATA_CENTRES}.{high}.{low}", 7003),
+            MemberState.SERVING,
+            f"service-{number % self.services}",
+            70,
+        )
+
+    def _neighbours_ever(self) -> set[str]:
+        """Return the neighbours of the measured node in every phase."""
+        places = [place_of(place) for place in range(DATA_CENTRES)]
+        far = {data_centre for region, data_centre in places if region != "region-0"}
+        found: set[str] = set()
+        for lost in (set(), {"dc-5"}, far):
+            ring = Ring()
+            for member in self.members.live():
+                if member.data_centre not in lost:
+                    ring.add(member.node_id)
+            successors, links = ring.neighbours(SUBJECT_ID)
+            found.update(successors, links)
+        return found
+
+    async def _give_identity(self, node_id: str) -> None:
+        if node_id in self.identities:
+            return
+        identity = Identity(self, self.members.get(node_id).member)
+        address = await identity.server.start(Address(GROUP_PORT_HOST, 0))
+        identity.own.member = replace(identity.own.member, control=address)
+        self.put(identity.own.member)
+        self.identities[node_id] = identity
+
+    async def start_predecessors(self) -> None:
+        """Start the peers that have the measured node as neighbour."""
+        for member in self.members.live():
+            successors, links = self.members.ring.neighbours(member.node_id)
+            if SUBJECT_ID in successors:
+                interval_ms = self.settings.probe_interval_ms
+            elif SUBJECT_ID in links:
+                interval_ms = self.settings.link_interval_ms
+            else:
+                continue
+            await self._give_identity(member.node_id)
+            identity = self.identities[member.node_id]
+            self.tasks += [
+                asyncio.create_task(self._probe(identity, interval_ms / 1_000)),
+                asyncio.create_task(self._push(identity)),
+            ]
+        self.tasks.append(asyncio.create_task(self._tick()))
+        self.predecessors = [
+            identity
+            for identity in self.identities.values()
+            if SUBJECT_ID in sum(self.members.ring.neighbours(_id(identity)), [])
+        ]
+
+    async def stop(self) -> None:
+        """End all tasks and listeners."""
+        for task in self.tasks:
+            task.cancel()
+        await self.client.close()
+        for identity in self.identities.values():
+            await identity.server.stop()
+
+    # Behaviour of the peers
+
+    async def pass_gate(self, data_centre: str) -> None:
+        """Let a request through, unless it is lost on the way."""
+        if data_centre in self.hung:
+            await asyncio.sleep(HANG_S)
+
+    def is_up(self, node_id: str) -> bool:
+        """Tell whether a member answers the probe of another one."""
+        entry = self.members.get(node_id)
+        if entry is None or node_id in self.failed:
+            return False
+        return entry.member.data_centre not in self.hung | self.down
+
+    async def _probe(self, identity: Identity, interval_s: float) -> None:
+        """Probe at full intervals of the wall clock, as nodes do."""
+        delay_s = self.rng.uniform(*NETWORK_DELAY_S)
+        turn_s = self.rng.randrange(round(interval_s)) if interval_s > 1 else 0
+        while True:
+            wall_s = time.time() - turn_s - delay_s
+            await asyncio.sleep(interval_s - wall_s % interval_s)
+            await self._call(identity, [])
+
+    async def _push(self, identity: Identity) -> None:
+        while True:
+            await identity.outbox.wait()
+            await self._call(identity, identity.outbox.take())
+            await asyncio.sleep(self.settings.push_interval_ms / 1_000)
+
+    async def _call(self, identity: Identity, pushed: list[str]) -> None:
+        if identity.data_centre in self.hung | self.down:
+            return
+        subject = self.members.get(SUBJECT_ID).member
+        try:
+            await identity.exchanger.exchange(subject.control, SUBJECT_ID, push=pushed)
+        except ControlError:
+            return
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            timeout_s = self.settings.suspect_timeout_ms / 1_000
+            self.members.bury(self.now_s() - timeout_s)
+
+    # Events
+
+    def put(self, member: Member, status: Status = Status.ALIVE) -> None:
+        """Change a record in the list of all peers."""
+        self.members.put(member, status)
+
+    def spread(self, node_ids: list[str]) -> None:
+        """Have each predecessor push some records, or announce sections."""
+        loop = asyncio.get_running_loop()
+        for identity in self.predecessors:
+            delay_s = self.rng.uniform(*SPREAD_S)
+            loop.call_later(delay_s, identity.outbox.add, node_ids)
+
+    def change(self, node_id: str, **changes) -> None:
+        """Change fields of a member and spread its record."""
+        member = self.members.get(node_id).member
+        changes.setdefault("version", member.version + 1)
+        self.put(replace(member, **changes))
+        self.spread([node_id])
+
+    def rejoin(self, node_id: str) -> None:
+        """Raise the incarnation of a member and spread its record."""
+        if node_id in self.identities:
+            self.identities[node_id].own.rejoin()
+            self.spread([node_id])
+        else:
+            incarnation = self.members.get(node_id).member.incarnation + 1
+            self.change(node_id, incarnation=incarnation, version=0)
+
+    def suspect(self, node_id: str, claim: Status = Status.SUSPECT) -> None:
+        """Make a member suspect and spread the suspicion."""
+        entry = self.members.get(node_id)
+        self.members.put(entry.member, Status.SUSPECT, claim=claim)
+        self.spread([node_id])
+
+    def any_member(self) -> str:
+        """Return a live member without a listener."""
+        while True:
+            member = self.rng.choice(self.members.live())
+            if member.node_id not in self.identities and member.node_id != SUBJECT_ID:
+                return member.node_id
+
+    def add_member(self) -> str:
+        """Add a new member that does not become a neighbour of the measured node."""
+        before = self.members.ring.neighbours(SUBJECT_ID)
+        while True:
+            member = self._member(next(self.numbers))
+            self.members.ring.add(member.node_id)
+            after = self.members.ring.neighbours(SUBJECT_ID)
+            self.members.ring.remove(member.node_id)
+            if after == before:
+                break
+        starting = replace(member, state=MemberState.STARTING, service="")
+        self.put(starting)
+        self.spread([member.node_id])
+        return member.node_id
+
+
+def _id(identity: Identity) -> str:
+    return identity.own.member.node_id
--- a/damaskproxy/membership/guard.py
+++ b/damaskproxy/membership/guard.py
@@ -4,7 +4,7 @@
 
 __all__ = ["TICK_S", "StallGuard"]
 
-TICK_S = 0.25
+TICK_S = 0.5
 
 
 class StallGuard:
--- a/damaskproxy/membership/neighbours.py
+++ b/damaskproxy/membership/neighbours.py
@@ -1,9 +1,9 @@
 """Tasks that probe and inform the neighbours of this node."""
 
 import asyncio
-import random
 from collections.abc import Awaitable, Callable, Iterable
 
+from damaskproxy.membership.hashing import ring_position
 from damaskproxy.membership.settings import MembershipSettings
 
 __all__ = ["MAX_PUSHED", "Neighbours"]
@@ -11,7 +11,7 @@
 # Bounds the size of one push; the rest follows with the next one.
 MAX_PUSHED = 500
 MS_PER_S = 1_000
-JITTER_SHARE = 0.1
+MIN_WAIT_SHARE = 0.1
 
 
 class Outbox:
@@ -45,6 +45,11 @@
 
     A push does not wait behind a probe that runs into its timeout, hence two tasks.
 
+    All probes start at full intervals of the wall clock, on every node. A call on its
+    own finds the caches of the processor cold and costs two to three times as much as
+    one of several, and a node both sends its probes and answers those of others then.
+    Where clocks disagree only this saving is lost.
+
     Parameters
     ----------
     settings : MembershipSettings
@@ -57,8 +62,8 @@
         Sends some records to a member.
     sleep : callable
         Coroutine function that sleeps for some seconds.
-    rng : random.Random
-        Jitter of the probes.
+    wall_s : callable
+        Wall clock, which is nearly the same on all nodes.
     """
 
     def __init__(
@@ -69,7 +74,7 @@
         probe: Callable[[str], Awaitable[None]],
         push: Callable[[str, list[str]], Awaitable[None]],
         sleep: Callable[[float], Awaitable[None]],
-        rng: random.Random,
+        wall_s: Callable[[], float],
     ):
         self._successor_interval_s = settings.probe_interval_ms / MS_PER_S
         self._link_interval_s = settings.link_interval_ms / MS_PER_S
@@ -78,7 +83,7 @@
         self._probe = probe
         self._push = push
         self._sleep = sleep
-        self._rng = rng
+        self._wall_s = wall_s
         self._changed = True
         self._successors: frozenset[str] = frozenset()
         self._outboxes: dict[str, Outbox] = {}
@@ -131,17 +136,22 @@
                 task.cancel()
         self._tasks.clear()
 
-    def _interval_s(self, node_id: str) -> float:
-        if node_id in self._successors:
-            return self._successor_interval_s
-        return self._link_interval_s
+    def _until_probe_s(self, node_id: str) -> float:
+        """Return the time until a neighbour is probed next."""
+        interval_s, start_s = self._successor_interval_s, 0.0
+        if node_id not in self._successors:
+            # Links take turns, so that each second has about the same number of probes.
+            turns = max(1, round(self._link_interval_s / interval_s))
+            start_s = ring_position(node_id) % turns * interval_s
+            interval_s = self._link_interval_s
+        wait_s = interval_s - (self._wall_s() - start_s) % interval_s
+        # A timer that fires a little early must not lead to a second probe at once.
+        return wait_s if wait_s > MIN_WAIT_SHARE * interval_s else wait_s + interval_s
 
     async def _probe_loop(self, node_id: str) -> None:
-        await self._sleep(self._rng.random() * self._interval_s(node_id))
         while True:
+            await self._sleep(self._until_probe_s(node_id))
             await self._probe(node_id)
-            jitter = 1 + JITTER_SHARE * (2 * self._rng.random() - 1)
-            await self._sleep(self._interval_s(node_id) * jitter)
 
     async def _push_loop(self, node_id: str, outbox: Outbox) -> None:
         while True:
--- a/damaskproxy/membership/service.py
+++ b/damaskproxy/membership/service.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import random
+import time
 from collections.abc import Awaitable, Callable, Sequence
 
 from damaskproxy.events import log_event
@@ -53,6 +54,8 @@
         Sections and quarantine records, opaque to membership.
     table : ContactTable, optional
         Table with the contact rows; used by cold nodes and for their sake only.
+    wall_s : callable
+        Wall clock, to which probes are aligned.
 
     Notes
     -----
@@ -70,6 +73,7 @@
         rng: random.Random,
         extras: Extras | None = None,
         table: ContactTable | None = None,
+        wall_s: Callable[[], float] = time.time,
     ):
         self._settings = settings
         self._now_s = now_s
@@ -86,7 +90,7 @@
             probe=lambda node_id: self._detector.probe(node_id),
             push=self._push_to,
             sleep=sleep,
-            rng=rng,
+            wall_s=wall_s,
         )
         self._members = MemberList(
             now_s=now_s,
@@ -172,6 +176,10 @@
             if (entry := self._members.get(node_id)) is not None
         ]
 
+    def digest(self) -> int:
+        """Return a digest of the member list, equal on nodes that believe the same."""
+        return self._members.digest
+
     def pollers(self, data_centre: str, count: int = 2) -> list[str]:
         """Return the ids of the nodes that poll the table for a data centre."""
         return pollers(self._members.live(), data_centre, count)
--- a/damaskproxy/membership/settings.py
+++ b/damaskproxy/membership/settings.py
@@ -49,11 +49,11 @@
 
     seeds: tuple[Seed, ...] = ()
     probe_interval_ms: PositiveMs = 1_000
-    link_interval_ms: PositiveMs = 5_000
+    link_interval_ms: PositiveMs = 10_000
     probe_timeout_ms: PositiveMs = 500
     suspect_timeout_ms: PositiveMs = 5_000
     isolated_after_ms: PositiveMs = 5_000
-    stall_ms: PositiveMs = 750
+    stall_ms: PositiveMs = 500
     push_interval_ms: PositiveMs = 50
     dead_retry_ms: PositiveMs = 10_000
     dead_memory_ms: PositiveMs = 86_400_000
--- a/damaskproxy/membership/tests/network.py
+++ b/damaskproxy/membership/tests/network.py
@@ -83,6 +83,7 @@
             rng=random.Random(f"{network.seed}/{member.node_id}"),
             extras=self.versions.extras,
             table=table,
+            wall_s=lambda: loop.time() + network.rng.random() * network.clock_error_s,
         )
         self.handlers = {
             "Exchange": self.membership.handle_exchange,
@@ -133,6 +134,7 @@
         self.loss = 0.0
         self.duplicates = 0.0
         self.delay_s = 0.002
+        self.clock_error_s = 0.05
         self._deliveries = set()
 
     async def deliver(self, source, address, method, message):
--- a/damaskproxy/membership/transport.py
+++ b/damaskproxy/membership/transport.py
@@ -33,7 +33,7 @@
 SERVICE = "damask.Control"
 MS_PER_S = 1_000
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
-# Neighbours are called at least every 5 s; only other channels stay unused for longer.
+# Neighbours are called at least every 10 s; only other channels stay unused for longer.
 IDLE_S = 30.0
 METHODS: dict[str, tuple[type, type]] = {
     "Exchange": (Exchange, Exchange),
@@ -41,15 +41,18 @@
     "Handover": (Handover, HandoverReply),
     "Describe": (Describe, DescribeReply),
 }
-LIMITS = [
+# Messages are small and rare. The probes by which HTTP/2 estimates the bandwidth would
+# double the thread switches of each call.
+COMMON_OPTIONS = [
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.http2.bdp_probe", 0),
 ]
 # A channel is replaced after a failure, so that a restarted node is reached at once
 # and not after the backoff of a shared connection.
-CHANNEL_OPTIONS = [*LIMITS, ("grpc.use_local_subchannel_pool", 1)]
+CHANNEL_OPTIONS = [*COMMON_OPTIONS, ("grpc.use_local_subchannel_pool", 1)]
 # Two processes must not share the port by mistake.
-SERVER_OPTIONS = [*LIMITS, ("grpc.so_reuseport", 0)]
+SERVER_OPTIONS = [*COMMON_OPTIONS, ("grpc.so_reuseport", 0)]
 
 Handler = Callable[[object], Awaitable[object]]
 
