Bound the expected wait and hedge only calls to slow members

Causes: a queue behind slots full of stragglers looked short at the usual pace; hedges of calls that are long by themselves took a second slot each; the percentile of the hedge delay rose with the slow moments and needed 50 answers per route and node. Now a call is refused, and can go elsewhere, when its expected wait exceeds 50 ms at the pace since the last release; a hedge needs a member that is slow to others too, and starts after at most twice the median, learned from 20 answers.

--- a/benchmarks/damask_path.py
+++ b/benchmarks/damask_path.py
@@ -122,7 +122,9 @@
         await asyncio.wait(attempts, timeout=max(HEDGE_FLOOR_S, delay_s))
         if first.done():
             return first.result()
-        other = _choose(mesh, node, request, service, tried)
+        other = None
+        if node.balancer.is_slow(target.member):
+            other = _choose(mesh, node, request, service, tried)
         if isinstance(other, Server) and _spend(node, service, request, allowance):
             attempts.append(
                 asyncio.ensure_future(
--- a/damaskproxy/admission/controller.py
+++ b/damaskproxy/admission/controller.py
@@ -63,6 +63,8 @@
         self._latency_s = 0.0
         self._interval_s = self._settings.interval_ms / 1000
         self._target_s = self._settings.queue_target_ms / 1000
+        self._wait_max_s = self._settings.queue_wait_max_ms / 1000
+        self._released_at_s = now_s()
         self._window_began_s = now_s()
         self._reset_window(self._window_began_s)
 
@@ -149,6 +151,7 @@
         self._in_flight -= 1
         self._long_in_flight -= permit.is_long
         now_s = self._now_s()
+        self._released_at_s = now_s
         if ok:
             self._learn(permit, elapsed_s, outbound_s)
         if now_s >= self._window_ends_s:
@@ -209,17 +212,30 @@
         return self._in_flight < limit - reserve
 
     def _refuse_or_wait(self, ticket, cost, now_s) -> Refusal | None:
+        wait_s = self._expected_wait_s(ticket, now_s)
+        if wait_s > self._wait_max_s:
+            self._was_refusing = True
+            reason = RefusalReason.OVERLOAD_QUEUE_FULL
+            return _refusal(reason, self._retry_after_ms())
         if self._settings.expected_time_check and cost is not None:
-            expected_s = self._expected_wait_s(ticket) + cost.median_s
-            if now_s + expected_s > ticket.deadline_s:
+            if now_s + wait_s + cost.median_s > ticket.deadline_s:
                 self._was_refusing = True
-                return _refusal(RefusalReason.OVERLOAD_DEADLINE, self._retry_after_ms())
+                reason = RefusalReason.OVERLOAD_DEADLINE
+                return _refusal(reason, self._retry_after_ms())
         return None
 
-    def _expected_wait_s(self, ticket: Ticket) -> float:
+    def _expected_wait_s(self, ticket: Ticket, now_s: float) -> float:
+        """Return the wait at the usual pace, or at the pace since the last release.
+
+        Notes
+        -----
+        When all slots are held by calls that do not end, the usual pace says nothing;
+        the time since the last release shows it without waiting for answers.
+        """
         newest_first = self._newest_first
         ahead = self._queue.ahead_of(ticket, newest_first=newest_first) + 1
-        return ahead * self._costs.mean_s / self._limit.value
+        pace_s = self._costs.mean_s / self._limit.value
+        return ahead * max(pace_s, now_s - self._released_at_s)
 
     def _enqueue(self, ticket: Ticket) -> Waiter:
         future = asyncio.get_running_loop().create_future()
--- a/damaskproxy/admission/settings.py
+++ b/damaskproxy/admission/settings.py
@@ -26,6 +26,8 @@
         Waiting calls allowed for each slot.
     queue_min : int
         Waiting calls allowed on a small backend server.
+    queue_wait_max_ms : int
+        Expected wait above which a call is refused, so that it can go elsewhere.
     interval_ms : int
         Window in which the queue delay is judged.
     queue_target_ms : int
@@ -55,6 +57,7 @@
     limit_min_samples: Count = 50
     queue_per_slot: Annotated[float, msgspec.Meta(gt=0)] = 2.0
     queue_min: Count = 16
+    queue_wait_max_ms: Duration = 50
     interval_ms: Duration = 100
     queue_target_ms: Duration = 15
     admission_level: bool = True
--- a/damaskproxy/balancing/balancer.py
+++ b/damaskproxy/balancing/balancer.py
@@ -26,7 +26,8 @@
 USUAL_WEIGHT = 0.02
 DEFAULT_LATENCY_S = 0.02
 EARLY_RETRY_AFTER_MS = 200
-HEDGE_REVIEW_ANSWERS = 32
+SLOW_FACTOR = 1.5
+HEDGE_REVIEW_ANSWERS = 8
 
 
 class Balancer:
@@ -164,6 +165,22 @@
         """Return when a second copy of a slow call may start, None while unknown."""
         return self._hedge_s.get((service, route))
 
+    def is_slow(self, member: Member) -> bool:
+        """Tell whether `member` is slow to others too, so that a hedge may help.
+
+        Notes
+        -----
+        A call that is late while its member answers others is long work, which would
+        take as long on another server and hold a second slot.
+        """
+        peer = self._peers.get(member.node_id)
+        usual_s = self._usual_s.get(member.service)
+        if peer is None or usual_s is None:
+            return False
+        decay_s = self._settings.latency_decay_ms / 1000
+        latency_s = peer.expected_latency_s(usual_s, self._now_s(), decay_s)
+        return latency_s > usual_s * SLOW_FACTOR
+
     def forget(self, node_id: str) -> None:
         """Drop what was seen of a member that has left."""
         self._peers.pop(node_id, None)
@@ -262,10 +279,13 @@
         if histogram is None:
             histogram = self._routes[key] = LatencyHistogram()
         histogram.add(elapsed_s)
-        enough = histogram.total >= self._settings.hedge_min_samples
+        settings = self._settings
+        enough = histogram.total >= settings.hedge_min_samples
         if enough and histogram.total % HEDGE_REVIEW_ANSWERS == 0:
-            share = self._settings.hedge_percentile
-            self._hedge_s[key] = histogram.percentile_s(share)
+            percentile_s = histogram.percentile_s(settings.hedge_percentile)
+            median_s = histogram.percentile_s(0.5)
+            latest_s = median_s * settings.hedge_median_factor
+            self._hedge_s[key] = min(percentile_s, latest_s)
 
     def _count_failure(self, member: Member, peer: PeerState, now_s: float) -> None:
         peer.failures += 1
--- a/damaskproxy/balancing/settings.py
+++ b/damaskproxy/balancing/settings.py
@@ -43,6 +43,9 @@
         Share of those calls that are sent all the same.
     hedge_percentile : float
         Share of the answers of a route that arrive before the hedge delay.
+    hedge_median_factor : float
+        Highest hedge delay, as a multiple of the median; slow moments of the servers
+        raise the percentile of a route when it is needed most.
     hedge_min_samples : int
         Answers that a hedge delay needs.
     """
@@ -61,4 +64,5 @@
     early_refusal: bool = True
     probe_share: Share = 0.02
     hedge_percentile: Annotated[float, msgspec.Meta(ge=0.5, le=0.999)] = 0.95
-    hedge_min_samples: Count = 50
+    hedge_median_factor: Annotated[float, msgspec.Meta(ge=1)] = 2.0
+    hedge_min_samples: Count = 20
