Avoid members that just failed

Cause: a dead member fails at once, looks idle and attracted the calls of its service until it was ejected. A failure now counts as an answer of ten times the usual latency.

--- a/benchmarks/damask_path.py
+++ b/benchmarks/damask_path.py
@@ -222,6 +222,7 @@
         )
     if reply.reason == "backend-died":
         mesh.suspect(request)
+        mesh.backend_died(target)
         return reply
     reply.tokens_left = allowance.tokens
     return reply
--- a/benchmarks/fakes.py
+++ b/benchmarks/fakes.py
@@ -10,7 +10,7 @@
 from damaskproxy.common import Outcome, Priority
 from damaskproxy.wire import Load
 
-__all__ = ["FakeBackend", "Reply", "Request"]
+__all__ = ["RESTART_S", "FakeBackend", "Reply", "Request"]
 
 WORK_S = 0.040
 WORK_SIGMA = 0.4
--- a/benchmarks/mesh.py
+++ b/benchmarks/mesh.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from benchmarks.fakes import FakeBackend, Reply, Request
+from benchmarks.fakes import RESTART_S, FakeBackend, Reply, Request
 from damaskproxy.admission import AdmissionController, AdmissionSettings
 from damaskproxy.balancing import Balancer, BalancingSettings
 from damaskproxy.retries import RetryRatio, RetrySettings
@@ -19,6 +19,7 @@
 DATA_CENTRES = ("a", "b", "c", "d")
 DEEP_SLOTS = 8
 UPSTREAM_MARGIN = 1.3
+SPREAD_S = 0.1
 LOCAL_S = 0.0002
 REMOTE_S = 0.0015
 ADDRESS = Address("127.0.0.1", 1)
@@ -139,13 +140,19 @@
         del self.by_id[server.member.node_id]
         self._refresh(service)
 
+    def backend_died(self, server: Server) -> None:
+        """Spread the death, and the restart, as membership would."""
+        loop = asyncio.get_running_loop()
+        for delay_s in (SPREAD_S, RESTART_S + SPREAD_S):
+            loop.call_later(delay_s, self._refresh, server.member.service)
+
     def suspect(self, request: Request) -> None:
         """Count the death of a backend server that was running `request`."""
         self.suspects[request.request_id] += 1
 
     def _refresh(self, service: str) -> None:
-        members = (server.member for server in self.servers[service])
-        self._members[service] = tuple(members)
+        alive = (server for server in self.servers[service] if server.backend.is_alive)
+        self._members[service] = tuple(server.member for server in alive)
 
 
 def slots_of(hop: int) -> int:
--- a/damaskproxy/admission/controller.py
+++ b/damaskproxy/admission/controller.py
@@ -217,11 +217,12 @@
             self._was_refusing = True
             reason = RefusalReason.OVERLOAD_QUEUE_FULL
             return _refusal(reason, self._retry_after_ms())
-        if self._settings.expected_time_check and cost is not None:
-            if now_s + wait_s + cost.median_s > ticket.deadline_s:
-                self._was_refusing = True
-                reason = RefusalReason.OVERLOAD_DEADLINE
-                return _refusal(reason, self._retry_after_ms())
+        if not self._settings.expected_time_check or cost is None:
+            return None
+        if now_s + wait_s + cost.median_s > ticket.deadline_s:
+            self._was_refusing = True
+            reason = RefusalReason.OVERLOAD_DEADLINE
+            return _refusal(reason, self._retry_after_ms())
         return None
 
     def _expected_wait_s(self, ticket: Ticket, now_s: float) -> float:
--- a/damaskproxy/balancing/balancer.py
+++ b/damaskproxy/balancing/balancer.py
@@ -27,6 +27,7 @@
 DEFAULT_LATENCY_S = 0.02
 EARLY_RETRY_AFTER_MS = 200
 SLOW_FACTOR = 1.5
+FAILURE_FACTOR = 10
 HEDGE_REVIEW_ANSWERS = 8
 
 
@@ -290,6 +291,10 @@
     def _count_failure(self, member: Member, peer: PeerState, now_s: float) -> None:
         peer.failures += 1
         settings = self._settings
+        # A dead member fails at once; without a penalty it would look idle and attract
+        # the calls of the whole service.
+        usual_s = self._usual_s.get(member.service, DEFAULT_LATENCY_S)
+        peer.observe_latency(usual_s * FAILURE_FACTOR, now_s)
         if peer.failures < settings.ejection_failures or now_s < peer.ejected_until_s:
             return
         if not self._may_eject(member.service, now_s):
