--- /dev/null
+++ b/damaskproxy/move/tests/virtual.py
@@ -0,0 +1,158 @@
+"""An event loop whose clock jumps to the next timer, and services in memory."""
+
+import asyncio
+import collections
+
+from damaskproxy.platform import (
+    Committed,
+    Conflict,
+    ObjectStoreError,
+    Row,
+    TableRejected,
+    TableUnavailable,
+    TableUnknown,
+)
+from damaskproxy.standins.table import TableRows
+
+FAULTS = ("", "down", "lost-before", "lost-after", "late")
+
+_loops = []
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Skips the waiting time between timers."""
+
+    _virtual_s = 0.0
+
+    def time(self):
+        return self._virtual_s
+
+    def _run_once(self):
+        if not self._ready and self._scheduled:
+            self._virtual_s = max(self._virtual_s, self._scheduled[0]._when)
+        super()._run_once()
+
+
+def virtual_now_s():
+    """Return the time of the latest loop, also after its end."""
+    return _loops[0].time()
+
+
+def run_virtual(duration_s, *coroutines):
+    """Run `coroutines` for `duration_s`, then cancel them; raise what they raised."""
+    loop = VirtualLoop()
+    _loops[:] = [loop]
+    try:
+        loop.run_until_complete(run_for(duration_s, coroutines))
+    finally:
+        loop.close()
+
+
+async def run_for(duration_s, coroutines):
+    tasks = [asyncio.ensure_future(coroutine) for coroutine in coroutines]
+    await asyncio.sleep(duration_s)
+    for task in tasks:
+        task.cancel()
+    for result in await asyncio.gather(*tasks, return_exceptions=True):
+        if isinstance(result, Exception):
+            raise result
+
+
+class Service:
+    """Counts operations, in all and per second, and fails them while `down`."""
+
+    def __init__(self):
+        self.down = False
+        self.latency_s = 0
+        self.per_second = collections.Counter()
+
+    async def operate(self, error):
+        self.per_second[int(asyncio.get_running_loop().time())] += 1
+        # Lets operations of other clients come in between.
+        await asyncio.sleep(self.latency_s)
+        if self.down:
+            raise error("down")
+
+    def total(self):
+        return sum(self.per_second.values())
+
+    def peak(self):
+        return max(self.per_second.values(), default=0)
+
+
+def to_rows(rows):
+    return {key: Row(row.value, row.version) for key, row in rows.items()}
+
+
+class MemoryTable(Service):
+    """Follows a script with one fault for each operation; without faults after it.
+
+    ``late`` keeps a commit back, after its client was told that the answer is lost,
+    until `settle` is called; of a read it means that such commits arrive right after.
+    """
+
+    def __init__(self, rows=None, script=()):
+        super().__init__()
+        self.rows = rows or TableRows()
+        self.script = list(script)
+        self.late = []
+        self.reads_of = collections.Counter()
+
+    async def next_fault(self):
+        await self.operate(TableUnavailable)
+        return self.script.pop(0) if self.script else ""
+
+    async def read(self, keys):
+        fault = await self.next_fault()
+        if fault not in ("", "late"):
+            raise TableUnavailable("down")
+        self.reads_of.update(keys)
+        rows = to_rows(self.rows.read(list(keys)))
+        if fault == "late":
+            self.apply_late()
+        return rows
+
+    async def commit(self, checks, puts):
+        fault = await self.next_fault()
+        if fault in ("down", "rejected"):
+            raise TableUnavailable(fault) if fault == "down" else TableRejected(fault)
+        if fault == "late":
+            self.late.append((checks, puts))
+        if fault in ("late", "lost-before"):
+            raise TableUnknown("lost")
+        versions = self.rows.commit(checks, puts)
+        if fault == "lost-after":
+            raise TableUnknown("lost")
+        if versions is None:
+            return Conflict(to_rows(self.rows.current(checks)))
+        return Committed(versions)
+
+    def settle(self):
+        """Apply the late commits and end the faults."""
+        self.script.clear()
+        self.apply_late()
+
+    def apply_late(self):
+        while self.late:
+            self.rows.commit(*self.late.pop())
+
+
+class MemoryObjects(Service):
+    """Object store; only puts fail while `puts_fail`."""
+
+    def __init__(self):
+        super().__init__()
+        self.values = {}
+        self.puts_fail = False
+        self.puts = 0
+
+    async def get(self, name):
+        await self.operate(ObjectStoreError)
+        return self.values.get(name)
+
+    async def put(self, name, value):
+        await self.operate(ObjectStoreError)
+        if self.puts_fail:
+            raise ObjectStoreError("down")
+        self.puts += 1
+        self.values[name] = value
