--- a/demo/report.py
+++ b/demo/report.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from damaskproxy.history import Finding, Verdict, check
+from damaskproxy.history import Finding, HistoryEvent, Kind, Scope, Verdict, check
 from demo.scenario import Story
 
 __all__ = ["broken_promises", "format_report"]
@@ -19,6 +19,24 @@
 IN_FORCE_LIMIT_S = 3.0
 
 
+def judge(events: list[HistoryEvent]) -> Verdict:
+    """Return the verdict on a history.
+
+    What is told about a request with a key holds for all its sends. Without a key each
+    send is a request of its own, so that a resend may be refused after a run.
+    """
+    unkeyed = {e.key for e in events if e.kind is Kind.SENT and e.idempotent}
+    verdict = check(e for e in events if e.key not in unkeyed)
+    others = check((e for e in events if e.key in unkeyed), scope=Scope.SEND)
+    for finding in Finding:
+        verdict.counts[finding] += others.counts[finding]
+        verdict.examples[finding] += others.examples[finding]
+    verdict.sends += others.sends
+    verdict.runs += others.runs
+    verdict.reruns += others.reruns
+    return verdict
+
+
 def broken_promises(story: Story, verdict: Verdict) -> list[str]:
     """Return what must not have happened, one sentence each."""
     broken = list(story.faults)
@@ -71,7 +89,7 @@
 
 def format_report(story: Story) -> tuple[str, list[str]]:
     """Return the report and the broken promises."""
-    verdict = check(story.events)
+    verdict = judge(story.events)
     answers = sum(told.whole for _request, told in story.results)
     lines = [
         *_kinds(story),
--- a/demo/tests/test_report.py
+++ b/demo/tests/test_report.py
@@ -33,6 +33,20 @@
     recorder.told("k", send="1", caller="c", outcome="not-run")
 
 
+def read_refused_after_a_run(recorder):
+    for send, outcome in (("1", "unknown"), ("2", "not-run")):
+        recorder.sent("k", send=send, caller="c", request=b"r", idempotent=True)
+        if send == "1":
+            recorder.ran("k", attempt="a", request=b"r")
+        recorder.told("k", send=send, caller="c", outcome=outcome)
+
+
+def read_not_run_but_ran(recorder):
+    recorder.sent("k", send="1", caller="c", request=b"r", idempotent=True)
+    recorder.ran("k", attempt="a", request=b"r")
+    recorder.told("k", send="1", caller="c", outcome="not-run")
+
+
 def cut(recorder):
     whole(recorder)
     recorder.cut("k", send="1", caller="c")
@@ -45,6 +59,8 @@
         ("none", whole, {}, 0),
         ("run twice", run_twice, {}, 1),
         ("told not-run but ran", not_run_but_ran, {}, 1),
+        ("a read is refused after a run", read_refused_after_a_run, {}, 0),
+        ("a read is told not-run but ran", read_not_run_but_ran, {}, 1),
         ("cut", cut, {}, 1),
         ("late section", whole, {"in_force_s": 3.1}, 1),
         ("process fault", whole, {"faults": ["node exited with 1"]}, 1),
