Skip the digest of a call while nothing is suspect, and keep metric children

Cause: the profile of a call shows the digest of its body, taken on the entry node and on the target node, and the lookup of metric labels among the largest parts of our own code.

--- a/damaskproxy/metrics/node.py
+++ b/damaskproxy/metrics/node.py
@@ -33,13 +33,13 @@
         )
         self._refusals = {reason: refusals.labels(reason) for reason in RefusalReason}
         self._retries = {reason: retries.labels(reason) for reason in RetryReason}
-        self.calls = Counter(
+        self._calls = Counter(
             "damask_calls",
             "Calls answered, by service and status class",
             ["service", "status"],
             registry=self.registry,
         )
-        self.call_seconds = Histogram(
+        self._call_seconds = Histogram(
             "damask_call_seconds",
             "Time from a caller's request to its answer",
             ["service"],
@@ -70,6 +70,33 @@
             registry=self.registry,
         )
 
+        # Looking up a label set takes longer than counting.
+        self._call_counters: dict[tuple[str, str], Counter] = {}
+        self._call_timers: dict[str, Histogram] = {}
+
+    def count_call(self, service: str, status: str) -> None:
+        """Count a call that ended.
+
+        Parameters
+        ----------
+        service : str
+            Service of the call.
+        status : str
+            Status class such as ``2xx``, ``refused`` or ``cancelled``.
+        """
+        counter = self._call_counters.get((service, status))
+        if counter is None:
+            counter = self._calls.labels(service, status)
+            self._call_counters[service, status] = counter
+        counter.inc()
+
+    def observe_call(self, service: str, elapsed_s: float) -> None:
+        """Record how long a call of a caller or of the backend server took."""
+        timer = self._call_timers.get(service)
+        if timer is None:
+            timer = self._call_timers[service] = self._call_seconds.labels(service)
+        timer.observe(elapsed_s)
+
     def count_refusal(self, reason: RefusalReason) -> None:
         """Count a refused call."""
         self._refusals[reason].inc()
--- a/damaskproxy/quarantine/quarantine.py
+++ b/damaskproxy/quarantine/quarantine.py
@@ -80,6 +80,9 @@
             ``suspect`` set, to no server named in the pass, and is not hedged. The
             outcome of a refusal speaks about this attempt.
         """
+        if not len(self._store):
+            # The digest of a body costs more than all other checks of a call.
+            return None
         record = self._store.get(self.identity(call))
         if record is None:
             return None
--- a/damaskproxy/routing/gateway.py
+++ b/damaskproxy/routing/gateway.py
@@ -94,7 +94,7 @@
         if parent is not None:
             parent.allowance.give_back(min(result.tokens_left, call.retry_tokens))
         elapsed_s = self._now_s() - started_s
-        self._metrics.call_seconds.labels(call.service).observe(elapsed_s)
+        self._metrics.observe_call(call.service, elapsed_s)
         return self._response(call, result)
 
     def _as_child(self, call: Call, parent: RunningAttempt) -> Call | Refusal:
@@ -118,7 +118,7 @@
         try:
             return await self._submit(call)
         except asyncio.CancelledError:
-            self._metrics.calls.labels(call.service, "cancelled").inc()
+            self._metrics.count_call(call.service, "cancelled")
             raise
         except Exception:
             log_event(
@@ -133,9 +133,9 @@
 
     def _response(self, call: Call, result: Answer | Refused) -> web.Response:
         if isinstance(result, Refused):
-            self._metrics.calls.labels(call.service, "refused").inc()
+            self._metrics.count_call(call.service, "refused")
             return self.refusal_response(to_refusal(result), call.request_id)
-        self._metrics.calls.labels(call.service, f"{result.status // 100}xx").inc()
+        self._metrics.count_call(call.service, f"{result.status // 100}xx")
         headers = [*result.headers, (names.REQUEST_ID, call.request_id)]
         headers.append((names.OUTCOME, Outcome.RUN))
         return web.Response(status=result.status, headers=headers, body=result.body)
