Bound the streams to peers

Cause: an entry node of 5,000 members whose callers use all services would keep a stream to each member. Measured: 30 KB resident for both ends of an idle stream (1,000 streams in one process, 27 to 30 KB each), thus about 150 MB for 5,000 outgoing and as many incoming streams, more than the 128 MB of a node. Change: beyond 512 streams the idle one that was used least recently is closed; that is about 15 MB for both directions.

--- a/damaskproxy/routing/peer_stream.py
+++ b/damaskproxy/routing/peer_stream.py
@@ -252,8 +252,11 @@
 
     async def call(self, member: Member, call: Call) -> Answer | Refused:
         """Send `call` to `member`; see `PeerStream.call`."""
+        # Without an entry a new stream cannot be chosen as the least recently used.
+        self._used_s.pop(member.node_id, None)
+        stream = self._stream(member)
         self._used_s[member.node_id] = self._now_s()
-        return await self._stream(member).call(call)
+        return await stream.call(call)
 
     def _stream(self, member: Member) -> PeerStream:
         stream = self._streams.get(member.node_id)
@@ -261,9 +264,7 @@
             if stream.member.incarnation == member.incarnation:
                 return stream
             # The calls that wait for the earlier incarnation get no answer any more.
-            closing = asyncio.ensure_future(stream.close())
-            self._closing.add(closing)
-            closing.add_done_callback(self._closing.discard)
+            self._close_later(stream)
         if self._session is None:
             connector = aiohttp.TCPConnector(limit=0)
             self._session = aiohttp.ClientSession(connector=connector)
@@ -271,8 +272,25 @@
             member, self._hello, self._session, self._settings, self._on_late_answer
         )
         self._streams[member.node_id] = stream
+        if len(self._streams) > self._settings.max_peer_streams:
+            self._close_one_idle()
         return stream
 
+    def _close_one_idle(self) -> None:
+        """Close the idle stream that was used least recently."""
+        for node_id in self._used_s:
+            stream = self._streams.get(node_id)
+            if stream is not None and stream.is_idle:
+                del self._streams[node_id]
+                del self._used_s[node_id]
+                self._close_later(stream)
+                return
+
+    def _close_later(self, stream: PeerStream) -> None:
+        closing = asyncio.ensure_future(stream.close())
+        self._closing.add(closing)
+        closing.add_done_callback(self._closing.discard)
+
     async def drop(self, node_id: str) -> None:
         """Close the stream to a peer that is dead; its waiting calls fail as lost."""
         stream = self._streams.pop(node_id, None)
--- a/damaskproxy/routing/tests/test_peers.py
+++ b/damaskproxy/routing/tests/test_peers.py
@@ -140,6 +140,25 @@
         with self.assertRaises(StreamLostError):
             await task
 
+    async def test_streams_are_bounded(self):
+        """An entry node must not keep a stream to every node of a large mesh."""
+        settings = RoutingSettings(max_peer_streams=2)
+        self.streams = PeerStreams(Hello("me", 1), settings, lambda: 0.0)
+        busy = await self.start_at("p1", "1")
+        for name in ("p2", "p3", "p4"):
+            done = await self.start_at(name, name)
+            self.node.answer(name, b"")
+            await done
+        self.assertEqual(len(self.streams), 2)
+        self.node.answer("1", b"one")
+        self.assertEqual((await busy).body, b"one")
+
+    async def start_at(self, node_id, attempt_id):
+        """Start a call to a peer of another name at the same address."""
+        self.identity = Hello(node_id, 7)
+        self.member = make_member(node_id, incarnation=7, peer=self.member.peer)
+        return await self.start(attempt_id)
+
     async def test_failure_of_the_peer(self):
         """An unexpected error of the peer must not leave the call without answer."""
         task = await self.start("1")
