Report unknown when an earlier attempt of a refused call may have run

Cause: after an attempt of an idempotent call was lost (backend-died, peer-lost), a later refusal of the same call (quarantined, leaving, overload) was returned with its own outcome not-run. Of two hedged attempts the last refusal spoke for both.

--- a/damaskproxy/routing/dispatcher.py
+++ b/damaskproxy/routing/dispatcher.py
@@ -149,23 +149,25 @@
         self._ratio.first_attempt(call.service)
         tried: set[str] = set()
         overloads = 0
+        may_have_run = False
         while True:
             # A death of the last attempt may have made the call a suspect.
             suspicion = self._quarantine.check(call)
             if isinstance(suspicion, Refusal):
-                return refused(call, suspicion, tokens_left=allowance.tokens)
+                return _settled(refused(call, suspicion), allowance, may_have_run)
             if suspicion is not None:
                 call = msgspec.structs.replace(call, suspect=True)
                 tried |= suspicion.avoid
             result = await self._attempt(call, deadline_s, allowance, tried)
             if isinstance(result, Answer):
                 return _with_tokens(result, allowance)
+            may_have_run |= result.outcome is not Outcome.NOT_RUN
             overloads += result.reason in _OVERLOAD
             reason = retry_reason(result, idempotent=call.idempotent)
             if reason is None or overloads > MAX_OVERLOAD_RETRIES:
-                return _with_tokens(result, allowance)
+                return _settled(result, allowance, may_have_run)
             if not self._may_retry(call, deadline_s, allowance, tried):
-                return _with_tokens(result, allowance)
+                return _settled(result, allowance, may_have_run)
             self._count_retry(reason)
 
     def _may_retry(self, call, deadline_s, allowance, tried) -> bool:
@@ -314,16 +316,18 @@
 
 
 async def _first_answer(first: asyncio.Task, second: asyncio.Task):
-    """Return the first answer of two attempts, else what the last one came to."""
+    """Return the first answer of two attempts, else a refusal that holds for both."""
     pending = {first, second}
-    result = None
+    refusals = []
     while pending:
         done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
         for task in done:
             result = task.result()
             if isinstance(result, Answer):
                 return result
-    return result
+            refusals.append(result)
+    # One attempt that was not run says nothing about the other.
+    return max(refusals, key=lambda refusal: refusal.outcome is not Outcome.NOT_RUN)
 
 
 def _outcome_of(result: Answer | Refused) -> str:
@@ -341,5 +345,12 @@
     return refused(call, refusal, tokens_left=call.retry_tokens)
 
 
+def _settled(result: Refused, allowance: Allowance, may_have_run: bool) -> Refused:
+    """Return the refusal of a call whose earlier attempts may have run."""
+    if may_have_run and result.outcome is Outcome.NOT_RUN:
+        result = msgspec.structs.replace(result, outcome=Outcome.UNKNOWN)
+    return _with_tokens(result, allowance)
+
+
 def _with_tokens(result: Answer | Refused, allowance: Allowance) -> Answer | Refused:
     return msgspec.structs.replace(result, tokens_left=allowance.tokens)
--- a/damaskproxy/routing/tests/test_dispatcher.py
+++ b/damaskproxy/routing/tests/test_dispatcher.py
@@ -181,6 +181,30 @@
         result = await dispatcher.send(make_call(idempotent=False))
         self.assertEqual(result.outcome, UNKNOWN)
 
+    @params((DIED, LEAVING, LEAVING), (StreamLostError("x"), FULL, FULL))
+    async def test_refusal_after_a_lost_attempt_is_unknown(self, *script):
+        """The last attempt was not run, but an earlier one may have been."""
+        dispatcher, _, _ = make_dispatcher(script)
+        result = await dispatcher.send(make_call(idempotent=True))
+        self.assertEqual(result.outcome, UNKNOWN)
+
+    async def test_quarantine_after_a_death_is_unknown(self):
+        """The attempt that made the request a suspect has run."""
+        dispatcher, _, _ = make_dispatcher([DIED])
+        checks = [None, Refusal(RefusalReason.QUARANTINED, NOT_RUN)]
+        dispatcher._quarantine.check = lambda call: checks.pop(0)
+        result = await dispatcher.send(make_call(idempotent=True))
+        self.assertEqual(result.outcome, UNKNOWN)
+
+    @params((DIED, FULL), (FULL, DIED))
+    async def test_refusals_of_a_hedged_call_are_joined(self, *script):
+        """Of two attempts the one that was not run must not speak for the other."""
+        dispatcher, _, _ = make_dispatcher(script)
+        dispatcher._balancer.hedge_delay_s = lambda service, route: 0.0
+        call = make_call(idempotent=True, retry_tokens=1)
+        result = await dispatcher.send(call)
+        self.assertEqual(result.outcome, UNKNOWN)
+
     @params((0, 1), (1, 2), (2, 3), (5, 3))
     async def test_attempts_are_bounded_by_tokens(self, tokens, attempts):
         dispatcher, streams, retries = make_dispatcher([LEAVING] * 6)
