--- a/damaskproxy/standins/callers.py
+++ b/damaskproxy/standins/callers.py
@@ -56,6 +56,8 @@
         Length of the body of a keyed request.
     seed : int
         Seed of the plan and of the choice of entry nodes.
+    chosen_share : float
+        Share of keyed requests whose key the caller chooses instead of fetching one.
     """
 
     rate_per_s: float
@@ -65,6 +67,7 @@
     resend_pause_s: float = 0.1
     body_bytes: int = 256
     seed: int = 0
+    chosen_share: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,7 +201,7 @@
         """Send one request until it is settled or the sends are spent."""
         key = ""
         if request.kind.has_key:
-            key = await self._keys.take()
+            key = self._choose_key(request) or await self._keys.take()
         if key is None:
             told = Told(0, Outcome.NOT_RUN, NO_KEY)
         else:
@@ -208,6 +211,13 @@
             self.latencies_s[request.kind.name].append(self._now_s() - due_s)
         self.results.append((request, told))
 
+    def _choose_key(self, request: PlannedRequest) -> str:
+        """Return a key of the caller's own for a share of the requests."""
+        rng = random.Random(f"{self._config.seed} {request.number}")
+        if rng.random() >= self._config.chosen_share:
+            return ""
+        return f"{request.caller}-{self._config.seed}-{request.number}"
+
     async def _send_until_settled(self, request: PlannedRequest, key: str) -> Told:
         for number in range(self._config.sends):
             self._observer.sent(request, key)
