--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -24,6 +24,7 @@
     HistoryEvent,
     Kind,
     Recorder,
+    Scope,
     check,
     read_history,
 )
