--- a/demo/report.py
+++ b/demo/report.py
@@ -75,18 +75,30 @@
 
 
 def _refusals(story: Story) -> list[str]:
-    reasons = Counter(
+    """Return refusals by reason: of all sends, and of requests in the end."""
+    told = Counter(
+        f"{event.detail} ({event.outcome})"
+        for event in story.events
+        if event.kind is Kind.TOLD and event.outcome is not None
+    )
+    final = Counter(
         f"{told.reason or told.fault} ({told.outcome})"
         for _request, told in story.results
         if not told.whole
     )
-    if not reasons:
-        return ["refused at last: none"]
-    return ["refused at last:"] + [
-        f"  {reason:<40}{count:>6}" for reason, count in reasons.most_common()
+    return [
+        *_counted("refusals of sends and outbound calls", told),
+        *_counted("requests refused in the end", final),
     ]
 
 
+def _counted(title: str, counts: Counter[str]) -> list[str]:
+    if not counts:
+        return [f"{title}: none"]
+    rows = [f"  {reason:<40}{count:>6}" for reason, count in counts.most_common()]
+    return [f"{title}: {counts.total()}", *rows]
+
+
 def format_report(story: Story) -> tuple[str, list[str]]:
     """Return the report and the broken promises."""
     verdict = judge(story.events)
--- a/tools/tests/test_pages.py
+++ b/tools/tests/test_pages.py
@@ -44,3 +44,10 @@
     def test_every_setting_has_a_meaning(self):
         page = SETTINGS.read_text(encoding="utf-8")
         self.assertEqual([line for line in page.splitlines() if "|  |" in line], [])
+
+    @params(*sorted(p.name for p in DOCS.glob("*.md")), "../README.md")
+    def test_links_lead_somewhere(self, name):
+        page = DOCS / name
+        links = re.findall(r"\]\(([^)#:]+)\)", page.read_text(encoding="utf-8"))
+        missing = [link for link in links if not (page.parent / link).exists()]
+        self.assertEqual(missing, [])
