--- a/damaskproxy/routing/requests.py
+++ b/damaskproxy/routing/requests.py
@@ -150,15 +150,11 @@
         budget_ms = route.deadline_ms
         if parent is not None:
             budget_ms = min(budget_ms, int((parent.deadline_s - now_s) * MS_PER_S))
-        text = request.headers.get(names.DEADLINE_MS)
-        if text is not None:
-            try:
-                budget_ms = min(budget_ms, int(text))
-            except ValueError:
-                return refuse(
-                    RefusalReason.BAD_REQUEST,
-                    f"{names.DEADLINE_MS} is not a whole number: {text[:40]!r}",
-                )
+        asked_ms = _asked_budget_ms(request.headers.get(names.DEADLINE_MS))
+        if isinstance(asked_ms, Refusal):
+            return asked_ms
+        if asked_ms is not None:
+            budget_ms = min(budget_ms, asked_ms)
         if budget_ms <= 0:
             return refuse(RefusalReason.DEADLINE_PASSED, "no time is left to answer")
         return budget_ms
@@ -182,6 +178,21 @@
     return service, f"/{rest}{question}{query}"
 
 
+def _asked_budget_ms(text: str | None) -> int | Refusal | None:
+    """Return the budget that a caller asks for, None without one."""
+    if text is None:
+        return None
+    try:
+        asked_ms = int(text)
+    except ValueError:
+        detail = f"{names.DEADLINE_MS} is not a whole number: {text[:40]!r}"
+        return refuse(RefusalReason.BAD_REQUEST, detail)
+    if asked_ms <= 0:
+        detail = f"{names.DEADLINE_MS} is {asked_ms}: the deadline has already passed"
+        return refuse(RefusalReason.BAD_REQUEST, detail)
+    return asked_ms
+
+
 def _priority(request, route: Route, parent) -> Priority | Refusal:
     base = parent.call.priority if parent else route.priority
     text = request.headers.get(names.PRIORITY)
