Keep server_died for the node beside the server, add lost for dispatchers

The target node reports a death with server_died alone and relies on it to quarantine the suspect that holds the turn.

--- a/damaskproxy/quarantine/quarantine.py
+++ b/damaskproxy/quarantine/quarantine.py
@@ -37,7 +37,7 @@
     avoid: frozenset[str] = frozenset()
 
     def target(self, node_ids: Iterable[str]) -> str | None:
-        """Return the node that runs this suspect, None when each is to be avoided.
+        """Return the node that shall run this suspect, None without one.
 
         All dispatching nodes choose the same one (rendezvous hash), so copies of a
         poison request wait for the same turn and do not cost a server each.
@@ -91,8 +91,8 @@
         -------
         Refusal, SuspectPass or None
             None for a request that is not suspect. A suspect is dispatched with
-            ``suspect`` set to `SuspectPass.target`, and is not hedged. The outcome of
-            a refusal speaks about this attempt.
+            ``suspect`` set, to no server named in the pass, and is not hedged. The
+            outcome of a refusal speaks about this attempt.
         """
         record = self._store.get(self.identity(call))
         if record is None:
@@ -174,15 +174,30 @@
         self._end_turn(suspect)
 
     def server_died(self, identities: Iterable[str], *, server: str = "") -> None:
-        """Suspect the requests that were in flight on a backend server that died.
+        """Suspect the requests that were in flight on the backend server of this node.
 
-        The node beside the server calls it for all of them, and each dispatching node
-        for its own. A call that ran with a pass is reported by `died` in addition.
+        Parameters
+        ----------
+        identities : iterable of str
+            Requests in flight; the one that holds the turn here is quarantined.
+        server : str
+            This node.
+        """
+        identities = set(identities)
+        holder = self._holder
+        if holder is not None and holder.identity in identities:
+            identities.discard(holder.identity)
+            self.died(holder, server=server)
+        self.lost(identities, server=server)
+
+    def lost(self, identities: Iterable[str], *, server: str) -> None:
+        """Suspect requests that this node had dispatched to a server that died.
 
         Parameters
         ----------
         identities : iterable of str
-            Requests in flight.
+            Requests without a pass; one that was dispatched with a pass is reported by
+            `died` instead.
         server : str
             Node beside the backend server.
         """
--- a/tools/faults/poison_mesh.py
+++ b/tools/faults/poison_mesh.py
@@ -121,7 +121,7 @@
                 self.nodes[entry].died(decision, server=target)
             else:
                 identity = self.nodes[entry].identity(call)
-                self.nodes[entry].server_died([identity], server=target)
+                self.nodes[entry].lost([identity], server=target)
             self.tell(entry)
         return "attempts spent"
 
@@ -160,7 +160,8 @@
             return
         self.deaths.append(target)
         self.at("first death" if len(self.deaths) == 1 else "second death")
-        self.nodes[target].server_died(self.in_flight[target].values(), server=target)
+        lost = list(self.in_flight[target].values())
+        self.nodes[target].server_died(lost, server=target)
         for other in self.in_flight[target]:
             other.set_result("died")
         self.in_flight[target].clear()
