--- a/benchmarks/added_latency.py
+++ b/benchmarks/added_latency.py
@@ -11,6 +11,7 @@
 import os
 import random
 import tempfile
+import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -93,7 +94,7 @@
     calls: dict[str, Call],
     rate_per_s: float,
     blocks: int,
-    node_cpu_s: Callable[[], float],
+    cpu_s: Callable[[], tuple[float, float]],
     idle_share: float,
 ) -> dict[str, float]:
     """Return the figures of one rate.
@@ -104,26 +105,32 @@
         A closure for one call, by path.
     rate_per_s, blocks : float, int
         Rate within a block, and blocks per path.
-    node_cpu_s : callable
-        Processor time of both nodes so far.
+    cpu_s : callable
+        Processor time so far of both nodes, and of both relays.
     idle_share : float
         Processor time of both nodes per second without calls.
     """
-    before_s = node_cpu_s()
-    started_s = asyncio.get_running_loop().time()
+    node_before_s, relay_before_s = cpu_s()
+    started_s = time.monotonic()
     times_s = await run_blocks(calls, rate_per_s, blocks, random.Random(SEED))
-    elapsed_s = asyncio.get_running_loop().time() - started_s
-    busy_s = node_cpu_s() - before_s - idle_share * elapsed_s
-    figures = summarize(times_s)
-    figures["cpu_us_per_call"] = busy_s / len(times_s["node"]) * 1e6
-    return {"rate_per_s": rate_per_s, **figures}
+    node_after_s, relay_after_s = cpu_s()
+    idle_s = idle_share * (time.monotonic() - started_s)
+    node_s = node_after_s - node_before_s - idle_s
+    relay_s = relay_after_s - relay_before_s
+    return {
+        "rate_per_s": rate_per_s,
+        **summarize(times_s),
+        "cpu_us_per_call": node_s / len(times_s["node"]) * 1e6,
+        "floor_cpu_us_per_call": relay_s / len(times_s["relay"]) * 1e6,
+    }
 
 
 async def measure(addresses: Addresses, rates: list[int]) -> list[dict[str, float]]:
     """Return the figures of all rates."""
 
-    def node_cpu_s() -> float:
-        return sum(map(process_cpu_s, addresses.node_pids))
+    def cpu_s() -> tuple[float, float]:
+        node_s = sum(map(process_cpu_s, addresses.node_pids))
+        return node_s, sum(map(process_cpu_s, addresses.relay_pids))
 
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(
@@ -134,14 +141,14 @@
         calls = {path: make_call(session, urls[path], refusals) for path in PATHS}
         for _ in range(WARM_UP_CALLS):
             await asyncio.gather(*(call() for call in calls.values()))
-        before_s = node_cpu_s()
+        before_s, _relays_s = cpu_s()
         await asyncio.sleep(IDLE_S)
-        idle_share = (node_cpu_s() - before_s) / IDLE_S
+        idle_share = (cpu_s()[0] - before_s) / IDLE_S
         rows = []
         for rate_per_s in rates:
             refusals.clear()
             row = await measure_rate(
-                calls, rate_per_s, BLOCKS[rate_per_s], node_cpu_s, idle_share
+                calls, rate_per_s, BLOCKS[rate_per_s], cpu_s, idle_share
             )
             row["refused"] = refusals.total()
             row["idle_cpu_share"] = idle_share
@@ -164,10 +171,10 @@
 def format_rows(rows: list[dict[str, float]]) -> str:
     """Return the figures as a table."""
     names = [name for name in rows[0] if name != "rate_per_s"]
-    lines = ["rate_per_s".ljust(18) + "".join(f"{r['rate_per_s']:>10}" for r in rows)]
+    lines = ["rate_per_s".ljust(22) + "".join(f"{r['rate_per_s']:>10}" for r in rows)]
     for name in names:
         cells = "".join(f"{row[name]:>10.2f}" for row in rows)
-        lines.append(name.ljust(18) + cells)
+        lines.append(name.ljust(22) + cells)
     return "\n".join(lines)
 
 
--- a/benchmarks/latency_mesh.py
+++ b/benchmarks/latency_mesh.py
@@ -27,10 +27,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Addresses:
-    """URL of each path, and process ids of the two nodes."""
+    """URL of each path, and process ids of the nodes and of the relays."""
 
     urls: dict[str, str]
     node_pids: list[int]
+    relay_pids: list[int]
 
 
 def plan_mesh() -> Layout:
@@ -68,4 +69,5 @@
             "node": f"http://{entry.address('call')}/{SERVICE}{CALL_PATH}",
         },
         node_pids=[processes.pid(host.node) for host in layout.hosts],
+        relay_pids=[processes.pid(name) for name in ("relay-1", "relay-2")],
     )
