Check the start-by time again after the wait for a slot

A keyed request that waited in the development backend server longer than its start-by time was started although the node may have told its caller that it will not run.

--- a/damaskproxy/context/request.py
+++ b/damaskproxy/context/request.py
@@ -56,6 +56,19 @@
         # Rounding first keeps float error from taking a millisecond at each hop.
         return max(0, int(round((self.deadline_s - self.now_s()) * 1000, 3)))
 
+    def may_start(self, unix_s: float) -> bool:
+        """Tell whether the request may still be started.
+
+        Ask again after any wait of your own, immediately before the work: the node
+        tells others that the request will not run once ``start_by_ms`` has passed.
+
+        Parameters
+        ----------
+        unix_s : float
+            Wall-clock time of this VM.
+        """
+        return self.start_by_ms is None or unix_s * 1000 <= self.start_by_ms
+
     def outbound_headers(self) -> dict[str, str]:
         """Return the headers that tie an outbound call to this request."""
         headers = {"Damask-Attempt": self.attempt, "traceparent": self.traceparent}
@@ -124,8 +137,7 @@
             return web.Response(
                 status=400, text=f"{error}\n", headers=NOT_STARTED_HEADERS
             )
-        late = context.start_by_ms is not None and unix_s() * 1000 > context.start_by_ms
-        if late:
+        if not context.may_start(unix_s()):
             return web.Response(
                 status=503, text="start-by passed\n", headers=NOT_STARTED_HEADERS
             )
--- a/damaskproxy/standins/backend.py
+++ b/damaskproxy/standins/backend.py
@@ -78,6 +78,8 @@
         Spends the service time.
     now_s : callable
         Monotonic clock.
+    unix_s : callable
+        Wall clock, for ``Damask-Start-By``.
 
     Attributes
     ----------
@@ -97,6 +99,7 @@
         recorder: Recorder | None = None,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
         now_s: Callable[[], float] = time.monotonic,
+        unix_s: Callable[[], float] = time.time,
     ):
         self.config = config
         self.host = config.host
@@ -107,6 +110,7 @@
         self._crash = crash
         self._recorder = recorder
         self._sleep = sleep
+        self._unix_s = unix_s
         self._history_file: BinaryIO | None = None
         self._history = BackendHistory(recorder, "")
         self._times = ServiceTimes(config, random.Random(config.seed), now_s)
@@ -128,7 +132,8 @@
     async def start(self) -> None:
         """Listen, and announce the server to its node."""
         app = web.Application(
-            middlewares=[request_middleware()], client_max_size=MAX_BODY_BYTES
+            middlewares=[request_middleware(unix_s=self._unix_s)],
+            client_max_size=MAX_BODY_BYTES,
         )
         app.router.add_post("/damask/stop", self._handle_stop)
         app.router.add_get("/damask/load", self._handle_load)
@@ -246,6 +251,9 @@
 
     async def _serve(self, method: str, path: str, body: bytes) -> web.Response:
         async with self._slots:
+            # The wait for a slot may have taken longer than the start-by time.
+            if not current_request().may_start(self._unix_s()):
+                return self._not_started("start-by passed")
             self._running += 1
             self._note_load()
             try:
@@ -324,6 +332,7 @@
     crash: Callable[[], None] = exit_at_once,
     recorder: Recorder | None = None,
     sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+    unix_s: Callable[[], float] = time.time,
 ) -> RunningBackend:
     """Start a development backend server in this process.
 
@@ -337,12 +346,16 @@
         History of the runs, unless `config` names a file.
     sleep : callable
         Spends the service time.
+    unix_s : callable
+        Wall clock, for ``Damask-Start-By``.
 
     Returns
     -------
     RunningBackend
         The server, listening and announcing itself; call ``close()`` in the end.
     """
-    backend = RunningBackend(config, crash=crash, recorder=recorder, sleep=sleep)
+    backend = RunningBackend(
+        config, crash=crash, recorder=recorder, sleep=sleep, unix_s=unix_s
+    )
     await backend.start()
     return backend
--- a/damaskproxy/standins/tests/test_backend.py
+++ b/damaskproxy/standins/tests/test_backend.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import tempfile
+import time
 import unittest
 from pathlib import Path
 
@@ -62,7 +63,7 @@
     def runs(self):
         return [e for e in self.recorder.events if e.kind is Kind.RAN]
 
-    async def start(self, gated=False, **fields):
+    async def start(self, gated=False, unix_s=time.time, **fields):
         self.gate = asyncio.Event()
         sleep = (lambda _time_s: self.gate.wait()) if gated else asyncio.sleep
         fields = {"service": "orders", "service_time_ms": 0.0, **fields}
@@ -70,7 +71,11 @@
         crash = lambda: self.crashes.append(1)  # noqa: E731
         self.recorder = Recorder()
         backend = await start_backend(
-            BackendConfig(**fields), crash=crash, recorder=self.recorder, sleep=sleep
+            BackendConfig(**fields),
+            crash=crash,
+            recorder=self.recorder,
+            sleep=sleep,
+            unix_s=unix_s,
         )
         self.addAsyncCleanup(backend.close)
         session = aiohttp.ClientSession(f"http://{backend.address}")
@@ -157,6 +162,22 @@
         self.assertEqual((await first).status, 200)
         self.assertEqual(len(self.runs()), 1)
 
+    async def test_start_by_passes_in_the_queue(self):
+        unix_s = [10.0]
+        backend, session = await self.start(
+            slots=1, gated=True, unix_s=lambda: unix_s[-1]
+        )
+        headers = {"Damask-Start-By": "11000", "Idempotency-Key": "k"}
+        first = asyncio.ensure_future(session.post("/1", headers=headers))
+        await until(self.runs)
+        second = asyncio.ensure_future(session.post("/2", headers=headers))
+        await until(lambda: backend._present == 2)
+        unix_s.append(11.1)
+        self.gate.set()
+        self.assertEqual((await first).status, 200)
+        self.assertEqual((await second).headers["Damask-Not-Started"], "1")
+        self.assertEqual(len(self.runs()), 1)
+
     async def test_announces_and_passes_the_attempt_on(self):
         runner, seen = await start_fake_node()
         self.addAsyncCleanup(runner.cleanup)
