--- a/benchmarks/damask_path.py
+++ b/benchmarks/damask_path.py
@@ -122,7 +122,9 @@
         await asyncio.wait(attempts, timeout=max(HEDGE_FLOOR_S, delay_s))
         if first.done():
             return first.result()
-        other = _choose(mesh, node, request, service, tried)
+        other = None
+        if node.balancer.is_slow(target.member):
+            other = _choose(mesh, node, request, service, tried)
         if isinstance(other, Server) and _spend(node, service, request, allowance):
             attempts.append(
                 asyncio.ensure_future(
@@ -220,6 +222,7 @@
         )
     if reply.reason == "backend-died":
         mesh.suspect(request)
+        mesh.backend_died(target)
         return reply
     reply.tokens_left = allowance.tokens
     return reply
