Keep the leaving server busy and preferred in the tests of leaving

Cause: the drain ended before the new calls came, so the tests passed without the gate of the target.

--- a/benchmarks/fault_mesh.py
+++ b/benchmarks/fault_mesh.py
@@ -35,6 +35,8 @@
 # Below the ports that the system gives to outgoing connections, one of which could
 # take the port of a node that is restarted.
 FIRST_PORT, LAST_PORT = 12_000, 30_000
+PORTS_PER_RUN = 50
+RANGES = (LAST_PORT - FIRST_PORT) // PORTS_PER_RUN
 RELAYED = ("peer", "control")
 SEED_NODES = 3
 RESTART_S = 1.0
@@ -55,10 +57,16 @@
     )
 
 
-def free_ports(rng: random.Random, count: int) -> list[int]:
-    """Return ports of loopback that are free, below those of outgoing connections."""
+def free_ports(count: int) -> list[int]:
+    """Return ports of loopback that are free, below those of outgoing connections.
+
+    Runs at the same time look for them in different places, since a port that was
+    free here may be taken before its process listens.
+    """
+    offset = os.getpid() % RANGES * PORTS_PER_RUN
     ports: list[int] = []
-    for port in rng.sample(range(FIRST_PORT, LAST_PORT), LAST_PORT - FIRST_PORT):
+    for number in range(LAST_PORT - FIRST_PORT):
+        port = FIRST_PORT + (offset + number) % (LAST_PORT - FIRST_PORT)
         with socket.socket() as probe:
             try:
                 probe.bind((LOOPBACK, port))
@@ -76,8 +84,7 @@
     places = [(s, d) for s in ("orders", "stores") for d in (OLD, NEW)]
     places += rng.sample(places, rng.randint(0, 2))
     width = len(LISTENERS) + 1
-    # Other runs on this machine draw other ports.
-    ports = free_ports(random.Random(f"{seed} {os.getpid()}"), len(places) * width + 2)
+    ports = free_ports(len(places) * width + 2)
     hosts = []
     for index, (service, data_centre) in enumerate(places):
         own = ports[index * width : (index + 1) * width]
--- a/damaskproxy/node/tests/test_faults_stopping.py
+++ b/damaskproxy/node/tests/test_faults_stopping.py
@@ -13,6 +13,8 @@
 
 CHILD = (ChildCall("/", "GET", "stores", "/stock"),)
 CALLS = 6
+# Long enough to keep a server busy while the calls of a test pass it by.
+SLOW = {"/slow": 400.0}
 
 
 async def cut_off(node):
@@ -22,6 +24,22 @@
     node._tasks[0].cancel()
 
 
+def prefer(node, wanted, *, after_first=False):
+    """Let the balancer of a node choose `wanted` where it may, or only for hedges.
+
+    A busy server would be passed by for its load, which proves nothing.
+    """
+    choose = node.parts.balancer.choose
+
+    def chosen(service, members, *, exclude=frozenset()):
+        if after_first and not exclude:
+            return choose(service, members, exclude={wanted})
+        usable = [m for m in members if m.node_id == wanted and wanted not in exclude]
+        return usable[0] if usable else choose(service, members, exclude=exclude)
+
+    node.parts.balancer.choose = chosen
+
+
 class MeshCase(unittest.IsolatedAsyncioTestCase):
     """A mesh with an entry node without a backend server."""
 
@@ -43,11 +61,6 @@
         counts = Counter(name for name in services if name)
         await self.mesh.until_ready(counts)
 
-    def started(self, node_id):
-        """Return the times at which a backend server started requests."""
-        events = self.mesh.recorders[node_id].events
-        return [event.time_s for event in events if event.kind is Kind.RAN]
-
     async def send(self, keys, count=CALLS):
         """Send browsing, and an order for each key, all to the entry node."""
         sends = [self.mesh.call("n0", f"/orders/list?{n}") for n in range(count)]
@@ -108,18 +121,37 @@
         await self.mesh.until(lambda: node.parts.state.is_draining)
         return task
 
+    async def drain_n1_with_a_call(self):
+        """Let n1 drain while a slow call keeps it; return what to wait for."""
+        slow = []
+        while not self.mesh.runs("n1"):
+            # The entry node chooses the server, so n1 may take more than one call.
+            slow.append(asyncio.create_task(self.mesh.call("n0", "/orders/slow")))
+            target = self.mesh.nodes["n1"].parts.target
+            await self.mesh.until(lambda: self.mesh.all_runs() == len(slow))
+        self.assertTrue(target.in_flight)
+        return await self.drain("n1"), slow
+
     async def test_entry_without_control_plane(self):
         """A node that missed the news must not bring the server new work."""
-        await self.start_nodes(["", "orders", "orders"], service_time_ms=5.0)
-        keys = await self.mesh.keys("n0", 2 * CALLS)
+        await self.start_nodes(["", "orders", "orders"], route_time_ms=SLOW)
+        keys = await self.mesh.keys("n0", CALLS)
         await cut_off(self.mesh.nodes["n0"])
-        self.assert_whole(await self.send(keys[:CALLS]))
-        await (await self.drain("n1"))
+        drained, slow = await self.drain_n1_with_a_call()
         before = self.mesh.runs("n1")
         known = self.mesh.nodes["n0"].parts.membership.serving("orders")
         self.assertEqual(len(known), 2)
-        self.assert_whole(await self.send(keys[CALLS:]))
+        prefer(self.mesh.nodes["n0"], "n1")
+        answers = await self.send(keys)
         self.assertEqual(self.mesh.runs("n1"), before)
+        # The retry ratio lets some refusals through; they must be explicit.
+        refused = [json.loads(body) for status, _, body in answers if status != 200]
+        for problem in refused:
+            told = (problem["reason"], problem["outcome"])
+            self.assertEqual(told, ("leaving", "not-run"))
+        self.assertLess(len(refused), len(answers))
+        self.assert_whole(await asyncio.gather(*slow))
+        await drained
 
     async def test_queued_work_goes_elsewhere(self):
         """Calls that wait for a slot are returned and run on another server."""
@@ -140,13 +172,17 @@
 
     async def test_hedge_finds_no_leaving_server(self):
         """A hedge that the other server refuses must not spoil the first attempt."""
-        await self.start_nodes(["", "orders", "orders"], service_time_ms=40.0)
+        await self.start_nodes(["", "orders", "orders"], route_time_ms=SLOW)
         await cut_off(self.mesh.nodes["n0"])
-        await (await self.drain("n1"))
+        drained, slow = await self.drain_n1_with_a_call()
+        before = self.mesh.runs("n1")
+        prefer(self.mesh.nodes["n0"], "n1", after_first=True)
         balancer = self.mesh.nodes["n0"].parts.balancer
-        balancer.hedge_delay_s = lambda service, route: 0.001
+        balancer.hedge_delay_s = lambda service, route: 0.0
         self.assert_whole(await self.send([], count=4))
-        self.assertEqual(self.mesh.runs("n1"), 0)
+        self.assertEqual(self.mesh.runs("n1"), before)
+        self.assert_whole(await asyncio.gather(*slow))
+        await drained
 
     async def test_outbound_calls_of_a_draining_server(self):
         """A request in flight makes its outbound call after its node began to drain."""
