--- a/benchmarks/fault_actions.py
+++ b/benchmarks/fault_actions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import random
 import signal
 import time
 import uuid
@@ -207,7 +208,9 @@
         """Send one request that kills each backend server that runs it."""
         mesh = self.mesh.layout.mesh
         poison = replace(mesh, mix=(POISON_KINDS[fault.kind],))
-        for seed in itertools.count(self.config.seed * 1000):
+        # Two poison requests of a schedule must differ in the history.
+        first = random.Random(f"{self.config.seed} {fault.at_s}").randrange(1 << 30)
+        for seed in itertools.count(first):
             config = CallerConfig(rate_per_s=2.0, duration_s=0.5, sends=4, seed=seed)
             if len(list(plan_requests(poison, config))) == 1:
                 break
