Count no idle time as a stall of the backend server

Cause: the expected wait grows with the time since the last release, and a quiet time before the first call counted too. The second call after an idle minute on one slot was refused with overload-queue-full. Result: a grant counts as progress like a release; the new test fails without the change.

--- a/damaskproxy/admission/controller.py
+++ b/damaskproxy/admission/controller.py
@@ -69,7 +69,7 @@
         self._interval_s = self._settings.interval_ms / 1000
         self._target_s = self._settings.queue_target_ms / 1000
         self._wait_max_s = self._settings.queue_wait_max_ms / 1000
-        self._released_at_s = now_s()
+        self._progress_at_s = now_s()
         self._window_began_s = now_s()
         self._reset_window(self._window_began_s)
 
@@ -99,6 +99,7 @@
         is_long = ticket.long_work_hint or (cost is not None and cost.is_long)
         is_free = in_flight < limit and not self._queue
         if is_free and (not is_long or self._long_may_start(is_short_waiting=False)):
+            self._progress_at_s = now_s
             return self._grant(ticket.route, is_long, 0.0)
         return self._refuse_or_wait(ticket, cost, now_s)
 
@@ -156,7 +157,7 @@
         self._in_flight -= 1
         self._long_in_flight -= permit.is_long
         now_s = self._now_s()
-        self._released_at_s = now_s
+        self._progress_at_s = now_s
         if ok:
             self._learn(permit, elapsed_s, outbound_s)
         if now_s >= self._window_ends_s:
@@ -241,7 +242,7 @@
         newest_first = self._newest_first
         ahead = self._queue.ahead_of(ticket, newest_first=newest_first) + 1
         pace_s = self._costs.mean_s / self._limit.value
-        return ahead * max(pace_s, now_s - self._released_at_s)
+        return ahead * max(pace_s, now_s - self._progress_at_s)
 
     def _enqueue(self, ticket: Ticket) -> Waiter:
         future = asyncio.get_running_loop().create_future()
