--- a/damaskproxy/admission/tests/test_controller.py
+++ b/damaskproxy/admission/tests/test_controller.py
@@ -31,6 +31,14 @@
         self.assertEqual(late.reason, RefusalReason.START_BY_PASSED)
         self.assertIs(late.outcome, Outcome.NOT_RUN)
 
+    def test_idle_time_is_no_stall(self):
+        """The first calls after a quiet time must not be taken for an overload."""
+        permit = self.controller.try_acquire(ticket())
+        self.controller.release(permit, elapsed_s=0.01, ok=True)
+        self.clock.now_s += 60.0
+        self.assertIsInstance(self.controller.try_acquire(ticket()), Permit)
+        self.assertIsNone(self.controller.try_acquire(ticket()))
+
     async def test_cancellation_after_the_grant_returns_the_slot(self):
         """A permit that its cancelled call never saw must not leak."""
         held = self.controller.try_acquire(ticket())
