Scale waits and windows with the cost of a typical call

Cause: a wait of 50 ms and windows of 100 ms made a service with 150 ms of work and 4 slots shed at 0.7 of its capacity, since one late call in a window was an overload.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -1,10 +1,12 @@
 """Command line of the benchmarks."""
 
+import asyncio
 from enum import StrEnum
 
 import msgspec
 import typer
 
+from benchmarks.nodes_runner import NODE_SCENARIOS, run_over_nodes
 from benchmarks.runner import run_scenario
 from benchmarks.scenarios import SCENARIOS
 
@@ -18,6 +20,13 @@
     BASELINE = "baseline"
 
 
+class Over(StrEnum):
+    """What the calls run over."""
+
+    FAKES = "fakes"
+    NODES = "nodes"
+
+
 app = typer.Typer(add_completion=False)
 
 
@@ -26,10 +35,17 @@
     scenario: ScenarioName,
     seed: int = 1,
     policy: Policy = Policy.DAMASK,
+    over: Over = Over.FAKES,
     as_json: bool = typer.Option(False, "--json", help="Print one JSON object."),
 ) -> None:
-    """Run SCENARIO on virtual time over fake backend servers."""
-    result = run_scenario(str(scenario), seed, str(policy))
+    """Run SCENARIO over fake servers on virtual time, or over nodes on loopback."""
+    if over is Over.NODES:
+        if policy is not Policy.DAMASK or scenario not in NODE_SCENARIOS:
+            names = ", ".join(NODE_SCENARIOS)
+            raise typer.BadParameter(f"over nodes run, with policy damask: {names}")
+        result = asyncio.run(run_over_nodes(str(scenario), seed))
+    else:
+        result = run_scenario(str(scenario), seed, str(policy))
     if as_json:
         typer.echo(msgspec.json.encode(result).decode())
         return
--- a/benchmarks/results.py
+++ b/benchmarks/results.py
@@ -1,9 +1,9 @@
 """Figures of one run."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from benchmarks.fakes import Request
-from benchmarks.mesh import DATA_CENTRES, DEEP_SLOTS, INSTANCES, SERVICES, Mesh
+from benchmarks.mesh import DATA_CENTRES, DEEP_SLOTS, INSTANCES, SERVICES
 from benchmarks.scenarios import CAPACITY_PER_S, Scenario
 from damaskproxy.common import Outcome, Priority
 
@@ -23,14 +23,21 @@
 
 
 def measure(
-    scenario: Scenario, seed: int, policy: str, mesh: Mesh, requests: list[Request]
+    scenario: Scenario,
+    seed: int,
+    policy: str,
+    reasons: Mapping[str, int],
+    requests: list[Request],
+    *,
+    capacity_per_s: float = CAPACITY_PER_S,
+    scale: str = "",
 ) -> dict:
     """Return the figures of a run, as printed with ``--json``."""
     begin_s, end_s = scenario.measured
     innocent = [request for request in requests if not request.crashes]
     counted = [r for r in innocent if begin_s <= r.first_sent_s < end_s]
     whole = [request for request in counted if request.whole_after_s is not None]
-    possible = min(len(counted), CAPACITY_PER_S * (end_s - begin_s))
+    possible = min(len(counted), capacity_per_s * (end_s - begin_s))
     times_s = [request.whole_after_s for request in whole]
     short_s = [request.whole_after_s for request in whole if not request.long_hops]
     orders = [request for request in innocent if not request.idempotent]
@@ -38,7 +45,7 @@
         "scenario": scenario.name,
         "seed": seed,
         "policy": policy,
-        "scale": _scale(),
+        "scale": scale or _scale(),
         "offered": len(counted),
         "whole": len(whole),
         "goodput_ratio": round(len(whole) / possible, 4),
@@ -52,7 +59,7 @@
         "told_not_run_but_ran": sum(_was_misled(request) for request in orders),
         "servers_lost_per_poison_max": max(r.crashed for r in requests),
         "goodput_variation": _variation(counted, begin_s, end_s),
-        "reasons": dict(sorted(mesh.reasons.items())),
+        "reasons": dict(sorted(reasons.items())),
     }
 
 
--- a/benchmarks/runner.py
+++ b/benchmarks/runner.py
@@ -41,7 +41,7 @@
         return await run_callers(scenario, seed, policy, settings)
 
     mesh, requests = run_virtual(main)
-    return measure(scenario, seed, policy, mesh, requests)
+    return measure(scenario, seed, policy, mesh.reasons, requests)
 
 
 def _factor(result: dict, control: dict, name: str) -> float | None:
--- a/damaskproxy/admission/controller.py
+++ b/damaskproxy/admission/controller.py
@@ -21,6 +21,11 @@
 
 logger = logging.getLogger(__name__)
 
+# Waits and windows are at least these shares of the cost of a typical call; with fixed
+# times alone a slow service could not queue at all and one late call was an overload.
+WAIT_SHARE = 0.5
+TARGET_SHARE = 0.25
+INTERVAL_SHARE = 1.0
 IDLE_SHARE = 0.5
 CALM_SHARE = 0.5
 
@@ -213,7 +218,7 @@
 
     def _refuse_or_wait(self, ticket, cost, now_s) -> Refusal | None:
         wait_s = self._expected_wait_s(ticket, now_s)
-        if wait_s > self._wait_max_s:
+        if wait_s > max(self._wait_max_s, WAIT_SHARE * self._costs.typical_s):
             self._was_refusing = True
             reason = RefusalReason.OVERLOAD_QUEUE_FULL
             return _refusal(reason, self._retry_after_ms())
@@ -325,11 +330,12 @@
     def _review(self, now_s: float) -> None:
         """Move limit and level at the end of a window."""
         least_wait_s = self._least_wait_s
+        target_s = max(self._target_s, TARGET_SHARE * self._costs.typical_s)
         overloaded = self._was_refusing or (
-            least_wait_s > self._target_s and self._queue.short_count > 0
+            least_wait_s > target_s and self._queue.short_count > 0
         )
         calm = not overloaded and (
-            least_wait_s < self._target_s * CALM_SHARE or not self._queue
+            least_wait_s < target_s * CALM_SHARE or not self._queue
         )
         level_before = self._level.value
         elapsed_s = now_s - self._window_began_s
@@ -348,7 +354,8 @@
 
     def _reset_window(self, now_s: float) -> None:
         self._window_began_s = now_s
-        self._window_ends_s = now_s + self._interval_s
+        interval_s = max(self._interval_s, INTERVAL_SHARE * self._costs.typical_s)
+        self._window_ends_s = now_s + interval_s
         self._least_wait_s = math.inf
         self._was_refusing = False
         self._was_full = self._in_flight >= self._limit.value
--- a/damaskproxy/admission/costs.py
+++ b/damaskproxy/admission/costs.py
@@ -43,7 +43,7 @@
 
 
 class RouteCosts:
-    """Costs of all routes and the mean cost of a call.
+    """Costs of all routes, their mean, and the median of the typical route.
 
     Parameters
     ----------
@@ -57,6 +57,7 @@
         self._own: dict[str, RouteCost] = {}
         self._until_review = LONG_REVIEW_SAMPLES
         self.mean_s = 0.0
+        self.typical_s = 0.0
 
     def get(self, route: str) -> RouteCost | None:
         """Return the cost of `route`, None before its first answer."""
@@ -97,6 +98,7 @@
             if seen >= half:
                 typical_s = cost.median_s
                 break
+        self.typical_s = typical_s
         for cost in ordered:
             cost.is_long = cost.median_s > typical_s * self._settings.long_factor
             cost.samples = (cost.samples + 1) // 2
--- a/damaskproxy/admission/settings.py
+++ b/damaskproxy/admission/settings.py
@@ -27,11 +27,13 @@
     queue_min : int
         Waiting calls allowed on a small backend server.
     queue_wait_max_ms : int
-        Expected wait above which a call is refused, so that it can go elsewhere.
+        Expected wait above which a call is refused, so that it can go elsewhere; at
+        least half the cost of a typical call.
     interval_ms : int
-        Window in which the queue delay is judged.
+        Window in which the queue delay is judged; at least the cost of a typical call.
     queue_target_ms : int
-        Queue delay that a whole window must exceed to count as overload.
+        Queue delay that a whole window must exceed to count as overload; at least a
+        quarter of the cost of a typical call.
     admission_level : bool
         Whether the level falls under overload.
     level_headroom : float
