Let nearly equal members take turns, and use all local candidates

Cause, found by a new test: a member whose latency was unknown, or known to be a few percent higher, was never chosen on a quiet service, so a new or recovered member stayed unused; and with local members only, one candidate less was compared. Scores now get a jitter of up to 20%.

--- a/damaskproxy/admission/tests/test_controller.py
+++ b/damaskproxy/admission/tests/test_controller.py
@@ -1,6 +1,8 @@
 import asyncio
 import unittest
 
+from nose2.tools import params
+
 from damaskproxy.admission import AdmissionController, Permit, Ticket
 from damaskproxy.common import Outcome, Priority, Refusal, RefusalReason
 
@@ -57,6 +59,61 @@
         await asyncio.gather(*tasks)
         self.assertEqual(started, sorted(keys))
 
+    async def _wait(self, *tickets):
+        tasks = [asyncio.create_task(self.controller.acquire(t)) for t in tickets]
+        await asyncio.sleep(0)
+        return tasks
+
+    async def test_a_full_queue_drops_the_least_important_call(self):
+        self.controller.try_acquire(ticket())
+        first = await self._wait(ticket(Priority.SHEDDABLE, 9))
+        rest = await self._wait(*[ticket(Priority.CRITICAL) for _ in range(16)])
+        dropped = await first[0]
+        self.assertIs(dropped.reason, RefusalReason.OVERLOAD_QUEUE_FULL)
+        self.assertEqual(self.controller.load().queued, 16)
+        self.controller.refuse_waiting(dropped)
+        await asyncio.gather(*rest)
+
+    @params(
+        ({"deadline_s": 101.0}, RefusalReason.DEADLINE_PASSED),
+        ({"start_by_s": 101.0}, RefusalReason.START_BY_PASSED),
+    )
+    async def test_a_waiting_call_is_not_started_too_late(self, instants, reason):
+        """Work that starts after its deadline is wasted, or breaks `start_by`."""
+        held = self.controller.try_acquire(ticket())
+        (waiting,) = await self._wait(ticket(**instants))
+        self.clock.now_s = 102.0
+        self.controller.release(held, elapsed_s=2.0, ok=False)
+        refusal = await waiting
+        self.assertEqual((refusal.reason, refusal.outcome), (reason, Outcome.NOT_RUN))
+        self.assertEqual(self.controller.load().in_flight, 0)
+
+    def test_a_stalled_server_refuses_instead_of_queueing(self):
+        """The usual pace hides that all slots are held by calls that do not end."""
+        for _ in range(40):
+            permit = self.controller.try_acquire(ticket())
+            self.controller.release(permit, elapsed_s=0.01, ok=True)
+        self.controller.try_acquire(ticket())
+        self.assertIsNone(self.controller.try_acquire(ticket()))
+        self.clock.now_s += 0.5
+        refusal = self.controller.try_acquire(ticket())
+        self.assertIs(refusal.reason, RefusalReason.OVERLOAD_QUEUE_FULL)
+
+    def test_a_call_that_cannot_finish_is_refused(self):
+        for _ in range(40):
+            permit = self.controller.try_acquire(ticket())
+            self.controller.release(permit, elapsed_s=0.03, ok=True)
+        self.controller.try_acquire(ticket())
+        refusal = self.controller.try_acquire(ticket(deadline_s=100.04))
+        self.assertIs(refusal.reason, RefusalReason.OVERLOAD_DEADLINE)
+
+    def test_long_work_leaves_slots_to_short_work(self):
+        self.controller.set_slots(10)
+        long = ticket(long_work_hint=True)
+        granted = [self.controller.try_acquire(long) for _ in range(12)]
+        self.assertEqual(sum(isinstance(p, Permit) for p in granted), 9)
+        self.assertIsInstance(self.controller.try_acquire(ticket()), Permit)
+
     async def test_refuse_waiting_answers_all(self):
         self.controller.try_acquire(ticket())
         tasks = [
--- a/damaskproxy/balancing/balancer.py
+++ b/damaskproxy/balancing/balancer.py
@@ -28,6 +28,7 @@
 EARLY_RETRY_AFTER_MS = 200
 SLOW_FACTOR = 1.5
 FAILURE_FACTOR = 10
+JITTER = 0.2
 HEDGE_REVIEW_ANSWERS = 8
 
 
@@ -92,7 +93,13 @@
         if len(candidates) == 1:
             return candidates[0]
         usual_s = self._usual_s.get(service, DEFAULT_LATENCY_S)
-        return min(candidates, key=lambda m: self._score(m, usual_s, now_s))
+        # Nearly equal members take turns; without this a member whose latency is known
+        # to be a little higher, or not at all, would get no call on a quiet service.
+        random_ = self._rng.random
+        return min(
+            candidates,
+            key=lambda m: self._score(m, usual_s, now_s) * (1 + JITTER * random_()),
+        )
 
     def started(self, member: Member) -> None:
         """Count a call that is sent to `member`."""
@@ -216,7 +223,8 @@
     def _sample(self, local, remote, exclude, now_s) -> list[Member]:
         """Return a few usable members, more of them local than remote."""
         count = self._settings.candidates
-        from_local = min(len(local), max(1, count - 1))
+        reserved = 1 if remote and count > 1 else 0
+        from_local = min(len(local), count - reserved)
         picked = self._pick(local, from_local)
         picked += self._pick(remote, count - from_local)
         return [
--- a/damaskproxy/balancing/tests/test_balancer.py
+++ b/damaskproxy/balancing/tests/test_balancer.py
@@ -1,6 +1,8 @@
 import random
 import unittest
 
+from nose2.tools import params
+
 from damaskproxy.balancing import Balancer
 from damaskproxy.common import RefusalReason
 from damaskproxy.wire import Load
@@ -63,3 +65,67 @@
         self.assertIsNone(self.balancer.early_refusal(member, 1, 0))
         self.now_s = 0.5
         self.assertIsNone(self.balancer.early_refusal(member, 2, 0))
+
+    def serve(self, member, elapsed_s, result="ok", count=1):
+        for _ in range(count):
+            self.balancer.started(member)
+            self.balancer.finished(
+                member, elapsed_s=elapsed_s, result=result, load=None, route="r"
+            )
+
+    def share_of(self, group, *node_ids, calls=400):
+        chosen = [self.balancer.choose("s", group).node_id for _ in range(calls)]
+        return sum(node_id in node_ids for node_id in chosen) / calls
+
+    def test_local_members_are_preferred_until_they_are_worse(self):
+        group = tuple(members(4, ("a", "b")))
+        self.balancer.choose("s", group)
+        for member in group:
+            self.serve(member, 0.02, count=20)
+        self.assertEqual(self.share_of(group, "n0", "n2"), 1.0)
+        for member in group[::2]:
+            self.serve(member, 0.5, count=20)
+        self.assertEqual(self.share_of(group, "n0", "n2"), 0.0)
+
+    @params("ok", "cancelled", "failed")
+    def test_a_member_that_was_slow_or_failed_is_tried_again(self, result):
+        """A latency that only answers can lower would exclude a member for good."""
+        group = tuple(members(3))
+        self.balancer.choose("s", group)
+        for member in group:
+            self.serve(member, 0.02, count=20)
+        self.serve(group[0], 1.0, result, count=4)
+        self.assertLess(self.share_of(group, "n0"), 0.05)
+        self.now_s += 20.0
+        for member in group[1:]:
+            self.serve(member, 0.02, count=200)
+        self.assertGreater(self.share_of(group, "n0"), 0.0)
+
+    def test_an_unanswered_call_shows_slowness_before_its_answer(self):
+        group = tuple(members(2))
+        self.balancer.choose("s", group)
+        for member in group:
+            self.serve(member, 0.02, count=20)
+        self.balancer.started(group[0])
+        self.assertFalse(self.balancer.is_slow(group[0]))
+        self.now_s += 0.2
+        self.assertTrue(self.balancer.is_slow(group[0]))
+        self.assertEqual(self.share_of(group, "n0"), 0.0)
+
+    def test_a_new_member_starts_slowly_and_does_not_starve(self):
+        group = tuple(members(4))
+        self.balancer.choose("s", group[:3])
+        self.assertTrue(0 < self.share_of(group, "n3") < 0.15)
+        self.serve(group[3], 0.02, count=50)
+        self.assertGreater(self.share_of(group, "n3"), 0.2)
+
+    @params((19, None), (40, 0.02), (400, 0.02))
+    def test_hedge_delay_is_known_after_enough_answers(self, count, expected):
+        member = members(1)[0]
+        for index in range(count):
+            self.serve(member, 0.5 if index % 10 == 0 else 0.01)
+        delay_s = self.balancer.hedge_delay_s("s", "r")
+        if expected is None:
+            self.assertIsNone(delay_s)
+        else:
+            self.assertAlmostEqual(delay_s, expected, delta=0.003)
