--- a/benchmarks/nodes_runner.py
+++ b/benchmarks/nodes_runner.py
@@ -163,13 +163,14 @@
     """Send a request until it is answered, ignoring every hint to wait."""
     for _ in range(1 + RESENDS):
         request.sends += 1
+        sent_s = run.now_s()
         status, outcome, reason = await _send(run, request)
         request.told.append(outcome)
-        if status == 200:
+        if status == 200 and run.now_s() - sent_s <= request.deadline_s:
             request.whole_after_s = run.now_s() - request.first_sent_s
             request.first_send_whole = request.sends == 1
             return
-        run.reasons[f"caller:{reason}"] += 1
+        run.reasons[f"caller:{reason or 'late-answer'}"] += 1
         await asyncio.sleep(run.rng.uniform(*RESEND_AFTER_S))
 
 
