Give up outcomes that the table rejects

TableRejected of the platform ended the task of the outcome writer, after which no outcome was written, and a rejected batch would have been sent again for ever. A rejected batch now loses its bodies, then its entries, which are counted as dropped.

--- a/damaskproxy/ledger/outcomes.py
+++ b/damaskproxy/ledger/outcomes.py
@@ -172,11 +172,15 @@
     async def _write_batch(self) -> bool:
         if not self._pending:
             return True
+        batch: dict[str, list[tuple[int, LedgerEntry]]] = {}
         try:
             async with self._writing, asyncio.timeout(self._timeout_s):
                 batch = self._next_batch()
-                await self._commit(batch)
+                if batch:
+                    await self._commit(batch)
         except self._errors.all as error:
+            if self._errors.is_rejection(error):
+                self._shrink(batch)
             self._note_failure(error)
             return False
         if self._failures:
@@ -246,6 +250,16 @@
         bucket = issued.serial // self._settings.bucket_serials
         return f"outcome/{issued.node_id}/{issued.incarnation}/{bucket}"
 
+    def _shrink(self, batch: dict[str, list[tuple[int, LedgerEntry]]]) -> None:
+        """Give up what the table rejects, first the bodies, so that others get on."""
+        for entries in batch.values():
+            for _, entry in entries:
+                self._forget(entry.key)
+                if entry.body is not None:
+                    self.add(entry.without_body())
+                else:
+                    self._count_dropped()
+
     def _note_written(self, batch: dict[str, list[tuple[int, LedgerEntry]]]) -> None:
         for row_key, entries in batch.items():
             self._cache.pop(row_key, None)
--- a/damaskproxy/ledger/tables.py
+++ b/damaskproxy/ledger/tables.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from damaskproxy.common import DamaskError
+
 __all__ = ["Table", "TableErrors", "TableRow", "platform_errors", "versions_of"]
 
 
@@ -44,7 +46,12 @@
     @property
     def all(self) -> tuple[type[Exception], ...]:
         """Every exception that an operation may raise, with timeouts."""
-        return (self.unavailable, self.unknown, TimeoutError)
+        return (self.unavailable, self.unknown, DamaskError, TimeoutError)
+
+    def is_rejection(self, error: Exception) -> bool:
+        """Tell whether the table understood the request and will never apply it."""
+        transient = (self.unavailable, self.unknown, TimeoutError)
+        return not isinstance(error, transient)
 
 
 def platform_errors() -> TableErrors:
--- a/damaskproxy/ledger/tests/test_table_use.py
+++ b/damaskproxy/ledger/tests/test_table_use.py
@@ -6,7 +6,7 @@
 
 from nose2.tools import params
 
-from damaskproxy.common import Outcome
+from damaskproxy.common import DamaskError, Outcome
 from damaskproxy.ledger import (
     IssuedKey,
     LedgerEntry,
@@ -142,6 +142,28 @@
 
         run_virtual(scenario())
 
+    @params((1, 0), (2, 3))
+    def test_rejected(self, rejections, dropped):
+        """Entries that the table rejects must not hold up all others for ever."""
+
+        async def scenario():
+            node, table = Node(), MemoryTable()
+            writer, commit = writer_of(node, table), table.commit
+            for key in node.ring.issue(3):
+                writer.add(entry_of(key))
+
+            async def reject(checks, puts):
+                raise DamaskError("the row is too large")
+
+            table.commit = reject
+            for _ in range(rejections):
+                self.assertFalse(await writer.flush())
+            table.commit = commit
+            self.assertTrue(await writer.flush())
+            return writer.stats()["dropped"], writer.stats()["pending"]
+
+        self.assertEqual(run_virtual(scenario()), (dropped, 0))
+
     def test_two_writers_of_one_row(self):
         """The heir and the previous holder may write the same row; neither loses."""
 
