Take the ports of the demo from below the range of outgoing connections

One demo run did not start: a port that was free when it was chosen had become the local port of a connection. The demo now also ends at once, with the log, when a process ends during the start. Calls withdrawn by a cancelled backend server are no longer listed as refusals.

--- a/benchmarks/latency_mesh.py
+++ b/benchmarks/latency_mesh.py
@@ -61,7 +61,7 @@
     await processes.start("relay-1", "benchmarks.relay", first, relay_urls[1])
     await processes.start("relay-2", "benchmarks.relay", second, backend)
     await wait_for_url(f"{relay_urls[0]}/damask/load")
-    await wait_until_serving(layout, {SERVICE: 1})
+    await wait_until_serving(processes, layout, {SERVICE: 1})
     return Addresses(
         urls={
             "direct": f"{backend}{CALL_PATH}",
--- a/damaskproxy/standins/backend.py
+++ b/damaskproxy/standins/backend.py
@@ -44,6 +44,7 @@
     CONNECTION_CUT,
     NO_ANSWER,
     NO_ENTRY,
+    WITHDRAWN,
     Told,
     read_told,
 )
@@ -303,7 +304,8 @@
         identity = request_identity(key, digest)
         content = request_bytes(call.method, path, b"")
         send = self._history.sent(identity, content, idempotent=not key)
-        told = Told(0, Outcome.UNKNOWN, "cancelled")
+        # This stands if the request that makes the call is cancelled meanwhile.
+        told = Told(0, Outcome.UNKNOWN, WITHDRAWN)
         try:
             told = await self._send_child(call, path, headers, digest)
         finally:
--- a/damaskproxy/standins/callers_told.py
+++ b/damaskproxy/standins/callers_told.py
@@ -12,6 +12,7 @@
     "NO_ANSWER",
     "NO_ENTRY",
     "NO_KEY",
+    "WITHDRAWN",
     "Told",
     "read_told",
 ]
@@ -21,6 +22,7 @@
 CONNECTION_CUT = "connection-cut"
 NO_ANSWER = "no-answer"
 NO_KEY = "no-key"
+WITHDRAWN = "withdrawn"
 
 
 @dataclass(frozen=True, slots=True)
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -38,7 +38,7 @@
 def main(
     mesh: Annotated[str, typer.Option(help="georgia or java.")] = "georgia",
     rate: Annotated[float, typer.Option(help="Requests a second.")] = 80.0,
-    seconds: Annotated[float, typer.Option(help="Time that callers send.")] = 22.0,
+    seconds: Annotated[float, typer.Option(help="Time that callers send.")] = 20.0,
     seed: Annotated[int, typer.Option(help="Seed of the callers.")] = 1,
     keep_logs: Annotated[bool, typer.Option(help="Keep logs and histories.")] = False,
 ) -> None:
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -1,6 +1,7 @@
 """Child processes of the demo; only this launcher starts processes."""
 
 import asyncio
+import random
 import signal
 import socket
 import sys
@@ -9,6 +10,7 @@
 
 __all__ = ["Processes", "free_ports"]
 
+FIRST_PORT, EPHEMERAL_PORT = 15_000, 32_768
 KILL_AFTER_S = 5.0
 LOG_TAIL_LINES = 12
 
@@ -16,16 +18,34 @@
 def free_ports(count: int) -> list[int]:
     """Return free TCP ports of the loopback interface.
 
-    All sockets are held until the last port is known, so that no port comes twice.
+    The ports lie below the range from which Linux by default takes the local ports of
+    outgoing connections: a port of that range can be taken between this check and the
+    start of its process.
+
+    Raises
+    ------
+    OSError
+        If there are too few free ports.
     """
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for held in sockets:
-            held.bind(("127.0.0.1", 0))
-        return [held.getsockname()[1] for held in sockets]
-    finally:
-        for held in sockets:
-            held.close()
+    found: list[int] = []
+    span = EPHEMERAL_PORT - FIRST_PORT
+    start = random.randrange(span)
+    for offset in range(span):
+        port = FIRST_PORT + (start + offset) % span
+        if len(found) == count:
+            return found
+        if _can_bind(port):
+            found.append(port)
+    raise OSError(f"only {len(found)} of {count} ports are free")
+
+
+def _can_bind(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+        return True
 
 
 class Processes:
--- a/demo/report.py
+++ b/demo/report.py
@@ -75,7 +75,7 @@
 
 
 def _refusals(story: Story) -> list[str]:
-    """Return refusals by reason: of all sends, and of requests in the end."""
+    """Return reasons: of sends and outbound calls, and of requests in the end."""
     told = Counter(
         f"{event.detail} ({event.outcome})"
         for event in story.events
@@ -87,8 +87,8 @@
         if not told.whole
     )
     return [
-        *_counted("refusals of sends and outbound calls", told),
-        *_counted("requests refused in the end", final),
+        *_counted("sends and outbound calls without an answer", told),
+        *_counted("requests without an answer in the end", final),
     ]
 
 
--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -70,7 +70,7 @@
     counts: dict[str, int] = {}
     for host in layout.hosts:
         counts[host.service] = counts.get(host.service, 0) + 1
-    await wait_until_serving(layout, counts)
+    await wait_until_serving(processes, layout, counts)
 
 
 async def wait_until_in_force(layout: Layout, version: int) -> None:
--- a/demo/starting.py
+++ b/demo/starting.py
@@ -145,8 +145,16 @@
     )
 
 
-async def wait_until_serving(layout: Layout, counts: Mapping[str, int]) -> float:
-    """Wait until each node knows this many serving members of each service."""
+async def wait_until_serving(
+    processes: Processes, layout: Layout, counts: Mapping[str, int]
+) -> float:
+    """Wait until each node knows this many serving members of each service.
+
+    Raises
+    ------
+    DemoError
+        If a process ends meanwhile, or the nodes are not ready in time.
+    """
 
     async def knows_all(host: Host) -> bool:
         status = await fetch_status(host)
@@ -157,6 +165,9 @@
         return known and set(status["sections"]) >= set(layout.mesh.routes)
 
     async def all_ready() -> bool:
+        for name in processes.exited():
+            if processes.exit_status(name):
+                raise DemoError(f"{name} ended:\n{processes.log_tail(name)}")
         return all(await asyncio.gather(*map(knows_all, layout.hosts)))
 
     return await wait_for("nodes ready and members known", all_ready)
--- a/demo/tests/test_report.py
+++ b/demo/tests/test_report.py
@@ -11,6 +11,7 @@
 from damaskproxy.standins.callers_meshes import GEORGIA, MESHES
 from damaskproxy.standins.callers_told import Told
 from demo.layout import NEW, OLD, plan, section
+from demo.processes import EPHEMERAL_PORT, free_ports
 from demo.report import format_report
 from demo.scenario import Story
 
@@ -94,3 +95,8 @@
         self.assertEqual(len(layout.leaving()), 2)
         ports = [p for host in layout.hosts for p in host.ports.values()]
         self.assertEqual(len(ports), len(set(ports)))
+
+    def test_ports_are_distinct_and_not_of_outgoing_connections(self):
+        ports = free_ports(200)
+        self.assertEqual(len(set(ports)), 200)
+        self.assertLess(max(ports), EPHEMERAL_PORT)
