--- a/damaskproxy/admission/controller.py
+++ b/damaskproxy/admission/controller.py
@@ -21,6 +21,11 @@
 
 logger = logging.getLogger(__name__)
 
+# Waits and windows are at least these shares of the cost of a typical call; with fixed
+# times alone a slow service could not queue at all and one late call was an overload.
+WAIT_SHARE = 0.5
+TARGET_SHARE = 0.25
+INTERVAL_SHARE = 1.0
 IDLE_SHARE = 0.5
 CALM_SHARE = 0.5
 
@@ -64,7 +69,7 @@
         self._interval_s = self._settings.interval_ms / 1000
         self._target_s = self._settings.queue_target_ms / 1000
         self._wait_max_s = self._settings.queue_wait_max_ms / 1000
-        self._released_at_s = now_s()
+        self._progress_at_s = now_s()
         self._window_began_s = now_s()
         self._reset_window(self._window_began_s)
 
@@ -94,6 +99,7 @@
         is_long = ticket.long_work_hint or (cost is not None and cost.is_long)
         is_free = in_flight < limit and not self._queue
         if is_free and (not is_long or self._long_may_start(is_short_waiting=False)):
+            self._progress_at_s = now_s
             return self._grant(ticket.route, is_long, 0.0)
         return self._refuse_or_wait(ticket, cost, now_s)
 
@@ -151,7 +157,7 @@
         self._in_flight -= 1
         self._long_in_flight -= permit.is_long
         now_s = self._now_s()
-        self._released_at_s = now_s
+        self._progress_at_s = now_s
         if ok:
             self._learn(permit, elapsed_s, outbound_s)
         if now_s >= self._window_ends_s:
@@ -213,7 +219,7 @@
 
     def _refuse_or_wait(self, ticket, cost, now_s) -> Refusal | None:
         wait_s = self._expected_wait_s(ticket, now_s)
-        if wait_s > self._wait_max_s:
+        if wait_s > max(self._wait_max_s, WAIT_SHARE * self._costs.typical_s):
             self._was_refusing = True
             reason = RefusalReason.OVERLOAD_QUEUE_FULL
             return _refusal(reason, self._retry_after_ms())
@@ -236,7 +242,7 @@
         newest_first = self._newest_first
         ahead = self._queue.ahead_of(ticket, newest_first=newest_first) + 1
         pace_s = self._costs.mean_s / self._limit.value
-        return ahead * max(pace_s, now_s - self._released_at_s)
+        return ahead * max(pace_s, now_s - self._progress_at_s)
 
     def _enqueue(self, ticket: Ticket) -> Waiter:
         future = asyncio.get_running_loop().create_future()
@@ -325,11 +331,12 @@
     def _review(self, now_s: float) -> None:
         """Move limit and level at the end of a window."""
         least_wait_s = self._least_wait_s
+        target_s = max(self._target_s, TARGET_SHARE * self._costs.typical_s)
         overloaded = self._was_refusing or (
-            least_wait_s > self._target_s and self._queue.short_count > 0
+            least_wait_s > target_s and self._queue.short_count > 0
         )
         calm = not overloaded and (
-            least_wait_s < self._target_s * CALM_SHARE or not self._queue
+            least_wait_s < target_s * CALM_SHARE or not self._queue
         )
         level_before = self._level.value
         elapsed_s = now_s - self._window_began_s
@@ -348,7 +355,8 @@
 
     def _reset_window(self, now_s: float) -> None:
         self._window_began_s = now_s
-        self._window_ends_s = now_s + self._interval_s
+        interval_s = max(self._interval_s, INTERVAL_SHARE * self._costs.typical_s)
+        self._window_ends_s = now_s + interval_s
         self._least_wait_s = math.inf
         self._was_refusing = False
         self._was_full = self._in_flight >= self._limit.value
