Take a silence for a stall only beyond the usual call times

Cause: on one slot nothing is released for the length of a call, so a queue of three was refused with overload-queue-full after 20 ms; test_queued_work_goes_elsewhere failed in 4 of 6 runs. Result: the silence counts beyond three usual call times, and not before one is known; 6 of 6 runs pass, the tests of admission too.

--- a/damaskproxy/admission/controller.py
+++ b/damaskproxy/admission/controller.py
@@ -24,6 +24,8 @@
 # Waits and windows are at least these shares of the cost of a typical call; with fixed
 # times alone a slow service could not queue at all and one late call was an overload.
 WAIT_SHARE = 0.5
+# Usual call times without a release after which the slots count as stalled.
+STALL_FACTOR = 3
 TARGET_SHARE = 0.25
 INTERVAL_SHARE = 1.0
 IDLE_SHARE = 0.5
@@ -237,12 +239,17 @@
         Notes
         -----
         When all slots are held by calls that do not end, the usual pace says nothing;
-        the time since the last release shows it without waiting for answers.
+        the time since the last release shows it without waiting for answers. It counts
+        only beyond a few usual times, since on few slots nothing is released for the
+        length of one call anyway, and not before the usual time is known.
         """
         newest_first = self._newest_first
         ahead = self._queue.ahead_of(ticket, newest_first=newest_first) + 1
-        pace_s = self._costs.mean_s / self._limit.value
-        return ahead * max(pace_s, now_s - self._progress_at_s)
+        mean_s = self._costs.mean_s
+        pace_s = mean_s / self._limit.value
+        silence_s = now_s - self._progress_at_s
+        is_stalled = mean_s > 0 and silence_s > STALL_FACTOR * mean_s
+        return ahead * (silence_s if is_stalled else pace_s)
 
     def _enqueue(self, ticket: Ticket) -> Waiter:
         future = asyncio.get_running_loop().create_future()
