--- a/damaskproxy/node/tests/test_faults_matrix.py
+++ b/damaskproxy/node/tests/test_faults_matrix.py
@@ -6,7 +6,7 @@
 from nose2.tools import params
 
 from damaskproxy.history import Finding
-from damaskproxy.node.tests.matrix import CELLS, FAULT_TABLE
+from damaskproxy.node.tests.fault_table import CELLS, FAULT_TABLE
 
 
 class MatrixTests(unittest.TestCase):
