Keep a node reachable under a raised incarnation, and act on deaths at once

Causes, found by reading the parts together: - The membership raises the incarnation of a node that others took for dead, but the greeting of the peer stream, the holder of a key and the target of a hand-over compared it with the incarnation of the process. Such a node got no calls, its keys counted as lost, and no ledger could be handed to it. - The dispatching node did not report a death to its quarantine, so a retry could outrun the news; a suspect went to any server instead of the one that all nodes choose. - An early refusal of the second server did not stop a hedge, because a refusal is false; a hedge did not ask whether the first server is slow at all. Left: Ledger.late_reply is not used, because the dispatcher waits for each non-idempotent attempt itself.

--- a/damaskproxy/node/compose.py
+++ b/damaskproxy/node/compose.py
@@ -182,6 +182,7 @@
         rng,
         metrics.count_retry,
         make_staying(sections),
+        membership.push_extra,
     )
     submitter = Submitter(
         dispatcher,
@@ -265,7 +266,7 @@
         {
             "Exchange": membership.handle_exchange,
             "ProbeVia": membership.handle_probe_via,
-            "Handover": make_handover_handler(ledger),
+            "Handover": make_handover_handler(ledger, membership, incarnation),
             "Describe": make_describe_handler(membership, execution, target, sections),
         }
     )
--- a/damaskproxy/node/control.py
+++ b/damaskproxy/node/control.py
@@ -29,14 +29,22 @@
 _decoder = msgspec.msgpack.Decoder(Handover)
 
 
-def make_handover_handler(ledger: Ledger):
-    """Return the handler that takes over ledgers."""
+def make_handover_handler(ledger: Ledger, membership: Membership, incarnation: int):
+    """Return the handler that takes over ledgers.
+
+    Notes
+    -----
+    The membership raises the incarnation of a node that others took for dead, while
+    its ledger keeps the one of its start. A sender means this process by either.
+    """
 
     async def handle(message: HandoverMessage) -> HandoverReply:
         try:
             handover = _decoder.decode(message.entries)
         except msgspec.MsgspecError as error:
             raise ControlError(f"malformed hand-over: {error}") from error
+        if handover.heir_incarnation == membership.self_member().incarnation:
+            handover = msgspec.structs.replace(handover, heir_incarnation=incarnation)
         return HandoverReply(receive_handover(ledger, handover))
 
     return handle
--- a/damaskproxy/node/lifecycle.py
+++ b/damaskproxy/node/lifecycle.py
@@ -208,11 +208,10 @@
         parts = self.parts
         membership = parts.membership
         choose = make_choose_heir(membership, parts.sections)
-        own = membership.self_member()
         task = asyncio.create_task(
             hand_over(
                 parts.ledger,
-                (own.node_id, own.incarnation),
+                (parts.settings.node_id, parts.incarnation),
                 choose_heir=choose,
                 send=make_handover_sender(parts.control_client, membership),
                 settings=parts.settings.ledger,
--- a/damaskproxy/node/tests/test_mesh.py
+++ b/damaskproxy/node/tests/test_mesh.py
@@ -135,6 +135,27 @@
         self.assertEqual(status, 200)
         self.assertEqual(self.mesh.all_runs(), 2)
 
+    async def test_raised_incarnation(self):
+        """A node that was taken for dead keeps its keys, its calls and its heirship."""
+        await self.start_nodes(["", "orders", "orders"])
+        used, fresh = await self.mesh.keys("n1", 2)
+        send = {"method": "POST", "body": b"o"}
+        _, _, first = await self.mesh.call("n0", "/orders/place", key=used, **send)
+        nodes = self.mesh.nodes
+        for node_id in ("n1", "n2"):
+            nodes[node_id].parts.membership._own.rejoin()
+        raised = nodes["n1"].parts.membership.self_member().incarnation
+        await self.mesh.until(
+            lambda: nodes["n0"].parts.membership.member("n1").incarnation == raised
+        )
+        status, _, again = await self.mesh.call("n0", "/orders/place", key=used, **send)
+        self.assertEqual((status, again), (200, first))
+        await nodes["n1"].stop()
+        status, _, again = await self.mesh.call("n0", "/orders/place", key=used, **send)
+        self.assertEqual((status, again), (200, first))
+        status, _, _ = await self.mesh.call("n0", "/orders/place", key=fresh, **send)
+        self.assertEqual((status, self.mesh.all_runs()), (200, 2))
+
     async def test_move(self):
         """A section that leaves a data centre drains it, with calls in flight."""
         await self.mesh.add_node("n0", data_centre="dc1")
--- a/damaskproxy/routing/dispatcher.py
+++ b/damaskproxy/routing/dispatcher.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -15,7 +16,7 @@
     new_attempt_id,
 )
 from damaskproxy.membership import Membership
-from damaskproxy.quarantine import Quarantine
+from damaskproxy.quarantine import Quarantine, SuspectPass
 from damaskproxy.retries import Allowance, RetryRatio
 from damaskproxy.routing.errors import PeerError
 from damaskproxy.routing.peer_stream import PeerStreams, StreamLostError
@@ -83,6 +84,23 @@
     return None
 
 
+@dataclass(slots=True)
+class _Sending:
+    """A call on its way, over all its attempts."""
+
+    call: Call
+    deadline_s: float
+    allowance: Allowance
+    tried: set[str] = field(default_factory=set)
+    suspicion: SuspectPass | None = None
+
+    def suspect(self, suspicion: SuspectPass) -> None:
+        """Mark the call; it goes to no server that died with it."""
+        self.suspicion = suspicion
+        self.call = msgspec.structs.replace(self.call, suspect=True)
+        self.tried |= suspicion.avoid
+
+
 class Dispatcher:
     """Chooses backend servers for calls and repeats attempts where that can help.
 
@@ -108,6 +126,8 @@
         Called with the reason of each further attempt.
     staying : callable
         Returns the members of a service whose data centre it does not leave.
+    on_quarantine : callable
+        Called after the records of the quarantine changed.
     """
 
     def __init__(
@@ -124,6 +144,7 @@
         staying: Callable[[str, Sequence[Member]], Sequence[Member]] = (
             lambda service, members: members
         ),
+        on_quarantine: Callable[[], None] = lambda: None,
     ):
         self._membership = membership
         self._balancer = balancer
@@ -135,6 +156,7 @@
         self._rng = rng
         self._count_retry = count_retry
         self._staying = staying
+        self._on_quarantine = on_quarantine
 
     async def send(self, call: Call) -> Answer | Refused:
         """Run `call` on a backend server of its service.
@@ -145,73 +167,85 @@
             With the retry tokens that are left.
         """
         deadline_s = self._now_s() + call.deadline_ms / MS_PER_S
-        allowance = Allowance(call.retry_tokens)
+        sending = _Sending(call, deadline_s, Allowance(call.retry_tokens))
         self._ratio.first_attempt(call.service)
-        tried: set[str] = set()
         overloads = 0
         may_have_run = False
         while True:
             # A death of the last attempt may have made the call a suspect.
             suspicion = self._quarantine.check(call)
             if isinstance(suspicion, Refusal):
-                return _settled(refused(call, suspicion), allowance, may_have_run)
+                result = refused(call, suspicion)
+                return _settled(result, sending.allowance, may_have_run)
             if suspicion is not None:
-                call = msgspec.structs.replace(call, suspect=True)
-                tried |= suspicion.avoid
-            result = await self._attempt(call, deadline_s, allowance, tried)
+                sending.suspect(suspicion)
+            result = await self._attempt(sending)
             if isinstance(result, Answer):
-                return _with_tokens(result, allowance)
+                return _with_tokens(result, sending.allowance)
             may_have_run |= result.outcome is not Outcome.NOT_RUN
             overloads += result.reason in _OVERLOAD
             reason = retry_reason(result, idempotent=call.idempotent)
             if reason is None or overloads > MAX_OVERLOAD_RETRIES:
-                return _settled(result, allowance, may_have_run)
-            if not self._may_retry(call, deadline_s, allowance, tried):
-                return _settled(result, allowance, may_have_run)
+                return _settled(result, sending.allowance, may_have_run)
+            if not self._may_retry(sending):
+                return _settled(result, sending.allowance, may_have_run)
             self._count_retry(reason)
 
-    def _may_retry(self, call, deadline_s, allowance, tried) -> bool:
-        if self._now_s() >= deadline_s:
+    def _may_retry(self, sending: "_Sending") -> bool:
+        if self._now_s() >= sending.deadline_s:
             return False
-        members = self._membership.serving(call.service)
-        if all(member.node_id in tried for member in members):
+        service = sending.call.service
+        members = self._membership.serving(service)
+        if all(member.node_id in sending.tried for member in members):
             return False
-        return self._ratio.allow(call.service) and allowance.take()
+        return self._ratio.allow(service) and sending.allowance.take()
 
-    async def _attempt(self, call, deadline_s, allowance, tried) -> Answer | Refused:
+    async def _attempt(self, sending: "_Sending") -> Answer | Refused:
         """Make one attempt, and a hedge when the first takes long."""
-        member = self._choose(call, tried)
+        call = sending.call
+        member = self._choose(sending)
         if isinstance(member, Refusal):
             return refused(call, member)
-        tried.add(member.node_id)
+        sending.tried.add(member.node_id)
         early = self._balancer.early_refusal(member, call.priority, call.ordinal)
         if early is not None:
             return refused(call, early)
         delay_s = None
-        if call.idempotent and allowance.tokens and not call.suspect:
+        if call.idempotent and sending.allowance.tokens and not call.suspect:
             delay_s = self._balancer.hedge_delay_s(call.service, call.route)
-        first = self._make(call, deadline_s, allowance)
         if delay_s is None:
-            return await self._exchange(member, first, allowance, deadline_s)
-        return await self._hedged(member, first, delay_s, allowance, tried, deadline_s)
+            return await self._exchange(member, self._make(sending), sending)
+        return await self._hedged(member, delay_s, sending)
 
-    def _choose(self, call: Call, tried) -> Member | Refusal:
+    def _choose(self, sending: "_Sending") -> Member | Refusal:
+        call, tried = sending.call, sending.tried
         members = self._membership.serving(call.service)
+        if sending.suspicion is not None:
+            return self._choose_for_suspect(sending, members)
         staying = self._staying(call.service, members)
         if staying is not members and self._rng.random() < WARM_UP_SHARE:
             usable = [member for member in staying if member.node_id not in tried]
             members = usable or members
         return self._balancer.choose(call.service, members, exclude=tried)
 
-    def _make(self, call: Call, deadline_s: float, allowance: Allowance) -> Call:
-        """Return `call` as a new attempt.
+    def _choose_for_suspect(self, sending, members) -> Member | Refusal:
+        """Choose the one server on which all nodes run a suspect."""
+        usable = {m.node_id: m for m in members if m.node_id not in sending.tried}
+        node_id = sending.suspicion.target(usable)
+        if node_id is None:
+            return Refusal(RefusalReason.NO_BACKEND, Outcome.NOT_RUN)
+        return usable[node_id]
+
+    def _make(self, sending: "_Sending") -> Call:
+        """Return the call as a new attempt.
 
         Notes
         -----
         One token stays here, since those that are lent do not come back when the
         answer is lost.
         """
-        remaining_ms = max(0, int((deadline_s - self._now_s()) * MS_PER_S))
+        call, allowance = sending.call, sending.allowance
+        remaining_ms = max(0, int((sending.deadline_s - self._now_s()) * MS_PER_S))
         return msgspec.structs.replace(
             call,
             attempt_id=new_attempt_id(self._rng),
@@ -220,14 +254,16 @@
             retry_tokens=allowance.lend(max(0, allowance.tokens - 1)),
         )
 
-    async def _hedged(self, member, first, delay_s, allowance, tried, deadline_s):
-        task = asyncio.create_task(self._exchange(member, first, allowance, deadline_s))
+    async def _hedged(self, member, delay_s, sending) -> Answer | Refused:
+        first = self._make(sending)
+        task = asyncio.create_task(self._exchange(member, first, sending))
         second = None
         try:
             done, _ = await asyncio.wait({task}, timeout=delay_s)
-            if done:
-                return task.result()
-            second = self._start_hedge(first, allowance, tried, deadline_s)
+            # A call that is late while its member answers others is long work.
+            if done or not self._balancer.is_slow(member):
+                return await task
+            second = self._start_hedge(sending)
             if second is None:
                 return await task
             return await _first_answer(task, second)
@@ -236,29 +272,32 @@
                 if pending is not None and not pending.done():
                     pending.cancel()
 
-    def _start_hedge(self, first, allowance, tried, deadline_s) -> asyncio.Task | None:
-        other = self._choose(first, tried)
+    def _start_hedge(self, sending: "_Sending") -> asyncio.Task | None:
+        call = sending.call
+        other = self._choose(sending)
         if isinstance(other, Refusal):
             return None
-        if self._balancer.early_refusal(other, first.priority, first.ordinal):
+        early = self._balancer.early_refusal(other, call.priority, call.ordinal)
+        if early is not None:
             return None
-        if not self._ratio.allow(first.service) or not allowance.take():
+        if not self._ratio.allow(call.service) or not sending.allowance.take():
             return None
         self._count_retry(RetryReason.SLOW)
-        tried.add(other.node_id)
-        hedge = self._make(first, deadline_s, allowance)
-        return asyncio.create_task(self._exchange(other, hedge, allowance, deadline_s))
+        sending.tried.add(other.node_id)
+        hedge = self._make(sending)
+        return asyncio.create_task(self._exchange(other, hedge, sending))
 
-    async def _exchange(self, member, call, allowance, deadline_s) -> Answer | Refused:
+    async def _exchange(self, member, call, sending) -> Answer | Refused:
         """Run one attempt on `member` and tell the balancer how it went."""
         started_s = self._now_s()
         self._balancer.started(member)
         outcome, load = "failed", None
         try:
-            result = await self._deliver(member, call, deadline_s)
+            result = await self._deliver(member, call, sending.deadline_s)
             load = result.load
             outcome = _outcome_of(result)
-            allowance.give_back(min(result.tokens_left, call.retry_tokens))
+            sending.allowance.give_back(min(result.tokens_left, call.retry_tokens))
+            self._note_death(member, call, result)
             return result
         except asyncio.CancelledError:
             outcome = "cancelled"
@@ -272,6 +311,17 @@
                 route=call.route,
             )
 
+    def _note_death(self, member, call, result: Answer | Refused) -> None:
+        """Suspect a call whose backend server died, before the node's own news."""
+        if isinstance(result, Answer) or result.reason != RefusalReason.BACKEND_DIED:
+            return
+        identity = self._quarantine.identity(call)
+        if call.suspect:
+            self._quarantine.died(SuspectPass(identity), server=member.node_id)
+        else:
+            self._quarantine.lost([identity], server=member.node_id)
+        self._on_quarantine()
+
     async def _deliver(self, member, call, deadline_s) -> Answer | Refused:
         if member.node_id == self._membership.self_member().node_id:
             return await self._target.run(call)
--- a/damaskproxy/routing/peer_stream.py
+++ b/damaskproxy/routing/peer_stream.py
@@ -158,12 +158,16 @@
             )
             await socket.send_bytes(encode_frame(self._hello))
             reply = decode_frame(await socket.receive_bytes())
+            if not isinstance(reply, Hello):
+                raise WireError("the first frame is not a greeting")
         except (aiohttp.ClientError, OSError, TypeError, WireError) as error:
             raise PeerError(str(error)) from error
-        expected = Hello(self.member.node_id, self.member.incarnation)
-        if reply != expected:
+        # The incarnation of a member rises above that of its process when others took
+        # it for dead. A later process has a higher one than the record that is known.
+        is_other = reply.node_id != self.member.node_id
+        if is_other or reply.incarnation > self.member.incarnation:
             await socket.close()
-            raise PeerError(f"{address} is {reply}, expected {expected}")
+            raise PeerError(f"{address} is {reply}, expected {self.member.node_id}")
         return socket
 
     async def _read(self, socket: aiohttp.ClientWebSocketResponse) -> None:
--- a/damaskproxy/routing/submitter.py
+++ b/damaskproxy/routing/submitter.py
@@ -104,7 +104,9 @@
         member = self._membership.member(issued.node_id)
         if member is None or member.incarnation != issued.incarnation:
             heir_id = await self._find_heir(issued.node_id, issued.incarnation)
-            return self._live(heir_id)
+            # Without heir it may be the same process under a raised incarnation; a
+            # later process answers from the table.
+            return self._live(heir_id or issued.node_id)
         if member.state is MemberState.STOPPED:
             return self._live(member.heir)
         return self._live(member.node_id)
--- a/damaskproxy/routing/tests/test_dispatcher.py
+++ b/damaskproxy/routing/tests/test_dispatcher.py
@@ -1,11 +1,13 @@
 """Which attempts are repeated, and what a caller may conclude afterwards."""
 
+import asyncio
 import random
 import unittest
 
 from nose2.tools import params
 
 from damaskproxy.common import Outcome, Refusal, RefusalReason, RetryReason
+from damaskproxy.quarantine import SuspectPass
 from damaskproxy.retries import RetryRatio
 from damaskproxy.routing import Dispatcher, PeerError, StreamLostError, retry_reason
 from damaskproxy.routing.tests.builders import make_call, make_member
@@ -69,16 +71,22 @@
 
     def __init__(self):
         self.results = []
+        self.delay_s = None
+        self.slow = True
+        self.early = None
+
+    def is_slow(self, member):
+        return self.slow
 
     def choose(self, service, members, *, exclude):
         usable = [m for m in members if m.node_id not in exclude]
         return usable[0] if usable else Refusal(RefusalReason.NO_BACKEND, NOT_RUN)
 
     def early_refusal(self, member, priority, ordinal):
-        return None
+        return self.early if member.node_id != "node-0" else None
 
     def hedge_delay_s(self, service, route):
-        return None
+        return self.delay_s
 
     def started(self, member):
         pass
@@ -87,11 +95,26 @@
         self.results.append(result)
 
 
-class NoSuspicion:
-    """Quarantine that lets every call pass."""
+class FakeQuarantine:
+    """Quarantine that suspects every call after the first death."""
+
+    def __init__(self):
+        self.lost_on = []
+        self.died_on = []
+
+    def identity(self, call):
+        return "identity"
 
     def check(self, call):
-        return None
+        if not self.lost_on:
+            return None
+        return SuspectPass("identity", frozenset(self.lost_on))
+
+    def lost(self, identities, *, server):
+        self.lost_on.append(server)
+
+    def died(self, suspect, *, server):
+        self.died_on.append(server)
 
 
 class FakeStreams:
@@ -121,7 +144,7 @@
         FakeBalancer(),
         streams,
         None,
-        NoSuspicion(),
+        FakeQuarantine(),
         RetryRatio(),
         lambda: 0.0,
         random.Random(1),
@@ -219,3 +242,51 @@
         result = await dispatcher.send(make_call(idempotent=True, retry_tokens=4))
         self.assertEqual(streams.sent[0][1].retry_tokens, 3)
         self.assertEqual(result.tokens_left, 0)
+
+    async def test_death_makes_the_call_a_suspect(self):
+        """A retry must not carry a poison request to a third server."""
+        dispatcher, streams, _ = make_dispatcher([DIED, DIED, OK])
+        dispatcher._quarantine.died = lambda suspect, *, server: setattr(
+            dispatcher._quarantine,
+            "check",
+            lambda call: Refusal(RefusalReason.QUARANTINED, NOT_RUN),
+        )
+        result = await dispatcher.send(make_call(idempotent=True, retry_tokens=5))
+        (first, _), (second, call) = streams.sent
+        self.assertNotEqual(first, second)
+        self.assertTrue(call.suspect)
+        self.assertEqual((result.reason, result.outcome), ("quarantined", UNKNOWN))
+
+
+REFUSED_EARLY = Refusal(RefusalReason.OVERLOAD_EARLY, NOT_RUN)
+
+
+class HedgeTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against hedges that add load where they cannot help."""
+
+    @params(
+        ("slow member", True, None, 2),
+        ("long work on a good member", False, None, 1),
+        ("other member overloaded", True, REFUSED_EARLY, 1),
+    )
+    async def test_hedge(self, _name, slow, early, attempts):
+        dispatcher, streams, retries = make_dispatcher([])
+        balancer = dispatcher._balancer
+        balancer.delay_s, balancer.slow, balancer.early = 0.0, slow, early
+        release = asyncio.Event()
+
+        async def answer(member, call):
+            streams.sent.append((member.node_id, call))
+            if member.node_id == "node-0":
+                await release.wait()
+            else:
+                release.set()
+                await asyncio.sleep(0)
+            return Answer(call.attempt_id, 200, [], b"", call.retry_tokens)
+
+        streams.call = answer
+        task = asyncio.create_task(dispatcher.send(make_call(idempotent=True)))
+        # Without a hedge the first attempt is answered some time after its delay.
+        asyncio.get_running_loop().call_later(0.02, release.set)
+        self.assertEqual((await task).status, 200)
+        self.assertEqual((len(streams.sent), len(retries)), (attempts, attempts - 1))
--- a/damaskproxy/routing/tests/test_peers.py
+++ b/damaskproxy/routing/tests/test_peers.py
@@ -116,6 +116,20 @@
         self.assertNotIsInstance(caught.exception, StreamLostError)
         self.assertEqual(self.node.arrived, {})
 
+    async def test_raised_incarnation(self):
+        """A node that others took for dead goes on under a higher incarnation."""
+        self.member = make_member("peer", incarnation=9, peer=self.member.peer)
+        task = await self.start("1")
+        self.node.answer("1", b"one")
+        self.assertEqual((await task).body, b"one")
+
+    async def test_other_node(self):
+        """An address that another node took over must not get the call."""
+        self.identity = Hello("other", 7)
+        with self.assertRaises(PeerError):
+            await self.streams.call(self.member, make_call())
+        self.assertEqual(self.node.arrived, {})
+
     async def test_nobody_listens(self):
         await self.runner.cleanup()
         with self.assertRaises(PeerError) as caught:
