--- a/benchmarks/fault_mesh.py
+++ b/benchmarks/fault_mesh.py
@@ -166,7 +166,7 @@
         counts: dict[str, int] = {}
         for host in layout.hosts:
             counts[host.service] = counts.get(host.service, 0) + 1
-        await wait_until_serving(layout, counts)
+        await wait_until_serving(self.processes, layout, counts)
 
     async def start_node(self, host: Host) -> None:
         """Start the node of a host behind its relays."""
--- /dev/null
+++ b/benchmarks/tests/test_fault_mesh.py
@@ -0,0 +1,26 @@
+"""The mesh of the fault schedules must start, or no schedule proves anything."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from benchmarks.fault_mesh import FaultMesh, plan_layout
+from demo.processes import Processes
+
+SEED = 1
+
+
+class FaultMeshTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against a benchmark that no longer fits the launcher of the demo."""
+
+    async def test_starts_and_serves(self):
+        with tempfile.TemporaryDirectory() as folder:
+            processes = Processes(Path(folder))
+            mesh = FaultMesh(processes, plan_layout(SEED), Path(folder))
+            try:
+                await mesh.start()
+                running = [host.node for host in mesh.layout.hosts]
+                self.assertTrue(all(map(mesh.is_running, running)))
+            finally:
+                await processes.close()
+                await mesh.links.close()
