--- a/damaskproxy/move/cli.py
+++ b/damaskproxy/move/cli.py
@@ -9,6 +9,7 @@
 
 import typer
 
+from damaskproxy.common.version import make_version_printer
 from damaskproxy.move.cli_support import (
     ExitCode,
     FileArgument,
@@ -49,6 +50,22 @@
 )
 
 
+@app.callback()
+def options(
+    version: Annotated[
+        bool,
+        typer.Option(
+            "--version",
+            callback=make_version_printer("damask-move"),
+            is_eager=True,
+            help="Print the version and exit.",
+        ),
+    ] = False,
+) -> None:
+    """Show and edit the move document."""
+    del version
+
+
 def default_author() -> str:
     """Return the name of the user, for the history."""
     try:
@@ -340,7 +357,7 @@
 
 def main() -> None:
     """Run the program."""
-    app()
+    app(prog_name="damask-move")
 
 
 if __name__ == "__main__":
--- a/damaskproxy/node/cli.py
+++ b/damaskproxy/node/cli.py
@@ -11,8 +11,8 @@
 import typer
 import uvloop
 
-from damaskproxy import __version__
 from damaskproxy.common import DamaskError
+from damaskproxy.common.version import make_version_printer
 from damaskproxy.config import NodeSettings, SettingsError, load_settings
 from damaskproxy.events import configure_logging
 from damaskproxy.node.lifecycle import run_node
@@ -47,18 +47,15 @@
         raise _fail(str(error), EXIT_SETTINGS) from error
 
 
-def _print_version(wanted: bool) -> None:
-    if wanted:
-        print(f"damask-node {__version__}")
-        raise typer.Exit
-
-
 @app.callback()
 def _options(
     version: Annotated[
         bool,
         typer.Option(
-            "--version", callback=_print_version, is_eager=True, help="Print and exit."
+            "--version",
+            callback=make_version_printer("damask-node"),
+            is_eager=True,
+            help="Print the version and exit.",
         ),
     ] = False,
 ) -> None:
--- a/damaskproxy/standins/backend_cli.py
+++ b/damaskproxy/standins/backend_cli.py
@@ -8,13 +8,14 @@
 import typer
 import uvloop
 
+from damaskproxy.common.version import make_version_printer
 from damaskproxy.events import configure_logging
 from damaskproxy.standins.backend import start_backend
 from damaskproxy.standins.backend_settings import BackendConfig, parse_child
 
 __all__ = ["main"]
 
-app = typer.Typer(add_completion=False)
+app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
 
 def parse_times(items: list[str]) -> dict[str, float]:
@@ -79,8 +80,18 @@
     seed: Annotated[int, typer.Option(help="Seed of random choices.")] = 0,
     log_style: Annotated[str, typer.Option(help="json or terminal.")] = "terminal",
     log_level: Annotated[str, typer.Option(help="Lowest level printed.")] = "INFO",
+    version: Annotated[
+        bool,
+        typer.Option(
+            "--version",
+            callback=make_version_printer("damask-backend"),
+            is_eager=True,
+            help="Print the version and exit.",
+        ),
+    ] = False,
 ) -> None:
     """Run a development backend server until SIGTERM or POST /damask/stop."""
+    del version
     values = dict(locals())
     style, level = values.pop("log_style"), values.pop("log_level")
     children = values.pop("child") or []
@@ -100,7 +111,7 @@
 
 def main() -> None:
     """Run the command line."""
-    app()
+    app(prog_name="damask-backend")
 
 
 if __name__ == "__main__":
