Count the delay of a frame against the budgets of its call

Cause: a submission held up between two nodes brought its whole budget. Its sender had been told unknown; a later send of the same key could be told not-run, and then the first one started after all, so that the caller was told that an order was not run which then ran. Change: frames carry the sender's monotonic time. The smallest difference of arrival and sending that a stream has shown stands for the offset of the clocks; what exceeds it is subtracted from deadline and start-by. Ruled out: wall clocks, which two VMs do not share closely enough.

--- a/damaskproxy/routing/peer_stream.py
+++ b/damaskproxy/routing/peer_stream.py
@@ -5,11 +5,13 @@
 from collections.abc import Callable
 
 import aiohttp
+import msgspec
 
 from damaskproxy.events import log_event
 from damaskproxy.routing import events
 from damaskproxy.routing.errors import PeerError
 from damaskproxy.routing.settings import RoutingSettings
+from damaskproxy.routing.transit import stamp_ms
 from damaskproxy.wire import (
     Answer,
     Call,
@@ -48,6 +50,8 @@
         Client that opens the WebSocket.
     settings : RoutingSettings
         Time-outs and sizes.
+    now_s : callable
+        Monotonic clock.
     on_late_answer : callable
         Called for an answer whose attempt is no longer waited for.
     """
@@ -58,9 +62,11 @@
         hello: Hello,
         session: aiohttp.ClientSession,
         settings: RoutingSettings,
+        now_s: Callable[[], float],
         on_late_answer: Callable[[], None],
     ):
         self.member = member
+        self._now_s = now_s
         self._hello = hello
         self._session = session
         self._settings = settings
@@ -89,7 +95,8 @@
         future = asyncio.get_running_loop().create_future()
         self._waiting[call.attempt_id] = future
         try:
-            await self._send(socket, encode_frame(call))
+            stamped = msgspec.structs.replace(call, sent_ms=stamp_ms(self._now_s))
+            await self._send(socket, encode_frame(stamped))
             return await future
         except asyncio.CancelledError:
             await self._cancel(socket, call.attempt_id)
@@ -156,7 +163,8 @@
                 max_msg_size=limit,
                 compress=0,
             )
-            await socket.send_bytes(encode_frame(self._hello))
+            hello = msgspec.structs.replace(self._hello, sent_ms=stamp_ms(self._now_s))
+            await socket.send_bytes(encode_frame(hello))
             reply = decode_frame(await socket.receive_bytes())
             if not isinstance(reply, Hello):
                 raise WireError("the first frame is not a greeting")
@@ -273,7 +281,12 @@
             connector = aiohttp.TCPConnector(limit=0)
             self._session = aiohttp.ClientSession(connector=connector)
         stream = PeerStream(
-            member, self._hello, self._session, self._settings, self._on_late_answer
+            member,
+            self._hello,
+            self._session,
+            self._settings,
+            self._now_s,
+            self._on_late_answer,
         )
         self._streams[member.node_id] = stream
         if len(self._streams) > self._settings.max_peer_streams:
