--- a/damaskproxy/node/compose.py
+++ b/damaskproxy/node/compose.py
@@ -204,9 +204,7 @@
         target.cancel(attempt_id)
         ledger.cancel(attempt_id)
 
-    peer_server = PeerServer(
-        lambda: hello, serve_peer, cancel_peer, settings.routing, now_s
-    )
+    peer_server = PeerServer(lambda: hello, serve_peer, cancel_peer, settings.routing)
     handler = CallHandler(
         RequestReader(sections.route, settings.routing, rng),
         submitter.submit,
--- a/damaskproxy/routing/peer_server.py
+++ b/damaskproxy/routing/peer_server.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Awaitable, Callable
 
 import aiohttp
@@ -14,7 +13,6 @@
 from damaskproxy.routing.peer_stream import FRAME_OVERHEAD_BYTES
 from damaskproxy.routing.results import refused
 from damaskproxy.routing.settings import RoutingSettings
-from damaskproxy.routing.transit import TransitClock
 from damaskproxy.wire import (
     Answer,
     Call,
@@ -48,8 +46,6 @@
         Withdraws the call with an attempt id.
     settings : RoutingSettings
         Sizes.
-    now_s : callable
-        Monotonic clock.
     """
 
     def __init__(
@@ -58,13 +54,11 @@
         serve: Serve,
         cancel: Callable[[str], None],
         settings: RoutingSettings,
-        now_s: Callable[[], float] = time.monotonic,
     ):
         self._hello = hello
         self._serve = serve
         self._cancel = cancel
         self._max_frame_bytes = settings.max_body_bytes + FRAME_OVERHEAD_BYTES
-        self._now_s = now_s
         self._sockets: set[web.WebSocketResponse] = set()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -91,17 +85,12 @@
             greeting = decode_frame(await socket.receive_bytes())
         if not isinstance(greeting, Hello):
             raise WireError("the first frame is not a greeting")
-        transit = TransitClock(self._now_s)
-        transit.delay_ms(greeting.sent_ms)
         await socket.send_bytes(encode_frame(self._hello()))
         running: dict[str, asyncio.Task] = {}
         try:
             async for message in socket:
                 if message.type is aiohttp.WSMsgType.BINARY:
-                    frame = decode_frame(message.data)
-                    if isinstance(frame, Call):
-                        frame = transit.arrived(frame)
-                    self._take(socket, frame, running)
+                    self._take(socket, decode_frame(message.data), running)
         finally:
             # Nobody waits any more. Attempts that must run to their end ignore this.
             for attempt_id in tuple(running):
--- a/damaskproxy/routing/peer_stream.py
+++ b/damaskproxy/routing/peer_stream.py
@@ -5,13 +5,11 @@
 from collections.abc import Callable
 
 import aiohttp
-import msgspec
 
 from damaskproxy.events import log_event
 from damaskproxy.routing import events
 from damaskproxy.routing.errors import PeerError
 from damaskproxy.routing.settings import RoutingSettings
-from damaskproxy.routing.transit import stamp_ms
 from damaskproxy.wire import (
     Answer,
     Call,
@@ -50,8 +48,6 @@
         Client that opens the WebSocket.
     settings : RoutingSettings
         Time-outs and sizes.
-    now_s : callable
-        Monotonic clock.
     on_late_answer : callable
         Called for an answer whose attempt is no longer waited for.
     """
@@ -62,11 +58,9 @@
         hello: Hello,
         session: aiohttp.ClientSession,
         settings: RoutingSettings,
-        now_s: Callable[[], float],
         on_late_answer: Callable[[], None],
     ):
         self.member = member
-        self._now_s = now_s
         self._hello = hello
         self._session = session
         self._settings = settings
@@ -95,8 +89,7 @@
         future = asyncio.get_running_loop().create_future()
         self._waiting[call.attempt_id] = future
         try:
-            stamped = msgspec.structs.replace(call, sent_ms=stamp_ms(self._now_s))
-            await self._send(socket, encode_frame(stamped))
+            await self._send(socket, encode_frame(call))
             return await future
         except asyncio.CancelledError:
             await self._cancel(socket, call.attempt_id)
@@ -163,8 +156,7 @@
                 max_msg_size=limit,
                 compress=0,
             )
-            hello = msgspec.structs.replace(self._hello, sent_ms=stamp_ms(self._now_s))
-            await socket.send_bytes(encode_frame(hello))
+            await socket.send_bytes(encode_frame(self._hello))
             reply = decode_frame(await socket.receive_bytes())
             if not isinstance(reply, Hello):
                 raise WireError("the first frame is not a greeting")
@@ -281,12 +273,7 @@
             connector = aiohttp.TCPConnector(limit=0)
             self._session = aiohttp.ClientSession(connector=connector)
         stream = PeerStream(
-            member,
-            self._hello,
-            self._session,
-            self._settings,
-            self._now_s,
-            self._on_late_answer,
+            member, self._hello, self._session, self._settings, self._on_late_answer
         )
         self._streams[member.node_id] = stream
         if len(self._streams) > self._settings.max_peer_streams:
--- a/damaskproxy/wire/messages.py
+++ b/damaskproxy/wire/messages.py
@@ -51,22 +51,17 @@
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag=0):
-    """First frame of a stream in each direction.
-
-    ``sent_ms`` is the sender's monotonic time, as in `Call`.
-    """
+    """First frame of a stream in each direction."""
 
     node_id: str
     incarnation: int
-    sent_ms: Budget = 0
 
 
 class Call(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """A request on its way to a ledger node or to a target node.
 
     ``deadline_ms`` and ``start_by_ms`` are the budgets that remain when the frame is
-    sent; the receiver counts them on its own clock, from ``sent_ms``, the sender's
-    monotonic time when the frame was sent. ``suspect`` tells the target node
+    sent; the receiver counts them on its own clock. ``suspect`` tells the target node
     to run the call alone among suspects, as news of the suspicion may arrive later.
     """
 
@@ -88,7 +83,6 @@
     purpose: Purpose = Purpose.RUN
     idempotent: bool = True
     suspect: bool = False
-    sent_ms: Budget = 0
 
 
 class Answer(msgspec.Struct, frozen=True, array_like=True, tag=2):
