--- a/damaskproxy/routing/__init__.py
+++ b/damaskproxy/routing/__init__.py
@@ -3,7 +3,7 @@
 from damaskproxy.routing.attempts import AttemptRegistry, RunningAttempt
 from damaskproxy.routing.backend_client import BackendAnswer, BackendClient
 from damaskproxy.routing.backend_listener import BackendIdentity, BackendListener
-from damaskproxy.routing.dispatcher import Dispatcher, retry_reason
+from damaskproxy.routing.dispatcher import Dispatcher
 from damaskproxy.routing.errors import BackendError, PeerError, RoutingError
 from damaskproxy.routing.execution import Execution
 from damaskproxy.routing.gateway import CallHandler, Gateway
@@ -11,6 +11,7 @@
 from damaskproxy.routing.peer_server import PeerServer
 from damaskproxy.routing.peer_stream import PeerStreams, StreamLostError
 from damaskproxy.routing.requests import RequestReader
+from damaskproxy.routing.retry_rules import retry_reason
 from damaskproxy.routing.settings import RoutingSettings
 from damaskproxy.routing.submitter import Submitter
 from damaskproxy.routing.target import Target
--- a/damaskproxy/routing/dispatcher.py
+++ b/damaskproxy/routing/dispatcher.py
@@ -21,11 +21,12 @@
 from damaskproxy.routing.errors import PeerError
 from damaskproxy.routing.peer_stream import PeerStreams, StreamLostError
 from damaskproxy.routing.results import refused
+from damaskproxy.routing.retry_rules import OVERLOAD_REASONS, retry_reason
 from damaskproxy.routing.target import Target
 from damaskproxy.wire import Answer, Call, Refused
 from damaskproxy.world import Member
 
-__all__ = ["Dispatcher", "retry_reason"]
+__all__ = ["Dispatcher"]
 
 MS_PER_S = 1000
 MAX_OVERLOAD_RETRIES = 1
@@ -36,53 +37,6 @@
 # Streams over which the result of one non-idempotent attempt is asked for.
 RESUME_LIMIT = 3
 
-_NEVER_RETRIED = frozenset(
-    {
-        RefusalReason.DEADLINE_PASSED,
-        RefusalReason.START_BY_PASSED,
-        RefusalReason.CANCELLED,
-        RefusalReason.QUARANTINED,
-        RefusalReason.BAD_REQUEST,
-        RefusalReason.OVERLOAD_DEADLINE,
-        RefusalReason.TOO_DEEP,
-    }
-)
-_OVERLOAD = frozenset(
-    {
-        RefusalReason.OVERLOAD_EARLY,
-        RefusalReason.OVERLOAD_LEVEL,
-        RefusalReason.OVERLOAD_QUEUE_FULL,
-    }
-)
-_LOST = {
-    RefusalReason.BACKEND_DIED: RetryReason.BACKEND_DIED,
-    RefusalReason.PEER_LOST: RetryReason.PEER_LOST,
-}
-_REFUSED = {
-    RefusalReason.BACKEND_UNREACHABLE: RetryReason.BACKEND_UNREACHABLE,
-    RefusalReason.BACKEND_SHED: RetryReason.BACKEND_SHED,
-}
-
-
-def retry_reason(result: Refused, *, idempotent: bool) -> RetryReason | None:
-    """Return why a further attempt can help after `result`, or None.
-
-    Parameters
-    ----------
-    result : Refused
-        What the attempt came to.
-    idempotent : bool
-        Whether a second run does no harm; otherwise only an attempt that was
-        certainly not started is repeated.
-    """
-    if result.reason in _NEVER_RETRIED:
-        return None
-    if result.outcome is Outcome.NOT_RUN:
-        return _REFUSED.get(result.reason, RetryReason.NOT_STARTED)
-    if idempotent:
-        return _LOST.get(result.reason)
-    return None
-
 
 @dataclass(slots=True)
 class _Sending:
@@ -183,7 +137,7 @@
             if isinstance(result, Answer):
                 return _with_tokens(result, sending.allowance)
             may_have_run |= result.outcome is not Outcome.NOT_RUN
-            overloads += result.reason in _OVERLOAD
+            overloads += result.reason in OVERLOAD_REASONS
             reason = retry_reason(result, idempotent=call.idempotent)
             if reason is None or overloads > MAX_OVERLOAD_RETRIES:
                 return _settled(result, sending.allowance, may_have_run)
