Share the running form of the two platform stand-ins, and drop an unused method

RunningTable and RunningObjects had the same address, faults, url and close; they derive from RunningSite now. AdmissionController.refuse_expired had no caller.

--- a/damaskproxy/admission/controller.py
+++ b/damaskproxy/admission/controller.py
@@ -193,13 +193,6 @@
         for waiter in self._queue.waiters():
             self._refuse_waiter(waiter, refusal)
 
-    def refuse_expired(self) -> None:
-        """Refuse the waiting calls that can no longer finish in time."""
-        now_s = self._now_s()
-        for waiter in self._queue.waiters():
-            if now_s >= self._latest_start_s(waiter.ticket):
-                self._expire(waiter)
-
     def _grant(self, route: str, is_long: bool, waited_s: float) -> Permit:
         self._in_flight += 1
         self._long_in_flight += is_long
--- a/damaskproxy/standins/objects.py
+++ b/damaskproxy/standins/objects.py
@@ -1,13 +1,12 @@
 """Development stand-in of the platform's object store."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import msgspec
 from aiohttp import web
 
 from damaskproxy.standins.faults import Faults, add_fault_routes, run_write
-from damaskproxy.standins.serving import close_site, start_site
-from damaskproxy.world import Address
+from damaskproxy.standins.serving import RunningSite, start_site
 
 __all__ = ["ObjectCounts", "RunningObjects", "start_objects"]
 
@@ -22,35 +21,21 @@
 
 
 @dataclass(slots=True)
-class RunningObjects:
+class RunningObjects(RunningSite):
     """An object store inside this process.
 
     Parameters
     ----------
-    address : Address
-        Where it listens.
-    faults : Faults
-        Fault controls; assign the fields directly.
+    address, faults, runner
+        See `RunningSite`.
     objects : dict of str to bytes
         Content.
     counts : ObjectCounts
         Requests since the start.
     """
 
-    address: Address
-    faults: Faults
     objects: dict[str, bytes]
     counts: ObjectCounts
-    runner: web.AppRunner = field(repr=False)
-
-    @property
-    def url(self) -> str:
-        """Base URL for the client."""
-        return f"http://{self.address}"
-
-    async def close(self) -> None:
-        """Stop listening; connections are refused from then on."""
-        await close_site(self.runner)
 
 
 def make_objects_app(
@@ -106,4 +91,4 @@
     faults = Faults()
     app = make_objects_app(objects, counts, faults)
     runner, address = await start_site(app, host, port)
-    return RunningObjects(address, faults, objects, counts, runner)
+    return RunningObjects(address, faults, runner, objects, counts)
--- a/damaskproxy/standins/serving.py
+++ b/damaskproxy/standins/serving.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import signal
+from dataclasses import dataclass, field
 
 from aiohttp import web
 
+from damaskproxy.standins.faults import Faults
 from damaskproxy.world import Address
 
-__all__ = ["close_site", "serve_until_signal", "start_site"]
+__all__ = ["RunningSite", "close_site", "serve_until_signal", "start_site"]
 
 SHUTDOWN_TIMEOUT_S = 0.05
 
@@ -32,6 +34,34 @@
     await runner.cleanup()
 
 
+@dataclass(slots=True)
+class RunningSite:
+    """A stand-in that serves inside this process.
+
+    Parameters
+    ----------
+    address : Address
+        Where it listens.
+    faults : Faults
+        Fault controls; assign the fields directly.
+    runner : aiohttp.web.AppRunner
+        The server.
+    """
+
+    address: Address
+    faults: Faults
+    runner: web.AppRunner = field(repr=False)
+
+    @property
+    def url(self) -> str:
+        """Base URL for the client."""
+        return f"http://{self.address}"
+
+    async def close(self) -> None:
+        """Stop listening; connections are refused from then on."""
+        await close_site(self.runner)
+
+
 async def serve_until_signal() -> None:
     """Return when the process gets SIGINT or SIGTERM."""
     stopped = asyncio.Event()
--- a/damaskproxy/standins/table.py
+++ b/damaskproxy/standins/table.py
@@ -1,7 +1,7 @@
 """Development stand-in of the platform's transactional table service."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import msgspec
 from aiohttp import web
@@ -21,8 +21,7 @@
     error_response,
     run_write,
 )
-from damaskproxy.standins.serving import close_site, start_site
-from damaskproxy.world import Address
+from damaskproxy.standins.serving import RunningSite, start_site
 
 __all__ = ["RunningTable", "TableCounts", "TableRows", "start_table"]
 
@@ -92,32 +91,18 @@
 
 
 @dataclass(slots=True)
-class RunningTable:
+class RunningTable(RunningSite):
     """A table service inside this process.
 
     Parameters
     ----------
-    address : Address
-        Where it listens.
-    faults : Faults
-        Fault controls; assign the fields directly.
+    address, faults, runner
+        See `RunningSite`.
     rows : TableRows
         Content and counts.
     """
 
-    address: Address
-    faults: Faults
     rows: TableRows
-    runner: web.AppRunner = field(repr=False)
-
-    @property
-    def url(self) -> str:
-        """Base URL for the client."""
-        return f"http://{self.address}"
-
-    async def close(self) -> None:
-        """Stop listening; connections are refused from then on."""
-        await close_site(self.runner)
 
 
 def decoded(kind: type, handler: Callable):
@@ -187,4 +172,4 @@
     rows = TableRows()
     faults = Faults()
     runner, address = await start_site(make_table_app(rows, faults), host, port)
-    return RunningTable(address, faults, rows, runner)
+    return RunningTable(address, faults, runner, rows)
