--- a/benchmarks/fault_actions.py
+++ b/benchmarks/fault_actions.py
@@ -18,10 +18,10 @@
 from damaskproxy.history import Recorder
 from damaskproxy.move import Accepted, MoveError, edit_section
 from damaskproxy.move.reading import read_head
-from damaskproxy.platform import PlatformSettings, TableError, open_table
 from damaskproxy.standins.callers import CallerConfig, Callers, plan_requests
 from damaskproxy.standins.callers_history import HistoryObserver
 from damaskproxy.standins.callers_meshes import Mesh, RequestKind
+from damaskproxy.store import PlatformSettings, TableError, open_table
 from demo.layout import OLD, section
 from demo.starting import wait_for_url
 
--- a/damaskproxy/config/settings.py
+++ b/damaskproxy/config/settings.py
@@ -9,10 +9,10 @@
 from damaskproxy.ledger import LedgerSettings
 from damaskproxy.membership import MembershipSettings
 from damaskproxy.move import DrainSettings, PollerSettings
-from damaskproxy.platform import PlatformSettings
 from damaskproxy.quarantine import QuarantineSettings
 from damaskproxy.retries import RetrySettings
 from damaskproxy.routing import RoutingSettings
+from damaskproxy.store import PlatformSettings
 
 __all__ = ["Listener", "Listeners", "LogSettings", "NodeSettings"]
 
--- a/damaskproxy/ledger/tables.py
+++ b/damaskproxy/ledger/tables.py
@@ -10,14 +10,14 @@
 
 
 class TableRow(Protocol):
-    """A row as ``damaskproxy.platform.Row``."""
+    """A row as ``damaskproxy.store.Row``."""
 
     value: bytes
     version: int
 
 
 class Table(Protocol):
-    """The methods of ``damaskproxy.platform.Table`` that are used here."""
+    """The methods of ``damaskproxy.store.Table`` that are used here."""
 
     async def read(self, keys: Sequence[str]) -> Mapping[str, TableRow]:
         """Return the rows that exist."""
@@ -55,11 +55,11 @@
 
 
 def platform_errors() -> TableErrors:
-    """Return the exceptions of ``damaskproxy.platform``.
+    """Return the exceptions of ``damaskproxy.store``.
 
     The import is late so that the ledger can be tested without the platform.
     """
-    from damaskproxy.platform import TableUnavailable, TableUnknown
+    from damaskproxy.store import TableUnavailable, TableUnknown
 
     return TableErrors(TableUnavailable, TableUnknown)
 
--- a/damaskproxy/move/cli_support.py
+++ b/damaskproxy/move/cli_support.py
@@ -13,7 +13,7 @@
 
 from damaskproxy.move.document import Document, Invalid, parse_document
 from damaskproxy.move.errors import DocumentUnavailable, MoveError
-from damaskproxy.platform import PlatformSettings, open_table
+from damaskproxy.store import PlatformSettings, open_table
 
 __all__ = [
     "ExitCode",
--- a/damaskproxy/move/edit.py
+++ b/damaskproxy/move/edit.py
@@ -35,7 +35,7 @@
     owner_key,
     section_key,
 )
-from damaskproxy.platform import (
+from damaskproxy.store import (
     Row,
     Table,
     TableRejected,
--- a/damaskproxy/move/poller.py
+++ b/damaskproxy/move/poller.py
@@ -26,7 +26,7 @@
     encode_snapshot,
 )
 from damaskproxy.move.store import SectionStore
-from damaskproxy.platform import ObjectStore, ObjectStoreError, Row, Table
+from damaskproxy.store import ObjectStore, ObjectStoreError, Row, Table
 from damaskproxy.world import Section
 
 __all__ = ["SectionPoller"]
--- a/damaskproxy/move/reading.py
+++ b/damaskproxy/move/reading.py
@@ -15,7 +15,7 @@
     history_key,
     section_key,
 )
-from damaskproxy.platform import Row, Table, TableError, TableUnavailable
+from damaskproxy.store import Row, Table, TableError, TableUnavailable
 
 __all__ = [
     "HistoryEntry",
--- a/damaskproxy/move/resolve.py
+++ b/damaskproxy/move/resolve.py
@@ -6,7 +6,7 @@
 from damaskproxy.move.errors import DocumentUnavailable, MoveError
 from damaskproxy.move.reading import read_edit
 from damaskproxy.move.rows import EditRow, edit_key, encode_row
-from damaskproxy.platform import Table, TableRejected, TableUnavailable, TableUnknown
+from damaskproxy.store import Table, TableRejected, TableUnavailable, TableUnknown
 
 __all__ = ["Abandoned", "resolve_edit"]
 
--- a/damaskproxy/move/rows.py
+++ b/damaskproxy/move/rows.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from damaskproxy.move.errors import DocumentDamaged
-from damaskproxy.platform import Row
+from damaskproxy.store import Row
 from damaskproxy.world import Section
 
 __all__ = [
--- a/damaskproxy/move/tests/samples.py
+++ b/damaskproxy/move/tests/samples.py
@@ -5,8 +5,8 @@
 import json
 
 from damaskproxy.move import edit_section, parse_document, section_of
-from damaskproxy.platform import PlatformSettings, open_objects, open_table
 from damaskproxy.standins import start_objects, start_table
+from damaskproxy.store import PlatformSettings, open_objects, open_table
 
 ROUTE = json.loads(
     """{"name": "place", "method": "POST", "path": "/orders", "priority": "critical",
--- a/damaskproxy/move/tests/virtual.py
+++ b/damaskproxy/move/tests/virtual.py
@@ -3,7 +3,8 @@
 import asyncio
 import collections
 
-from damaskproxy.platform import (
+from damaskproxy.standins.table import TableRows
+from damaskproxy.store import (
     Committed,
     Conflict,
     ObjectStoreError,
@@ -12,7 +13,6 @@
     TableUnavailable,
     TableUnknown,
 )
-from damaskproxy.standins.table import TableRows
 
 FAULTS = ("", "down", "lost-before", "lost-after", "late")
 
--- a/damaskproxy/node/compose.py
+++ b/damaskproxy/node/compose.py
@@ -33,7 +33,6 @@
 from damaskproxy.node.reporting import make_refresh, make_status
 from damaskproxy.node.shared_state import SharedState
 from damaskproxy.node.state import NodeState, make_entry_gate, make_target_gate
-from damaskproxy.platform import open_objects, open_table
 from damaskproxy.quarantine import Quarantine
 from damaskproxy.retries import RetryRatio
 from damaskproxy.routing import (
@@ -51,6 +50,7 @@
     Submitter,
     Target,
 )
+from damaskproxy.store import open_objects, open_table
 from damaskproxy.wire import Answer, Call, Hello, Purpose, Refused
 from damaskproxy.world import Address, Member, MemberState, Placement
 
--- a/damaskproxy/node/heirs.py
+++ b/damaskproxy/node/heirs.py
@@ -7,7 +7,7 @@
 from damaskproxy.ledger import Heir
 from damaskproxy.membership import Membership
 from damaskproxy.move import SectionStore
-from damaskproxy.platform import Table, TableError
+from damaskproxy.store import Table, TableError
 from damaskproxy.world import Member, MemberState, Placement
 
 __all__ = ["make_choose_heir", "make_find_heir", "record_heirs"]
--- a/damaskproxy/node/parts.py
+++ b/damaskproxy/node/parts.py
@@ -11,7 +11,6 @@
 from damaskproxy.move import DrainPlanner, SectionPoller, SectionStore
 from damaskproxy.node.listeners import HttpListener
 from damaskproxy.node.state import NodeState
-from damaskproxy.platform import HttpObjectStore, HttpTable
 from damaskproxy.quarantine import Quarantine
 from damaskproxy.routing import (
     BackendClient,
@@ -22,6 +21,7 @@
     PeerStreams,
     Target,
 )
+from damaskproxy.store import HttpObjectStore, HttpTable
 from damaskproxy.world import Address
 
 __all__ = ["Addresses", "Parts"]
--- a/damaskproxy/node/tests/fault_cells.py
+++ b/damaskproxy/node/tests/fault_cells.py
@@ -10,11 +10,11 @@
 from damaskproxy.history import Recorder
 from damaskproxy.move import Accepted, MoveError, edit_section
 from damaskproxy.node.tests.mesh import Mesh, make_document
-from damaskproxy.platform import PlatformSettings, open_table
 from damaskproxy.standins.backend_answer import request_bytes, request_digest
 from damaskproxy.standins.backend_history import record_told, request_identity
 from damaskproxy.standins.callers_told import read_told
 from damaskproxy.standins.faults import Faults, Lose
+from damaskproxy.store import PlatformSettings, open_table
 
 __all__ = ["FAULTS", "STEPS", "FaultWorld"]
 
--- a/damaskproxy/node/tests/mesh.py
+++ b/damaskproxy/node/tests/mesh.py
@@ -11,10 +11,10 @@
 from damaskproxy.history import Kind, Recorder
 from damaskproxy.move import Accepted, edit_section
 from damaskproxy.node import Node, compose
-from damaskproxy.platform import PlatformSettings, open_table
 from damaskproxy.standins import start_objects, start_table
 from damaskproxy.standins.backend import start_backend
 from damaskproxy.standins.backend_settings import BackendConfig
+from damaskproxy.store import PlatformSettings, open_table
 
 __all__ = ["Mesh", "make_document", "make_settings"]
 
--- a/damaskproxy/standins/faults.py
+++ b/damaskproxy/standins/faults.py
@@ -12,7 +12,7 @@
 import msgspec
 from aiohttp import web
 
-from damaskproxy.platform.messages import ErrorBody
+from damaskproxy.store.messages import ErrorBody
 
 __all__ = ["Faults", "Lose", "add_fault_routes", "error_response", "run_write"]
 
--- a/damaskproxy/standins/table.py
+++ b/damaskproxy/standins/table.py
@@ -6,7 +6,14 @@
 import msgspec
 from aiohttp import web
 
-from damaskproxy.platform.messages import (
+from damaskproxy.standins.faults import (
+    Faults,
+    add_fault_routes,
+    error_response,
+    run_write,
+)
+from damaskproxy.standins.serving import RunningSite, start_site
+from damaskproxy.store.messages import (
     CommitRequest,
     CommittedBody,
     ReadRequest,
@@ -15,13 +22,6 @@
     ScanBody,
     ScanRequest,
 )
-from damaskproxy.standins.faults import (
-    Faults,
-    add_fault_routes,
-    error_response,
-    run_write,
-)
-from damaskproxy.standins.serving import RunningSite, start_site
 
 __all__ = ["RunningTable", "TableCounts", "TableRows", "start_table"]
 
--- a/damaskproxy/platform/__init__.py
+++ b/damaskproxy/store/__init__.py
@@ -1,9 +1,9 @@
 """Clients of the platform's table service and object store."""
 
-from damaskproxy.platform.objects import HttpObjectStore, open_objects
-from damaskproxy.platform.settings import PlatformSettings
-from damaskproxy.platform.table import HttpTable, open_table
-from damaskproxy.platform.types import (
+from damaskproxy.store.objects import HttpObjectStore, open_objects
+from damaskproxy.store.settings import PlatformSettings
+from damaskproxy.store.table import HttpTable, open_table
+from damaskproxy.store.types import (
     CommitResult,
     Committed,
     Conflict,
--- a/damaskproxy/platform/objects.py
+++ b/damaskproxy/store/objects.py
@@ -2,9 +2,9 @@
 
 from urllib.parse import quote
 
-from damaskproxy.platform.http import AnswerLost, HttpAnswer, HttpExchange, NotSent
-from damaskproxy.platform.settings import PlatformSettings
-from damaskproxy.platform.types import ObjectStoreError
+from damaskproxy.store.http import AnswerLost, HttpAnswer, HttpExchange, NotSent
+from damaskproxy.store.settings import PlatformSettings
+from damaskproxy.store.types import ObjectStoreError
 
 __all__ = ["HttpObjectStore", "open_objects"]
 
@@ -15,7 +15,7 @@
 
 
 class HttpObjectStore:
-    """Object store over HTTP, see `damaskproxy.platform.ObjectStore`.
+    """Object store over HTTP, see `damaskproxy.store.ObjectStore`.
 
     Parameters
     ----------
--- a/damaskproxy/platform/table.py
+++ b/damaskproxy/store/table.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from damaskproxy.platform.http import AnswerLost, HttpAnswer, HttpExchange, NotSent
-from damaskproxy.platform.messages import (
+from damaskproxy.store.http import AnswerLost, HttpAnswer, HttpExchange, NotSent
+from damaskproxy.store.messages import (
     CommitRequest,
     CommittedBody,
     ErrorBody,
@@ -14,8 +14,8 @@
     ScanBody,
     ScanRequest,
 )
-from damaskproxy.platform.settings import PlatformSettings
-from damaskproxy.platform.types import (
+from damaskproxy.store.settings import PlatformSettings
+from damaskproxy.store.types import (
     CommitResult,
     Committed,
     Conflict,
@@ -58,7 +58,7 @@
 
 
 class HttpTable:
-    """Table service over HTTP, see `damaskproxy.platform.Table`.
+    """Table service over HTTP, see `damaskproxy.store.Table`.
 
     Parameters
     ----------
--- a/damaskproxy/platform/tests/contract.py
+++ b/damaskproxy/store/tests/contract.py
@@ -11,7 +11,7 @@
 
 from nose2.tools import params
 
-from damaskproxy.platform import Committed, Conflict
+from damaskproxy.store import Committed, Conflict
 
 _serial = itertools.count()
 
--- a/damaskproxy/platform/tests/test_clients.py
+++ b/damaskproxy/store/tests/test_clients.py
@@ -7,7 +7,9 @@
 from aiohttp import web
 from nose2.tools import params
 
-from damaskproxy.platform import (
+from damaskproxy.standins import Lose, start_objects, start_table
+from damaskproxy.standins.serving import start_site
+from damaskproxy.store import (
     ObjectStoreError,
     PlatformSettings,
     TableRejected,
@@ -16,9 +18,7 @@
     open_objects,
     open_table,
 )
-from damaskproxy.platform.tests.contract import ObjectStoreContract, TableContract
-from damaskproxy.standins import Lose, start_objects, start_table
-from damaskproxy.standins.serving import start_site
+from damaskproxy.store.tests.contract import ObjectStoreContract, TableContract
 
 UNUSED_URL = "http://127.0.0.1:9"
 
--- a/demo/starting.py
+++ b/demo/starting.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from damaskproxy.move.reading import read_section
-from damaskproxy.platform import PlatformSettings, open_table
+from damaskproxy.store import PlatformSettings, open_table
 from demo.layout import (
     Host,
     Layout,
