Add HTTP/1.1 connections that never resend, decode or normalise

aiohttp repeats requests on a kept connection that broke, decodes bodies and joins header names, and its server does not tell a handler that the client left before the response. httptools parses; the connections keep order, limits and ownership of a request.

--- /dev/null
+++ b/damaskproxy/http1/__init__.py
@@ -0,0 +1,26 @@
+"""HTTP/1.1 connections that never resend, decode or normalise by themselves."""
+
+from damaskproxy.http1.client import ConnectionPool
+from damaskproxy.http1.errors import ConnectFailed, ExchangeLost, HttpError
+from damaskproxy.http1.messages import (
+    Headers,
+    Request,
+    Response,
+    end_to_end,
+    find_header,
+)
+from damaskproxy.http1.server import ClientLimits, HttpServer
+
+__all__ = [
+    "ClientLimits",
+    "ConnectFailed",
+    "ConnectionPool",
+    "ExchangeLost",
+    "Headers",
+    "HttpError",
+    "HttpServer",
+    "Request",
+    "Response",
+    "end_to_end",
+    "find_header",
+]
--- /dev/null
+++ b/damaskproxy/http1/client.py
@@ -0,0 +1,288 @@
+"""Client side of HTTP/1.1: a pool of connections to one address."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+import httptools
+
+from damaskproxy.common.clock import boot_s
+from damaskproxy.http1.errors import ConnectFailed, ExchangeLost
+from damaskproxy.http1.messages import (
+    Request,
+    Response,
+    find_header,
+    format_request,
+)
+from damaskproxy.http1.sockets import detect_silence
+from damaskproxy.world import Address
+
+__all__ = ["ConnectionPool"]
+
+Accept = Callable[[Response], bool]
+
+CONNECT_TIMEOUT_S = 1.0
+"""A server on the same machine or in the same region answers within milliseconds; one
+lost opening packet is repeated after a second."""
+IDLE_DEFAULT_S = 4.0
+"""Reuse of a connection whose server named no time; usual servers keep 5 s."""
+IDLE_MARGIN_S = 1.0
+"""A connection is not reused so shortly before its server may close it."""
+
+
+def accept_any(response: Response) -> bool:
+    """Accept each response as the one to the request in progress."""
+    return True
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection to a server.
+
+    Notes
+    -----
+    Bytes beyond a complete response belong to no request, so the connection that
+    delivered them is closed.
+    """
+
+    def __init__(self):
+        self.transport: asyncio.Transport | None = None
+        self.idle_since_s = boot_s()
+        self.idle_max_s = IDLE_DEFAULT_S
+        self.is_reusable = True
+        self._waiter: asyncio.Future | None = None
+        self._accept: Accept = accept_any
+        self._is_head = False
+        self._has_eof = False
+        self._new_parser()
+
+    @property
+    def is_open(self) -> bool:
+        """Whether it can carry a request."""
+        return self.is_reusable and not self.transport.is_closing()
+
+    def connection_made(self, transport):
+        """Take over the connection."""
+        self.transport = transport
+        detect_silence(transport)
+
+    def connection_lost(self, exc):
+        """Fail the exchange in progress."""
+        self.is_reusable = False
+        waiter = self._waiter
+        if waiter is None or waiter.done():
+            return
+        if self._is_complete_at_eof(exc):
+            self._complete()
+        if waiter.done():
+            return
+        reason = "the connection was reset" if exc else "the connection was closed"
+        waiter.set_exception(ExchangeLost(f"{reason} before a complete response"))
+
+    def eof_received(self):
+        """Note the orderly end of the stream."""
+        self._has_eof = True
+
+    def data_received(self, data):
+        """Parse a part of a response."""
+        if self._waiter is None or self._waiter.done():
+            self.is_reusable = False
+            self.transport.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self.is_reusable = False
+            if not self._waiter.done():
+                self._waiter.set_exception(
+                    ExchangeLost(f"the response is malformed: {error}")
+                )
+            self.transport.abort()
+
+    def on_message_begin(self):
+        """Start a response."""
+        if self._waiter.done():
+            raise ValueError("bytes after a complete response")
+        self._reset_message()
+
+    def on_header(self, name, value):
+        """Collect a header; trailers are dropped."""
+        if not self._has_head:
+            self._headers.append((name, value))
+
+    def on_headers_complete(self):
+        """Note that the head is whole."""
+        self._has_head = True
+        if self._is_head and self._parser.get_status_code() >= 200:
+            self.is_reusable = False
+            self._complete()
+
+    def on_body(self, body):
+        """Collect a part of the body."""
+        self._body.append(body)
+
+    def on_message_complete(self):
+        """End the exchange, or skip a response to another request."""
+        if self._waiter.done() or self._parser.get_status_code() < 200:
+            return
+        if not self._parser.should_keep_alive():
+            self.is_reusable = False
+        self._complete()
+
+    async def exchange(self, request: Request, accept: Accept) -> Response:
+        """Send `request` and return the response that `accept` takes.
+
+        Raises
+        ------
+        ExchangeLost
+            If none came before the connection ended.
+        """
+        self._waiter = asyncio.get_running_loop().create_future()
+        self._accept = accept
+        self._is_head = request.method == b"HEAD"
+        self._reset_message()
+        self.transport.write(format_request(request))
+        try:
+            return await self._waiter
+        except asyncio.CancelledError:
+            # Closing tells the server that nobody waits for the response.
+            self.is_reusable = False
+            self.transport.abort()
+            raise
+        finally:
+            self._waiter = None
+            self.idle_since_s = boot_s()
+
+    def _complete(self) -> None:
+        response = Response(
+            self._parser.get_status_code(), self._headers, b"".join(self._body)
+        )
+        if not self._accept(response):
+            self.is_reusable = False
+            self._reset_message()
+            return
+        self._note_keep_alive(response)
+        self._waiter.set_result(response)
+
+    def _note_keep_alive(self, response: Response) -> None:
+        value = find_header(response.headers, b"keep-alive") or b""
+        for part in value.split(b","):
+            name, _, text = part.strip().partition(b"=")
+            if name.lower() == b"timeout":
+                with contextlib.suppress(ValueError):
+                    self.idle_max_s = float(text)
+
+    def _is_complete_at_eof(self, exc) -> bool:
+        if exc is not None or not self._has_eof or not self._has_head:
+            return False
+        framing = (b"content-length", b"transfer-encoding")
+        return not any(name.lower() in framing for name, _ in self._headers)
+
+    def _new_parser(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._reset_message()
+
+    def _reset_message(self) -> None:
+        self._headers = []
+        self._body = []
+        self._has_head = False
+
+
+class ConnectionPool:
+    """Connections to one server.
+
+    Parameters
+    ----------
+    address : Address
+        Of the server.
+    connect_timeout_s : float
+        Longest wait for a connection.
+
+    Attributes
+    ----------
+    opened_count : int
+        Connections opened so far.
+    """
+
+    def __init__(self, address: Address, connect_timeout_s: float = CONNECT_TIMEOUT_S):
+        self.address = address
+        self.opened_count = 0
+        self._connect_timeout_s = connect_timeout_s
+        self._idle: list[ClientConnection] = []
+        self._busy: set[ClientConnection] = set()
+
+    async def exchange(
+        self,
+        request: Request,
+        *,
+        accept: Accept = accept_any,
+        idle_share: float = 1.0,
+    ) -> Response:
+        """Send `request` on a kept or a new connection; never sends twice.
+
+        Parameters
+        ----------
+        request : Request
+            With end-to-end headers only.
+        accept : callable
+            Tells whether a response belongs to the request; others are skipped.
+        idle_share : float
+            Share of the server's idle time after which a kept connection is not used.
+
+        Raises
+        ------
+        ConnectFailed
+            If nothing was sent.
+        ExchangeLost
+            If the request was sent and no valid response came.
+        """
+        connection = self._take_idle(idle_share) or await self._connect()
+        self._busy.add(connection)
+        try:
+            return await connection.exchange(request, accept)
+        finally:
+            self._busy.discard(connection)
+            if connection.is_open:
+                self._idle.append(connection)
+            else:
+                connection.transport.close()
+
+    def close_idle(self) -> None:
+        """Close the connections that are too old for reuse."""
+        kept = []
+        for connection in self._idle:
+            if connection.is_open and self._is_fresh(connection, 1.0):
+                kept.append(connection)
+            else:
+                connection.transport.close()
+        self._idle = kept
+
+    def close(self) -> None:
+        """Close all connections; exchanges in progress fail."""
+        for connection in (*self._idle, *self._busy):
+            connection.transport.abort()
+        self._idle = []
+
+    def _take_idle(self, idle_share: float) -> ClientConnection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_open and self._is_fresh(connection, idle_share):
+                return connection
+            connection.transport.close()
+        return None
+
+    def _is_fresh(self, connection: ClientConnection, idle_share: float) -> bool:
+        limit_s = (connection.idle_max_s - IDLE_MARGIN_S) * idle_share
+        return boot_s() - connection.idle_since_s < limit_s
+
+    async def _connect(self) -> ClientConnection:
+        loop = asyncio.get_running_loop()
+        host, port = self.address.host, self.address.port
+        try:
+            async with asyncio.timeout(self._connect_timeout_s):
+                _, connection = await loop.create_connection(
+                    ClientConnection, host, port
+                )
+        except (OSError, TimeoutError) as error:
+            raise ConnectFailed(f"cannot connect to {self.address}: {error}") from error
+        self.opened_count += 1
+        return connection
--- /dev/null
+++ b/damaskproxy/http1/messages.py
@@ -0,0 +1,143 @@
+"""Whole HTTP/1.1 messages as the connections exchange them."""
+
+from dataclasses import dataclass, field
+
+__all__ = [
+    "Headers",
+    "Request",
+    "Response",
+    "end_to_end",
+    "find_header",
+    "format_request",
+    "format_response",
+]
+
+Headers = list[tuple[bytes, bytes]]
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+"""Headers of one connection, and those that the sender of a message computes anew."""
+
+BODY_METHODS = frozenset({b"POST", b"PUT", b"PATCH"})
+BODILESS_STATUSES = frozenset({204, 304})
+
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    421: b"Misdirected Request",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    501: b"Not Implemented",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+@dataclass(slots=True)
+class Request:
+    """Request with its whole body.
+
+    Parameters
+    ----------
+    method, target : bytes
+        As received; the target is never normalised.
+    headers : list of tuple of bytes
+        In the order and spelling received, without trailers.
+    body : bytes
+        Decoded from the transfer coding.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes = b""
+
+
+@dataclass(slots=True)
+class Response:
+    """Response with its whole body."""
+
+    status: int
+    headers: Headers = field(default_factory=list)
+    body: bytes = b""
+
+
+def find_header(headers: Headers, lower_name: bytes) -> bytes | None:
+    """Return the first value of a header, None without one."""
+    for name, value in headers:
+        if name.lower() == lower_name:
+            return value
+    return None
+
+
+def end_to_end(headers: Headers, without: frozenset[bytes] = frozenset()) -> Headers:
+    """Return the headers that are not about one connection.
+
+    Parameters
+    ----------
+    headers : list of tuple of bytes
+        Headers as received.
+    without : frozenset of bytes
+        Further names to leave out, in lower case.
+    """
+    named = set()
+    for name, value in headers:
+        if name.lower() == b"connection":
+            named.update(token.strip().lower() for token in value.split(b","))
+    return [
+        (name, value)
+        for name, value in headers
+        if (lower := name.lower()) not in HOP_BY_HOP
+        and lower not in without
+        and lower not in named
+    ]
+
+
+def format_request(request: Request) -> bytes:
+    """Return the bytes of `request`, which must hold only end-to-end headers."""
+    lines = [request.method + b" " + request.target + b" HTTP/1.1"]
+    lines += [name + b": " + value for name, value in request.headers]
+    if request.body or request.method in BODY_METHODS:
+        lines.append(b"Content-Length: %d" % len(request.body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+
+
+def format_response(response: Response, *, is_last: bool, is_head: bool) -> bytes:
+    """Return the bytes of `response`.
+
+    Parameters
+    ----------
+    response : Response
+        With end-to-end headers only.
+    is_last : bool
+        Whether the connection closes after it.
+    is_head : bool
+        Whether it answers a HEAD request, which gets no body.
+    """
+    status = response.status
+    lines = [b"HTTP/1.1 %d %s" % (status, REASONS.get(status, b""))]
+    lines += [name + b": " + value for name, value in response.headers]
+    if status not in BODILESS_STATUSES:
+        lines.append(b"Content-Length: %d" % len(response.body))
+    if is_last:
+        lines.append(b"Connection: close")
+    body = b"" if is_head or status in BODILESS_STATUSES else response.body
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
--- /dev/null
+++ b/damaskproxy/http1/tests/test_client.py
@@ -0,0 +1,200 @@
+"""Responses that are late, cut, unframed, malformed or followed by more bytes."""
+
+import asyncio
+import socket
+import struct
+import unittest
+
+from nose2.tools import params
+
+from damaskproxy.http1 import (
+    ConnectFailed,
+    ConnectionPool,
+    ExchangeLost,
+    Request,
+    find_header,
+)
+from damaskproxy.world import Address
+
+CLOSE = None
+RESET = "reset"
+
+
+def response(request_id, body=b"ok", extra=b""):
+    """Return the bytes of a response."""
+    return b"HTTP/1.1 200 OK\r\nX-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s" % (
+        request_id,
+        extra,
+        len(body),
+        body,
+    )
+
+
+class ClientTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against mixed-up, cut or repeated exchanges."""
+
+    async def asyncSetUp(self):
+        self.scripts = []
+        self.received = []
+        self.connections = 0
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = Address(*self.server.sockets[0].getsockname()[:2])
+        self.pool = ConnectionPool(self.address)
+
+    async def asyncTearDown(self):
+        self.pool.close()
+        self.server.close()
+
+    async def serve(self, reader, writer):
+        """Play one script of parts for each request."""
+        self.connections += 1
+        while True:
+            try:
+                head = await reader.readuntil(b"\r\n\r\n")
+            except (
+                asyncio.IncompleteReadError,
+                ConnectionError,
+                asyncio.CancelledError,
+            ):
+                writer.close()
+                return
+            length = head.partition(b"Content-Length: ")[2].partition(b"\r\n")[0]
+            body = await reader.readexactly(int(length or 0))
+            self.received.append(head + body)
+            for part in self.scripts.pop(0):
+                if part is CLOSE:
+                    writer.close()
+                    return
+                if part is RESET:
+                    no_linger = struct.pack("ii", 1, 0)
+                    sock = writer.get_extra_info("socket")
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+                    writer.transport.abort()
+                    return
+                writer.write(part)
+                await asyncio.sleep(0.01)
+
+    async def exchange(self, request_id=b"1", *parts, method=b"GET", body=b""):
+        """Send one request, to which the server answers `parts`."""
+        self.scripts.append(parts)
+        request = Request(method, b"/a/../b?x=%41", [(b"X-Id", request_id)], body)
+        async with asyncio.timeout(5):
+            return await self.pool.exchange(
+                request,
+                accept=lambda answer: (
+                    find_header(answer.headers, b"x-id") == request_id
+                ),
+            )
+
+    @params(
+        ("in one piece", [response(b"1")], b"ok"),
+        ("byte by byte", [bytes([b]) for b in response(b"1")], b"ok"),
+        (
+            "after an interim response",
+            [b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + response(b"1")],
+            b"ok",
+        ),
+        (
+            "chunked",
+            [
+                b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+                b"2\r\nok\r\n0\r\n\r\n",
+            ],
+            b"ok",
+        ),
+        (
+            "ended by the connection",
+            [b"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nok", CLOSE],
+            b"ok",
+        ),
+        (
+            "after a late response to another request",
+            [response(b"0", b"late") + response(b"1")],
+            b"ok",
+        ),
+    )
+    async def test_whole_response_is_returned(self, name, parts, body):
+        answer = await self.exchange(b"1", *parts)
+        self.assertEqual((answer.status, answer.body), (200, body), name)
+        self.assertTrue(self.received[0].startswith(b"GET /a/../b?x=%41 HTTP/1.1\r\n"))
+
+    @params(
+        ("cut body", [response(b"1")[:-1], CLOSE]),
+        (
+            "cut chunks",
+            [
+                b"HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+                CLOSE,
+            ],
+        ),
+        ("cut head", [b"HTTP/1.1 200 OK\r\nX-Id: 1\r\n", CLOSE]),
+        ("reset without a length", [b"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nok", RESET]),
+        ("no response", [CLOSE]),
+        ("reset", [RESET]),
+        ("no HTTP", [b"\x00\x01\x02 garbage\r\n\r\n"]),
+        ("only another request's response", [response(b"0"), CLOSE]),
+        (
+            "another request's unframed response",
+            [b"HTTP/1.1 200 OK\r\nX-Id: 0\r\n\r\nok", CLOSE],
+        ),
+    )
+    async def test_incomplete_response_is_an_error_and_nothing_is_resent(
+        self, name, parts
+    ):
+        with self.assertRaises(ExchangeLost, msg=name):
+            await self.exchange(b"1", *parts)
+        await asyncio.sleep(0.02)
+        self.assertEqual(len(self.received), 1, name)
+
+    @params(
+        ("in the same piece", [response(b"1") + response(b"0", b"extra")]),
+        ("a moment later", [response(b"1"), response(b"0", b"extra")]),
+        ("garbage", [response(b"1") + b"@@@@"]),
+        ("the server closes", [response(b"1", extra=b"Connection: close\r\n")]),
+    )
+    async def test_connection_with_more_bytes_is_not_reused(self, name, parts):
+        await self.exchange(b"1", *parts)
+        await asyncio.sleep(0.05)
+        answer = await self.exchange(b"2", response(b"2", b"second"))
+        self.assertEqual(answer.body, b"second", name)
+        self.assertEqual(self.connections, 2, name)
+
+    async def test_connection_is_reused(self):
+        for number in (b"1", b"2", b"3"):
+            await self.exchange(number, response(number))
+        self.assertEqual((self.connections, self.pool.opened_count), (1, 1))
+
+    @params((b"timeout=1", 2), (b"timeout=30, max=9", 1), (b"timeout=x", 1))
+    async def test_stated_idle_time_limits_reuse(self, stated, connections):
+        extra = b"Keep-Alive: %s\r\n" % stated
+        await self.exchange(b"1", response(b"1", extra=extra))
+        await self.exchange(b"2", response(b"2"))
+        self.assertEqual(self.connections, connections)
+
+    async def test_broken_kept_connection_is_not_resent_on(self):
+        await self.exchange(b"1", response(b"1"))
+        with self.assertRaises(ExchangeLost):
+            await self.exchange(b"2", RESET, method=b"POST", body=b"order")
+        await asyncio.sleep(0.02)
+        self.assertEqual(len(self.received), 2)
+
+    async def test_response_before_the_body_was_read_keeps_the_stream_in_order(self):
+        body = b"x" * 300_000
+        await self.exchange(b"1", response(b"1"), method=b"POST", body=body)
+        await self.exchange(b"2", response(b"2"))
+        self.assertTrue(self.received[0].endswith(body))
+        self.assertTrue(self.received[1].startswith(b"GET "))
+
+    async def test_cancelled_exchange_closes_its_connection(self):
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.05):
+                await self.exchange(b"1")
+        await self.exchange(b"2", response(b"2"))
+        self.assertEqual(self.connections, 2)
+
+    async def test_refused_connection_sent_nothing(self):
+        self.server.close()
+        await self.server.wait_closed()
+        with self.assertRaises(ConnectFailed):
+            await self.exchange(b"1")
