Add the path of a request from its origin to the target node

An origin matches the route, chooses a member by load, distance and failures and repeats what may be repeated; links carry many calls with numbered texts; the target admits, addresses the lifetime of the backend server and classifies its answers. A node is the authority on the backend server beside it.

--- /dev/null
+++ b/damaskproxy/directory/members.py
@@ -0,0 +1,156 @@
+"""Records of the nodes of the mesh."""
+
+import zlib
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from damaskproxy.world import MemberState
+
+__all__ = ["BackendRecord", "Directory", "MemberRecord"]
+
+
+class BackendRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Backend server beside a node, as its node announces it.
+
+    Parameters
+    ----------
+    instance_id : str
+        Name of its lifetime.
+    service : str
+        Service that it runs.
+    slots : int
+        Requests that it runs at once.
+    state : MemberState
+        ``serving``, ``draining`` or ``stopped``.
+    born_ms, sequence : int
+        Start and newest status report, so that older reports are recognised also
+        after a restart of the node.
+    warm_at_ms : int
+        Unix time from which it runs at full speed.
+    """
+
+    instance_id: str
+    service: str
+    slots: int
+    state: MemberState = MemberState.SERVING
+    born_ms: int = 0
+    sequence: int = 0
+    warm_at_ms: int = 0
+
+
+class MemberRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Record of one node as every node knows it.
+
+    Parameters
+    ----------
+    node_id : str
+        Name of the node.
+    incarnation, version : int
+        Start of the process and change within it; together they order records.
+    data_centre : str
+        Where the node runs.
+    host : str
+        IP number of the node.
+    port : int
+        Port for calls of other nodes.
+    state : MemberState
+        State of the node itself.
+    backend : BackendRecord, optional
+        Absent until a backend server has announced itself.
+    crashes : tuple
+        Unix time and requests in flight of the last crashes of backend servers here.
+    """
+
+    node_id: str
+    incarnation: int
+    version: int
+    data_centre: str
+    host: str
+    port: int
+    state: MemberState = MemberState.SERVING
+    backend: BackendRecord | None = None
+    crashes: tuple[tuple[int, tuple[str, ...]], ...] = ()
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Sort key among the records of one node, newest highest."""
+        return (self.incarnation, self.version)
+
+    def serves(self, service: str) -> bool:
+        """Tell whether the backend server takes requests of `service`."""
+        backend = self.backend
+        return (
+            backend is not None
+            and backend.service == service
+            and backend.state is MemberState.SERVING
+            and self.state is MemberState.SERVING
+        )
+
+
+class Directory:
+    """Newest record of each node.
+
+    Parameters
+    ----------
+    on_change : callable, optional
+        Called with each record that replaced an older one.
+    """
+
+    def __init__(self, on_change: Callable[[MemberRecord], None] = lambda record: None):
+        self._records: dict[str, MemberRecord] = {}
+        self._serving: dict[str, list[MemberRecord]] = {}
+        self._removed: dict[str, tuple[int, int]] = {}
+        self._digest: int | None = None
+        self._on_change = on_change
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def get(self, node_id: str) -> MemberRecord | None:
+        """Return the record of a node."""
+        return self._records.get(node_id)
+
+    def records(self) -> Iterable[MemberRecord]:
+        """Return all records."""
+        return self._records.values()
+
+    def merge(self, record: MemberRecord) -> bool:
+        """Keep `record` if it is newer than the known one."""
+        known = self._records.get(record.node_id)
+        if known is not None and record.order <= known.order:
+            return False
+        if record.order <= self._removed.get(record.node_id, (-1, -1)):
+            return False
+        self._records[record.node_id] = record
+        self._forget_derived()
+        self._on_change(record)
+        return True
+
+    def remove(self, node_id: str, order: tuple[int, int] | None = None) -> None:
+        """Drop the record of a node that has left, unless it is newer than `order`."""
+        known = self._records.get(node_id)
+        if known is None or (order is not None and known.order > order):
+            return
+        del self._records[node_id]
+        self._removed[node_id] = known.order
+        self._forget_derived()
+
+    def serving(self, service: str) -> list[MemberRecord]:
+        """Return the members that take requests of `service`."""
+        found = self._serving.get(service)
+        if found is None:
+            found = [r for r in self._records.values() if r.serves(service)]
+            self._serving[service] = found
+        return found
+
+    def digest(self) -> int:
+        """Return a number that is equal for equal directories."""
+        if self._digest is None:
+            orders = sorted((r.node_id, *r.order) for r in self._records.values())
+            self._digest = zlib.crc32(repr(orders).encode())
+        return self._digest
+
+    def _forget_derived(self) -> None:
+        self._serving.clear()
+        self._digest = None
--- /dev/null
+++ b/damaskproxy/directory/tests/test_directory.py
@@ -0,0 +1,114 @@
+"""Configurations and members that arrive late, twice or in the wrong order."""
+
+import unittest
+
+import msgspec
+from nose2.tools import params
+
+from damaskproxy.directory import (
+    BackendRecord,
+    Configuration,
+    ConfigurationBook,
+    Directory,
+    MemberRecord,
+    Route,
+)
+from damaskproxy.http1 import ClientLimits
+from damaskproxy.world import MemberState
+
+
+def route(name, host, prefix):
+    """Return a route of one service."""
+    return Route(name, host, prefix, ((name, 1.0),), True, 2, 1000, 500, 1)
+
+
+def configuration(version, *routes):
+    """Return a configuration."""
+    return Configuration(version, routes, {}, ClientLimits(), b"")
+
+
+def member(node_id="n1", incarnation=1, version=1, **changes):
+    """Return a member with a serving backend server."""
+    backend = BackendRecord("i-1", "orders", 4)
+    record = MemberRecord(
+        node_id, incarnation, version, "a", "10.0.0.1", 1, backend=backend
+    )
+    return msgspec.structs.replace(record, **changes)
+
+
+class ConfigurationTests(unittest.TestCase):
+    """Guards against a wrong route and against a version that goes back."""
+
+    ROUTES = (route("all", "h", "/a/"), route("deep", "h", "/a/b/"))
+
+    @params(
+        ("h", "/a/b/c", "deep"),
+        ("h", "/a/bc", "all"),
+        ("h", "/a/b", "all"),
+        ("h", "/a", None),
+        ("other", "/a/b/c", None),
+    )
+    def test_longest_prefix_of_the_host_is_chosen(self, host, path, name):
+        found = configuration(1, *self.ROUTES).match(host, path)
+        self.assertEqual(found.name if found else None, name)
+
+    @params(([3, 2, 7, 7, 5], [3, 7]), ([1], [1]))
+    def test_version_never_goes_back(self, offered, in_force):
+        book = ConfigurationBook()
+        seen = []
+        book.on_change(lambda new: seen.append(new.version))
+        for version in offered:
+            book.offer(configuration(version))
+        self.assertEqual((seen, book.version), (in_force, in_force[-1]))
+
+
+class DirectoryTests(unittest.TestCase):
+    """Guards against records of the past that replace newer ones."""
+
+    @params(
+        ("newer version", member(version=2), True),
+        ("restarted node", member(incarnation=2, version=0), True),
+        ("same record", member(), False),
+        ("older version", member(version=0), False),
+        ("earlier start", member(incarnation=0, version=9), False),
+    )
+    def test_newest_record_wins(self, name, record, is_taken):
+        directory = Directory()
+        directory.merge(member())
+        digest = directory.digest()
+        self.assertEqual(directory.merge(record), is_taken, name)
+        self.assertEqual(directory.digest() != digest, is_taken, name)
+
+    def test_late_record_does_not_bring_a_removed_member_back(self):
+        directory = Directory()
+        directory.merge(member(version=5))
+        directory.remove("n1")
+        self.assertFalse(directory.merge(member(version=5)))
+        self.assertEqual(directory.serving("orders"), [])
+        self.assertTrue(directory.merge(member(incarnation=2, version=0)))
+
+    def test_removal_of_an_earlier_record_keeps_the_newer_one(self):
+        directory = Directory()
+        directory.merge(member(version=5))
+        directory.remove("n1", (1, 4))
+        self.assertIsNotNone(directory.get("n1"))
+
+    @params(
+        ({}, "orders", True),
+        ({}, "stores", False),
+        ({"state": MemberState.STOPPED}, "orders", False),
+        ({"backend": None}, "orders", False),
+        (
+            {"backend": BackendRecord("i", "orders", 4, MemberState.DRAINING)},
+            "orders",
+            False,
+        ),
+    )
+    def test_only_serving_members_of_the_service_are_found(
+        self, changes, service, is_found
+    ):
+        directory = Directory()
+        directory.merge(member(version=0))
+        self.assertTrue(directory.serving("orders"))
+        directory.merge(member(**changes))
+        self.assertEqual(bool(directory.serving(service)), is_found)
--- /dev/null
+++ b/damaskproxy/forwarding/__init__.py
@@ -0,0 +1,24 @@
+"""The path of a request: origin, links between nodes, target."""
+
+from damaskproxy.forwarding.backend import Backend, StatusReport
+from damaskproxy.forwarding.choosing import Chooser
+from damaskproxy.forwarding.crash_guard import CrashGuard
+from damaskproxy.forwarding.frames import AskFrame, TellFrame
+from damaskproxy.forwarding.headers import HeaderNames
+from damaskproxy.forwarding.links import LinkHandlers, Links
+from damaskproxy.forwarding.origin import Origin
+from damaskproxy.forwarding.target import Target
+
+__all__ = [
+    "AskFrame",
+    "Backend",
+    "Chooser",
+    "CrashGuard",
+    "HeaderNames",
+    "LinkHandlers",
+    "Links",
+    "Origin",
+    "StatusReport",
+    "Target",
+    "TellFrame",
+]
--- /dev/null
+++ b/damaskproxy/forwarding/crash_guard.py
@@ -0,0 +1,97 @@
+"""Recognises requests that crash each backend server that runs them."""
+
+import hashlib
+import time
+from collections.abc import Callable
+
+from damaskproxy.directory import MemberRecord
+from damaskproxy.forwarding.calls import Call
+
+__all__ = ["CrashGuard", "digest_of"]
+
+MS_PER_S = 1000
+CRASHES_TO_QUARANTINE = 2
+"""Crashes with the same request in flight. At one crash all requests in flight are
+suspect; the same request in flight at two is taken for the cause, one crash before the
+third that the retry rules count from."""
+MEMORY_MS = 120_000
+"""Time that a crash counts; a caller sends such a request again within seconds."""
+CRASHES_KEPT = 4
+"""Crashes that a node announces; more within the memory come only from one server that
+crashes repeatedly."""
+SUSPECTS_MAX = 200
+"""Requests in flight that one crash announces, so that the record stays under 4 KB."""
+
+Crashes = tuple[tuple[int, tuple[str, ...]], ...]
+
+
+def digest_of(call: Call) -> str:
+    """Return the identity of a request: what its caller would send again."""
+    digest = hashlib.blake2b(digest_size=8)
+    for part in (call.caller.encode(), call.method, call.target, call.body):
+        digest.update(len(part).to_bytes(4) + part)
+    return digest.hexdigest()
+
+
+class CrashGuard:
+    """Requests in flight at the crashes of all backend servers.
+
+    Parameters
+    ----------
+    on_crash : callable
+        Called after a crash beside this node was added.
+    wall_s : callable
+        Unix time.
+    """
+
+    def __init__(
+        self, on_crash: Callable[[], None], wall_s: Callable[[], float] = time.time
+    ):
+        self._on_crash = on_crash
+        self._wall_s = wall_s
+        self._own: Crashes = ()
+        self._by_node: dict[str, Crashes] = {}
+        self._quarantined: dict[str, int] = {}
+
+    @property
+    def own_crashes(self) -> Crashes:
+        """Crashes to announce."""
+        return self._own
+
+    def crashed(self, digests: list[str]) -> None:
+        """Note a crash of the backend server beside this node."""
+        now_ms = int(self._wall_s() * MS_PER_S)
+        crash = (now_ms, tuple(digests[:SUSPECTS_MAX]))
+        self._own = (*self._own, crash)[-CRASHES_KEPT:]
+        self._by_node[""] = self._own
+        self._count()
+        self._on_crash()
+
+    def learn(self, record: MemberRecord) -> None:
+        """Take over the crashes that another node announces."""
+        if record.crashes != self._by_node.get(record.node_id, ()):
+            self._by_node[record.node_id] = record.crashes
+            self._count()
+
+    def is_quarantined(self, call: Call) -> bool:
+        """Tell whether `call` was in flight at several crashes."""
+        if not self._quarantined:
+            # The digest of a body costs more than all other checks of a call.
+            return False
+        until_ms = self._quarantined.get(digest_of(call), 0)
+        return until_ms > self._wall_s() * MS_PER_S
+
+    def _count(self) -> None:
+        oldest_ms = int(self._wall_s() * MS_PER_S) - MEMORY_MS
+        seen: dict[str, list[int]] = {}
+        for crashes in self._by_node.values():
+            for at_ms, digests in crashes:
+                if at_ms < oldest_ms:
+                    continue
+                for digest in set(digests):
+                    seen.setdefault(digest, []).append(at_ms)
+        self._quarantined = {
+            digest: max(times) + MEMORY_MS
+            for digest, times in seen.items()
+            if len(times) >= CRASHES_TO_QUARANTINE
+        }
--- /dev/null
+++ b/damaskproxy/forwarding/events.py
@@ -0,0 +1,45 @@
+"""Events of the forwarding of calls."""
+
+import logging
+
+from damaskproxy.events import define
+
+__all__ = [
+    "BACKEND_CRASHED",
+    "CALL_FAILED",
+    "LINK_LOST",
+    "LINK_OPENED",
+    "LINK_REFUSED",
+    "REQUEST_NOT_SERVED",
+]
+
+BACKEND_CRASHED = define(
+    10101,
+    "backend-crashed",
+    logging.WARNING,
+    "All connections to the backend server broke and it does not listen any more.",
+)
+LINK_OPENED = define(
+    10102, "link-opened", logging.DEBUG, "A connection to another node was opened."
+)
+LINK_LOST = define(
+    10103,
+    "link-lost",
+    logging.INFO,
+    "A connection to another node ended; the calls on it may have run.",
+)
+LINK_REFUSED = define(
+    10104, "link-refused", logging.INFO, "Another node could not be reached."
+)
+REQUEST_NOT_SERVED = define(
+    10105,
+    "request-not-served",
+    logging.INFO,
+    "A request was refused or got no response; the results of its attempts are given.",
+)
+CALL_FAILED = define(
+    10106,
+    "peer-call-failed",
+    logging.ERROR,
+    "The handling of another node's call raised an unexpected error.",
+)
--- /dev/null
+++ b/damaskproxy/forwarding/links.py
@@ -0,0 +1,426 @@
+"""Connections between nodes: many calls at once over one TCP connection."""
+
+import asyncio
+import itertools
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from damaskproxy.common.clock import boot_s
+from damaskproxy.directory import MemberRecord
+from damaskproxy.events import log_event
+from damaskproxy.forwarding import events
+from damaskproxy.forwarding.calls import (
+    Answer,
+    Call,
+    NotRun,
+    NotRunReason,
+    Result,
+    Unknown,
+)
+from damaskproxy.forwarding.frames import (
+    AnswerFrame,
+    AskFrame,
+    CancelFrame,
+    Frame,
+    FrameDecoder,
+    FrameError,
+    HelloFrame,
+    NotRunFrame,
+    RunFrame,
+    TellFrame,
+    TextTable,
+    UnknownFrame,
+    encode_frame,
+)
+from damaskproxy.http1.sockets import detect_silence
+
+__all__ = ["Link", "LinkHandlers", "Links"]
+
+logger = logging.getLogger(__name__)
+
+MS_PER_S = 1000
+CONNECT_TIMEOUT_S = 0.3
+"""Several round trips between regions; a member that needs longer is left out."""
+DELAY_WINDOW_S = 10.0
+"""Time after which the shortest delay seen is measured anew."""
+SENT_MS_MASK = 0x7FFFFFFF
+IDLE_CLOSE_S = 120.0
+
+
+@dataclass(frozen=True, slots=True)
+class LinkHandlers:
+    """What a link asks of its node.
+
+    Parameters
+    ----------
+    run : callable
+        Runs a call on the backend server.
+    configuration_version : callable
+        Returns the version in force.
+    answer_ask : callable
+        Returns what the peer does not know, None without anything.
+    learn : callable
+        Takes what the peer told.
+    """
+
+    run: Callable[[Call], Awaitable[Result]]
+    configuration_version: Callable[[], int]
+    answer_ask: Callable[[AskFrame], TellFrame | None]
+    learn: Callable[[TellFrame], None]
+
+
+class DelayMeter:
+    """Estimates how much longer than usual a frame was on its way."""
+
+    def __init__(self):
+        self._least_ms = self._next_least_ms = None
+        self._renew_s = 0.0
+
+    def delay_ms(self, sent_ms: int) -> int:
+        """Return the delay beyond the shortest seen of a frame that arrives now."""
+        now_s = boot_s()
+        offset_ms = (int(now_s * MS_PER_S) - sent_ms) & SENT_MS_MASK
+        if self._least_ms is None or now_s >= self._renew_s:
+            self._least_ms = (
+                offset_ms if self._next_least_ms is None else self._next_least_ms
+            )
+            self._next_least_ms = offset_ms
+            self._renew_s = now_s + DELAY_WINDOW_S
+        self._next_least_ms = min(self._next_least_ms, offset_ms)
+        self._least_ms = min(self._least_ms, offset_ms)
+        return offset_ms - self._least_ms
+
+
+class Link(asyncio.Protocol):
+    """One connection, with calls in both directions.
+
+    Parameters
+    ----------
+    handlers : LinkHandlers
+        Of this node.
+    volatile : frozenset of bytes
+        Lower-case names of headers whose values do not repeat.
+    hello : HelloFrame, optional
+        Sent first by the side that opens the connection.
+    """
+
+    def __init__(
+        self,
+        handlers: LinkHandlers,
+        volatile: frozenset[bytes],
+        hello: HelloFrame | None = None,
+        on_open: Callable[["Link"], None] = lambda link: None,
+        on_lost: Callable[["Link"], None] = lambda link: None,
+    ):
+        self.peer_id = ""
+        self.used_s = boot_s()
+        self.is_open = False
+        self._handlers = handlers
+        self._hello = hello
+        self._on_open = on_open
+        self._on_lost = on_lost
+        self._transport: asyncio.Transport | None = None
+        self._decoder = FrameDecoder()
+        self._sent, self._received = TextTable(volatile), TextTable(volatile)
+        self._delays = DelayMeter()
+        self._call_ids = itertools.count()
+        self._waiting: dict[int, asyncio.Future] = {}
+        self._running: dict[int, asyncio.Task] = {}
+        self._asked_version = 0
+
+    @property
+    def running_count(self) -> int:
+        """Calls of the peer that run here."""
+        return len(self._running)
+
+    def connection_made(self, transport):
+        """Take over the connection."""
+        self._transport = transport
+        self.is_open = True
+        detect_silence(transport)
+        if self._hello is not None:
+            self.write(self._hello)
+        self._on_open(self)
+
+    def connection_lost(self, exc):
+        """End the calls in both directions."""
+        self.is_open = False
+        for future in self._waiting.values():
+            if not future.done():
+                future.set_result(Unknown("the connection to the node was lost"))
+        for task in self._running.values():
+            task.cancel()
+        log_event(
+            logger, events.LINK_LOST, peer=self.peer_id, in_flight=len(self._waiting)
+        )
+        self._waiting.clear()
+        self._on_lost(self)
+
+    def data_received(self, data):
+        """Handle the frames of the peer."""
+        try:
+            for frame in self._decoder.feed(data):
+                self._handle(frame)
+        except FrameError as error:
+            log_event(logger, events.LINK_LOST, peer=self.peer_id, reason=str(error))
+            self._transport.abort()
+
+    def write(self, frame: Frame) -> None:
+        """Send a frame if the connection is open."""
+        if self.is_open and not self._transport.is_closing():
+            self._transport.write(encode_frame(frame))
+
+    def close(self) -> None:
+        """Close the connection after what was written."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def ask(self, frame: AskFrame) -> None:
+        """Ask the peer for news; the response goes to the handlers."""
+        self.write(frame)
+
+    async def run(self, call: Call) -> Result:
+        """Run `call` at the peer; cancelling it cancels it there."""
+        call_id = next(self._call_ids)
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[call_id] = future
+        self.used_s = boot_s()
+        self.write(self._run_frame(call_id, call))
+        if not self.is_open:
+            return NotRun(NotRunReason.PEER_UNREACHABLE)
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self.write(CancelFrame(call_id))
+            raise
+        finally:
+            self._waiting.pop(call_id, None)
+
+    def _run_frame(self, call_id: int, call: Call) -> RunFrame:
+        pack = self._sent.pack
+        return RunFrame(
+            call_id,
+            self._handlers.configuration_version(),
+            int(boot_s() * MS_PER_S) & SENT_MS_MASK,
+            pack(call.service.encode()),
+            pack(call.route.encode()),
+            pack(call.method),
+            call.target,
+            self._sent.pack_headers(call.headers),
+            call.body,
+            call.request_id,
+            pack(call.caller.encode()),
+            call.priority,
+            call.is_idempotent,
+            call.deadline_ms,
+        )
+
+    def _handle(self, frame: Frame) -> None:
+        if isinstance(frame, RunFrame):
+            self._start(frame)
+        elif isinstance(frame, (AnswerFrame, NotRunFrame, UnknownFrame)):
+            self._finish(frame)
+        elif isinstance(frame, CancelFrame):
+            task = self._running.get(frame.call_id)
+            if task is not None:
+                task.cancel()
+        elif isinstance(frame, AskFrame):
+            told = self._handlers.answer_ask(frame)
+            if told is not None:
+                self.write(told)
+        elif isinstance(frame, TellFrame):
+            self._handlers.learn(frame)
+        else:
+            self.peer_id = frame.node_id
+
+    def _start(self, frame: RunFrame) -> None:
+        self.used_s = boot_s()
+        unpack = self._received.unpack
+        delay_ms = self._delays.delay_ms(frame.sent_ms)
+        call = Call(
+            unpack(frame.service).decode(),
+            unpack(frame.route).decode(),
+            unpack(frame.method),
+            frame.target,
+            self._received.unpack_headers(frame.headers),
+            frame.body,
+            frame.request_id,
+            unpack(frame.caller).decode(),
+            frame.priority,
+            frame.is_idempotent,
+            max(0, frame.deadline_ms - delay_ms),
+        )
+        self._note_version(frame.configuration_version)
+        task = asyncio.get_running_loop().create_task(self._run_here(frame, call))
+        self._running[frame.call_id] = task
+
+    async def _run_here(self, frame: RunFrame, call: Call) -> None:
+        try:
+            result = await self._handlers.run(call)
+        except asyncio.CancelledError:
+            return
+        except Exception as error:
+            log_event(logger, events.CALL_FAILED, exc_info=True, peer=self.peer_id)
+            result = Unknown(f"internal error: {error}")
+        finally:
+            del self._running[frame.call_id]
+        self.write(self._result_frame(frame.call_id, result))
+
+    def _result_frame(self, call_id: int, result: Result) -> Frame:
+        version = self._handlers.configuration_version()
+        if isinstance(result, Answer):
+            headers = self._sent.pack_headers(result.headers)
+            return AnswerFrame(
+                call_id, version, result.status, headers, result.body, result.load
+            )
+        if isinstance(result, NotRun):
+            return NotRunFrame(
+                call_id,
+                version,
+                result.reason,
+                result.reached_backend,
+                result.retry_after_ms,
+                result.load,
+            )
+        return UnknownFrame(call_id, result.detail, result.load)
+
+    def _finish(self, frame: AnswerFrame | NotRunFrame | UnknownFrame) -> None:
+        if isinstance(frame, AnswerFrame):
+            # Unpacked also when nobody waits: it may number texts.
+            headers = self._received.unpack_headers(frame.headers)
+            result = Answer(frame.status, headers, frame.body, frame.load)
+            self._note_version(frame.configuration_version)
+        elif isinstance(frame, NotRunFrame):
+            result = NotRun(
+                frame.reason, frame.reached_backend, frame.retry_after_ms, frame.load
+            )
+            self._note_version(frame.configuration_version)
+        else:
+            result = Unknown(frame.detail, frame.load)
+        future = self._waiting.get(frame.call_id)
+        if future is not None and not future.done():
+            future.set_result(result)
+
+    def _note_version(self, version: int) -> None:
+        """Ask a peer with a newer configuration for it, once for each version."""
+        own = self._handlers.configuration_version()
+        if version > own and version > self._asked_version:
+            self._asked_version = version
+            self.write(AskFrame(own))
+
+
+class Links:
+    """Connections of this node to other nodes.
+
+    Parameters
+    ----------
+    node_id : str
+        Of this node.
+    handlers : LinkHandlers
+        Of this node.
+    volatile : frozenset of bytes
+        Lower-case names of headers whose values do not repeat.
+    """
+
+    def __init__(
+        self, node_id: str, handlers: LinkHandlers, volatile: frozenset[bytes]
+    ):
+        self._node_id = node_id
+        self._handlers = handlers
+        self._volatile = volatile
+        self._outgoing: dict[str, tuple[int, Link]] = {}
+        self._incoming: set[Link] = set()
+        self._opening: dict[str, asyncio.Task] = {}
+        self._server: asyncio.Server | None = None
+
+    @property
+    def running_count(self) -> int:
+        """Calls of other nodes that run here."""
+        links = [*self._incoming, *(link for _, link in self._outgoing.values())]
+        return sum(link.running_count for link in links)
+
+    async def listen(self, host: str, port: int) -> None:
+        """Accept connections of other nodes."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: Link(
+                self._handlers,
+                self._volatile,
+                on_open=self._incoming.add,
+                on_lost=self._incoming.discard,
+            ),
+            host,
+            port,
+            backlog=1024,
+        )
+
+    async def run(self, member: MemberRecord, call: Call) -> Result:
+        """Run `call` at `member`."""
+        link = await self.open(member)
+        if link is None:
+            return NotRun(NotRunReason.PEER_UNREACHABLE)
+        return await link.run(call)
+
+    async def open(self, member: MemberRecord) -> Link | None:
+        """Return the connection to `member`, None if it cannot be reached."""
+        known = self._outgoing.get(member.node_id)
+        if known is not None and known[1].is_open:
+            if known[0] == member.incarnation:
+                return known[1]
+            known[1].close()
+        task = self._opening.get(member.node_id)
+        if task is None:
+            task = asyncio.create_task(self._open(member))
+            self._opening[member.node_id] = task
+            task.add_done_callback(lambda _: self._opening.pop(member.node_id, None))
+        return await asyncio.shield(task)
+
+    def drop(self, member: MemberRecord) -> None:
+        """Close the connection to an earlier incarnation of `member`."""
+        known = self._outgoing.get(member.node_id)
+        if known is not None and known[0] != member.incarnation:
+            known[1].close()
+
+    def all_open(self) -> list[Link]:
+        """Return the open connections."""
+        outgoing = [link for _, link in self._outgoing.values()]
+        return [link for link in (*outgoing, *self._incoming) if link.is_open]
+
+    def close_idle(self) -> None:
+        """Close connections that carry no calls."""
+        oldest_s = boot_s() - IDLE_CLOSE_S
+        for _, link in list(self._outgoing.values()):
+            if link.used_s < oldest_s and not link.running_count:
+                link.close()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._server is not None:
+            self._server.close()
+        for link in self.all_open():
+            link.close()
+
+    async def _open(self, member: MemberRecord) -> Link | None:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, link = await loop.create_connection(
+                    lambda: Link(
+                        self._handlers, self._volatile, HelloFrame(self._node_id)
+                    ),
+                    member.host,
+                    member.port,
+                )
+        except (OSError, TimeoutError) as error:
+            log_event(
+                logger,
+                events.LINK_REFUSED,
+                peer=member.node_id,
+                reason=str(error) or "no answer in time",
+            )
+            return None
+        link.peer_id = member.node_id
+        self._outgoing[member.node_id] = (member.incarnation, link)
+        log_event(logger, events.LINK_OPENED, peer=member.node_id)
+        return link
--- /dev/null
+++ b/damaskproxy/forwarding/origin.py
@@ -0,0 +1,322 @@
+"""Serves the requests that begin on this machine."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from damaskproxy.common.clock import boot_s
+from damaskproxy.directory import ConfigurationBook, Directory, MemberRecord, Route
+from damaskproxy.events import log_event
+from damaskproxy.forwarding import events
+from damaskproxy.forwarding.calls import (
+    Answer,
+    Call,
+    NotRun,
+    NotRunReason,
+    Result,
+    Unknown,
+)
+from damaskproxy.forwarding.choosing import Chooser
+from damaskproxy.forwarding.crash_guard import CrashGuard
+from damaskproxy.forwarding.headers import HeaderNames
+from damaskproxy.forwarding.splitting import Splitter
+from damaskproxy.http1 import Request, Response, end_to_end, find_header
+from damaskproxy.retries import RetryRatio
+
+__all__ = ["Origin"]
+
+logger = logging.getLogger(__name__)
+
+MS_PER_S = 1000
+REFUSALS_MAX = 3
+"""Members that may refuse a call before it is refused; each costs a round trip."""
+RETRY_MIN_S = 0.02
+"""Time that must be left for a further attempt."""
+QUEUE_MARGIN_MS = 30
+"""A target gives up a waiting call so much before the origin does, so that the caller
+learns that it has not run."""
+RETRY_AFTER_MIN_S = 0.3
+RETRY_AFTER_SHARE = 0.3
+"""Share of a caller's time; callers do not wait longer than a third."""
+
+UNAVAILABLE_REASONS = frozenset(
+    {
+        NotRunReason.NO_BACKEND,
+        NotRunReason.OTHER_SERVICE,
+        NotRunReason.DRAINING,
+        NotRunReason.STOPPING,
+        NotRunReason.BACKEND_UNREACHABLE,
+        NotRunReason.PEER_UNREACHABLE,
+    }
+)
+"""Reasons for which a member refuses all calls for a while."""
+
+
+@dataclass(slots=True)
+class _Attempts:
+    """A request on its way, over all its attempts."""
+
+    call: Call
+    route: Route
+    deadline_s: float
+    tried: set[str] = field(default_factory=set)
+    reached: int = 0
+    refusals: int = 0
+    may_have_run: bool = False
+    failure: Answer | None = None
+    history: list[str] = field(default_factory=list)
+    last_refusal: NotRunReason = NotRunReason.NO_MEMBER
+
+
+class Origin:
+    """Routes requests, chooses members for them and repeats what may be repeated.
+
+    Parameters
+    ----------
+    node_id : str
+        Of this node.
+    service : callable
+        Returns the service beside this node.
+    configuration : ConfigurationBook
+        Routes in force.
+    directory : Directory
+        Members.
+    chooser : Chooser
+        Choice among them.
+    run_here : callable
+        Runs a call on the backend server beside this node.
+    run_there : callable
+        Runs a call at another member.
+    ratio : RetryRatio
+        Limit of further attempts for each service.
+    guard : CrashGuard
+        Requests that crash backend servers.
+    names : HeaderNames
+        Header names of the platform.
+    rng : random.Random
+        Spreads the times of resends.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        service: Callable[[], str],
+        configuration: ConfigurationBook,
+        directory: Directory,
+        chooser: Chooser,
+        run_here: Callable[[Call], Awaitable[Result]],
+        run_there: Callable[[MemberRecord, Call], Awaitable[Result]],
+        ratio: RetryRatio,
+        guard: CrashGuard,
+        names: HeaderNames,
+        rng: random.Random,
+    ):
+        self._node_id = node_id
+        self._service = service
+        self._configuration = configuration
+        self._directory = directory
+        self._chooser = chooser
+        self._run_here = run_here
+        self._run_there = run_there
+        self._ratio = ratio
+        self._guard = guard
+        self._names = names
+        self._rng = rng
+        self._splitter = Splitter()
+        self._set_here = frozenset(
+            names.lower(name)
+            for name in ("request_id", "deadline_ms", "caller", "target_instance")
+        )
+        configuration.on_change(lambda _: self._splitter.reset())
+
+    async def handle(self, request: Request) -> Response:
+        """Return the response to a request of this machine."""
+        configuration = self._configuration.current
+        request_id = find_header(request.headers, self._names.lower("request_id"))
+        if configuration is None:
+            return self._refuse(
+                request_id or b"", NotRunReason.NO_CONFIGURATION, RETRY_AFTER_MIN_S
+            )
+        route = configuration.match(_host(request), _path(request))
+        if route is None:
+            return Response(404)
+        if request_id is None:
+            return Response(400, body=b"the request has no id")
+        budget_ms = self._budget_ms(request, route)
+        if budget_ms <= 0:
+            return self._refuse(request_id, NotRunReason.DEADLINE_PASSED, 0.0)
+        attempts = _Attempts(
+            self._make_call(request, request_id, route, budget_ms),
+            route,
+            boot_s() + budget_ms / MS_PER_S,
+        )
+        try:
+            async with asyncio.timeout(budget_ms / MS_PER_S):
+                response = await self._attempt_all(attempts)
+        except TimeoutError:
+            attempts.history.append("timeout")
+            response = Response(504)
+        if response.status in (502, 503, 504):
+            self._log_failure(attempts, response.status)
+        response.headers.append((self._names.request_id, request_id))
+        return response
+
+    def _budget_ms(self, request: Request, route: Route) -> int:
+        text = find_header(request.headers, self._names.lower("deadline_ms"))
+        if text is None or not text.isdigit():
+            return route.timeout_ms
+        return min(int(text[:12]), route.timeout_ms)
+
+    def _make_call(
+        self, request: Request, request_id: bytes, route: Route, budget_ms: int
+    ) -> Call:
+        return Call(
+            self._splitter.next_service(route),
+            route.name,
+            request.method,
+            request.target,
+            end_to_end(request.headers, self._set_here),
+            request.body,
+            request_id,
+            self._service(),
+            route.priority,
+            route.is_idempotent,
+            budget_ms,
+        )
+
+    async def _attempt_all(self, attempts: _Attempts) -> Response:
+        call = attempts.call
+        self._ratio.first_attempt(call.service)
+        if self._guard.is_quarantined(call):
+            attempts.last_refusal = NotRunReason.QUARANTINED
+            return self._give_up(attempts)
+        while (member := self._next_member(attempts)) is not None:
+            result = await self._send(member, attempts)
+            if isinstance(result, Answer):
+                if result.status < 500 or not call.is_idempotent:
+                    return Response(result.status, result.headers, result.body)
+                attempts.failure = result
+                attempts.reached += 1
+            elif isinstance(result, NotRun):
+                self._note_refusal(attempts, member, result)
+                if result.reason is NotRunReason.QUARANTINED:
+                    break
+            else:
+                attempts.reached += 1
+                attempts.may_have_run = True
+                if not call.is_idempotent:
+                    break
+        return self._give_up(attempts)
+
+    def _next_member(self, attempts: _Attempts) -> MemberRecord | None:
+        """Return the member of the next attempt, None when there is none left."""
+        service = attempts.call.service
+        if attempts.reached >= attempts.route.max_attempts:
+            return None
+        if attempts.refusals >= REFUSALS_MAX:
+            return None
+        if attempts.tried and attempts.deadline_s - boot_s() < RETRY_MIN_S:
+            return None
+        members = self._directory.serving(service)
+        member = self._chooser.choose(members, attempts.tried)
+        if member is None:
+            return None
+        if attempts.reached and not self._ratio.allow(service):
+            attempts.history.append(NotRunReason.RETRY_BUDGET)
+            return None
+        return member
+
+    async def _send(self, member: MemberRecord, attempts: _Attempts) -> Result:
+        """Run one attempt and tell the chooser how it went."""
+        attempts.tried.add(member.node_id)
+        remaining_ms = int((attempts.deadline_s - boot_s()) * MS_PER_S)
+        call = msgspec.structs.replace(
+            attempts.call, deadline_ms=max(remaining_ms - QUEUE_MARGIN_MS, 1)
+        )
+        started_s = boot_s()
+        result = None
+        self._chooser.started(member)
+        try:
+            if member.node_id == self._node_id:
+                result = await self._run_here(call)
+            else:
+                result = await self._run_there(member, call)
+        finally:
+            self._chooser.finished(member, result, boot_s() - started_s)
+            attempts.history.append(f"{member.node_id}: {_describe(result)}")
+        return result
+
+    def _note_refusal(
+        self, attempts: _Attempts, member: MemberRecord, result: NotRun
+    ) -> None:
+        attempts.last_refusal = result.reason
+        if result.reached_backend:
+            attempts.reached += 1
+        else:
+            attempts.refusals += 1
+        if result.reason in UNAVAILABLE_REASONS:
+            self._chooser.unavailable(member)
+
+    def _give_up(self, attempts: _Attempts) -> Response:
+        failure = attempts.failure
+        if failure is not None:
+            return Response(failure.status, failure.headers, failure.body)
+        if attempts.may_have_run:
+            return Response(502)
+        remaining_s = attempts.deadline_s - boot_s()
+        longest_s = max(remaining_s * RETRY_AFTER_SHARE, 0.0)
+        wait_s = min(longest_s, RETRY_AFTER_MIN_S * (1 + self._rng.random()))
+        return self._not_run_response(wait_s)
+
+    def _refuse(
+        self, request_id: bytes, reason: NotRunReason, wait_s: float
+    ) -> Response:
+        log_event(
+            logger,
+            events.REQUEST_NOT_SERVED,
+            request_id=request_id.decode("latin-1"),
+            status=503,
+            reason=reason,
+        )
+        return self._not_run_response(wait_s)
+
+    def _not_run_response(self, wait_s: float) -> Response:
+        headers = [(b"Retry-After", b"%.2f" % wait_s)] if wait_s > 0 else []
+        return Response(503, headers)
+
+    def _log_failure(self, attempts: _Attempts, status: int) -> None:
+        log_event(
+            logger,
+            events.REQUEST_NOT_SERVED,
+            request_id=attempts.call.request_id.decode("latin-1"),
+            route=attempts.route.name,
+            service=attempts.call.service,
+            status=status,
+            reason=attempts.last_refusal,
+            attempts=attempts.history,
+            budget_ms=attempts.call.deadline_ms,
+            configuration_version=self._configuration.version,
+        )
+
+
+def _host(request: Request) -> str:
+    host = find_header(request.headers, b"host") or b""
+    return host.decode("latin-1").partition(":")[0].lower()
+
+
+def _path(request: Request) -> str:
+    return request.target.decode("latin-1").partition("?")[0]
+
+
+def _describe(result: Result | None) -> str:
+    if isinstance(result, Answer):
+        return f"status {result.status}"
+    if isinstance(result, NotRun):
+        return f"not run, {result.reason}"
+    if isinstance(result, Unknown):
+        return f"unknown, {result.detail}"
+    return "given up"
--- /dev/null
+++ b/damaskproxy/forwarding/target.py
@@ -0,0 +1,274 @@
+"""Runs calls on the backend server beside this node."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from damaskproxy.admission import AdmissionController, Permit, Ticket
+from damaskproxy.common import Outcome, Priority, Refusal, RefusalReason, ordinal_of
+from damaskproxy.common.clock import boot_s
+from damaskproxy.events import log_event
+from damaskproxy.forwarding import events
+from damaskproxy.forwarding.backend import Backend
+from damaskproxy.forwarding.calls import (
+    Answer,
+    Call,
+    LoadReport,
+    NotRun,
+    NotRunReason,
+    Result,
+    Unknown,
+)
+from damaskproxy.forwarding.crash_guard import CrashGuard, digest_of
+from damaskproxy.forwarding.headers import HeaderNames
+from damaskproxy.http1 import (
+    ConnectFailed,
+    ConnectionPool,
+    ExchangeLost,
+    Request,
+    Response,
+    end_to_end,
+    find_header,
+)
+
+__all__ = ["Target"]
+
+logger = logging.getLogger(__name__)
+
+MS_PER_S = 1000
+NON_IDEMPOTENT_IDLE_SHARE = 0.5
+"""A kept connection may break as a request is sent on it, and a non-idempotent one
+cannot be sent again; a recently used connection rarely does."""
+CRASH_CHECK_S = 0.02
+"""The connections of a crashed server break together, within a round trip."""
+CRASH_PROBE_TIMEOUT_S = 0.3
+
+REJECTED_STATUSES = frozenset({400, 421, 429, 503})
+
+
+class Target:
+    """The backend server beside this node and the admission to it.
+
+    Parameters
+    ----------
+    backend : Backend
+        Its state.
+    pool : ConnectionPool
+        Connections to it.
+    names : HeaderNames
+        Header names of the platform.
+    guard : CrashGuard
+        Requests that crash backend servers.
+    make_admission : callable
+        Returns an admission controller for a number of slots.
+
+    Attributes
+    ----------
+    in_flight : int
+        Calls that run on the backend server.
+    is_stopping : bool
+        Whether the node takes no further calls.
+    """
+
+    def __init__(
+        self,
+        backend: Backend,
+        pool: ConnectionPool,
+        names: HeaderNames,
+        guard: CrashGuard,
+        make_admission: Callable[[int], AdmissionController],
+    ):
+        self.in_flight = 0
+        self.is_stopping = False
+        self._backend = backend
+        self._pool = pool
+        self._names = names
+        self._guard = guard
+        self._make_admission = make_admission
+        self._admission: AdmissionController | None = None
+        self._lifetime: tuple = ()
+        self._lost: list[Call] = []
+        self._crash_check: asyncio.Task | None = None
+        # The origin knows the id; sending it back would cost bytes between nodes.
+        self._not_returned = frozenset(
+            {names.lower("not_executed"), names.lower("request_id")}
+        )
+
+    async def run(self, call: Call) -> Result:
+        """Run `call` when there is room; cancelling it tells the backend server."""
+        deadline_s = boot_s() + call.deadline_ms / MS_PER_S
+        refusal = self._refusal(call)
+        if refusal is not None:
+            return refusal
+        admission = self._admission
+        ticket = Ticket(
+            _priority(call.priority),
+            ordinal_of(call.request_id.decode("latin-1")),
+            call.route,
+            deadline_s,
+        )
+        permit = admission.try_acquire(ticket)
+        if permit is None:
+            permit = await admission.acquire(ticket, counted=True)
+        if not isinstance(permit, Permit):
+            return self._not_run(_reason(permit), retry_after_ms=permit.retry_after_ms)
+        started_s = boot_s()
+        result = None
+        try:
+            # The wait may have been long enough for the backend server to leave.
+            result = self._refusal(call) or await self._send(call, deadline_s)
+        finally:
+            admission.release(
+                permit,
+                elapsed_s=boot_s() - started_s,
+                ok=isinstance(result, Answer),
+            )
+        result.load = self.load()
+        return result
+
+    def load(self) -> LoadReport | None:
+        """Return the load that goes back with each result."""
+        if self._admission is None:
+            return None
+        load = self._admission.load()
+        return LoadReport(
+            load.in_flight, load.queued, int(load.limit), int(load.latency_ms)
+        )
+
+    def follow_backend(self) -> None:
+        """Follow a change of the backend server."""
+        record = self._backend.record
+        if record is None:
+            return
+        lifetime = (record.instance_id, record.born_ms)
+        if lifetime != self._lifetime:
+            self._lifetime = lifetime
+            if self._admission is None:
+                self._admission = self._make_admission(record.slots)
+        self._admission.set_slots(record.slots)
+        if not self._backend.is_serving:
+            self.refuse_waiting(RefusalReason.LEAVING)
+
+    def refuse_waiting(self, reason: RefusalReason) -> None:
+        """Refuse the calls that wait, so that they can run elsewhere."""
+        if self._admission is not None:
+            refusal = Refusal(reason, Outcome.NOT_RUN)
+            self._admission.refuse_waiting(refusal)
+
+    def _refusal(self, call: Call) -> NotRun | None:
+        record = self._backend.record
+        if self.is_stopping:
+            return self._not_run(NotRunReason.STOPPING)
+        if record is None:
+            return self._not_run(NotRunReason.NO_BACKEND)
+        if record.service != call.service:
+            return self._not_run(NotRunReason.OTHER_SERVICE)
+        if not self._backend.is_serving:
+            return self._not_run(NotRunReason.DRAINING)
+        if not self._backend.is_reachable:
+            return self._not_run(NotRunReason.BACKEND_UNREACHABLE)
+        if self._guard.is_quarantined(call):
+            return self._not_run(NotRunReason.QUARANTINED)
+        return None
+
+    def _not_run(self, reason: NotRunReason, retry_after_ms: int = 0) -> NotRun:
+        return NotRun(reason, False, retry_after_ms, self.load())
+
+    async def _send(self, call: Call, deadline_s: float) -> Result:
+        names = self._names
+        remaining_ms = int((deadline_s - boot_s()) * MS_PER_S)
+        if remaining_ms <= 0:
+            return NotRun(NotRunReason.DEADLINE_PASSED)
+        record = self._backend.record
+        headers = [
+            *call.headers,
+            (names.request_id, call.request_id),
+            (names.deadline_ms, b"%d" % remaining_ms),
+            (names.caller, call.caller.encode()),
+            (names.target_instance, record.instance_id.encode()),
+        ]
+        request = Request(call.method, call.target, headers, call.body)
+        self.in_flight += 1
+        try:
+            response = await self._pool.exchange(
+                request,
+                accept=self._make_accept(call.request_id),
+                idle_share=1.0 if call.is_idempotent else NON_IDEMPOTENT_IDLE_SHARE,
+            )
+        except ConnectFailed:
+            self._backend.connection_refused()
+            return NotRun(NotRunReason.BACKEND_UNREACHABLE)
+        except ExchangeLost as error:
+            self._note_loss(call)
+            return Unknown(str(error))
+        finally:
+            self.in_flight -= 1
+        return self._classify(response)
+
+    def _make_accept(self, request_id: bytes):
+        names = self._names
+        id_name = names.lower("request_id")
+
+        def accept(response: Response) -> bool:
+            echoed = find_header(response.headers, id_name)
+            if echoed is not None:
+                return echoed == request_id
+            return response.status in REJECTED_STATUSES
+
+        return accept
+
+    def _classify(self, response: Response) -> Result:
+        names, headers = self._names, response.headers
+        is_rejected = find_header(headers, names.lower("not_executed")) is not None
+        if is_rejected or response.status == 421:
+            return NotRun(NotRunReason.BACKEND_REJECTED, reached_backend=True)
+        if find_header(headers, b"content-encoding") is not None:
+            return Unknown("the response is encoded although that was not asked for")
+        is_stamped = find_header(headers, names.lower("stamp")) is not None
+        if not is_stamped and response.status < 500:
+            return Unknown(f"status {response.status} without a MAC")
+        headers = end_to_end(headers, self._not_returned)
+        return Answer(response.status, headers, response.body)
+
+    def _note_loss(self, call: Call) -> None:
+        self._lost.append(call)
+        if self._crash_check is None:
+            self._crash_check = asyncio.create_task(self._check_crash())
+
+    async def _check_crash(self) -> None:
+        """Tell a crash, which breaks all connections, from one broken response."""
+        try:
+            await asyncio.sleep(CRASH_CHECK_S)
+            lost, self._lost = self._lost, []
+            if self.in_flight or await self._is_listening():
+                return
+            self._backend.connection_refused()
+            log_event(logger, events.BACKEND_CRASHED, in_flight=len(lost))
+            self._guard.crashed([digest_of(call) for call in lost])
+        finally:
+            self._crash_check = None
+
+    async def _is_listening(self) -> bool:
+        address = self._pool.address
+        try:
+            async with asyncio.timeout(CRASH_PROBE_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(address.host, address.port)
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return True
+
+
+def _priority(rank: int) -> Priority:
+    return Priority(min(max(rank, 0), max(Priority)))
+
+
+def _reason(refusal: Refusal) -> NotRunReason:
+    if refusal.reason is RefusalReason.LEAVING:
+        return NotRunReason.DRAINING
+    if refusal.reason in (
+        RefusalReason.DEADLINE_PASSED,
+        RefusalReason.OVERLOAD_DEADLINE,
+    ):
+        return NotRunReason.DEADLINE_PASSED
+    return NotRunReason.OVERLOAD
--- /dev/null
+++ b/damaskproxy/forwarding/tests/test_decisions.py
@@ -0,0 +1,216 @@
+"""Choice of members, splits, repeated crashes and the texts of a connection."""
+
+import random
+import unittest
+from unittest import mock
+
+import msgspec
+from nose2.tools import params
+
+from damaskproxy.forwarding import Chooser, CrashGuard, choosing
+from damaskproxy.forwarding.calls import (
+    Answer,
+    LoadReport,
+    NotRun,
+    NotRunReason,
+    Unknown,
+)
+from damaskproxy.forwarding.crash_guard import digest_of
+from damaskproxy.forwarding.frames import FrameDecoder, FrameError, TextTable
+from damaskproxy.forwarding.links import DelayMeter
+from damaskproxy.forwarding.splitting import Splitter
+from damaskproxy.forwarding.tests.builders import make_call, make_member, make_route
+
+NEAR = make_member("near", "a")
+FAR = make_member("far", "b")
+
+
+def ok(in_flight=0, queued=0):
+    """Return a successful answer with a load report."""
+    return Answer(200, [], b"", LoadReport(in_flight, queued, 4, 10))
+
+
+class ChooserTests(unittest.TestCase):
+    """Guards against work for full, failing or unreachable members."""
+
+    def setUp(self):
+        self.now_s = 100.0
+        patch = mock.patch.object(choosing, "boot_s", lambda: self.now_s)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.chooser = Chooser("a", random.Random(1))
+
+    def choose(self, avoid=()):
+        found = self.chooser.choose([FAR, NEAR], set(avoid))
+        return found.node_id if found else None
+
+    def finish(self, member, result, times=1):
+        for _ in range(times):
+            self.chooser.started(member)
+            self.chooser.finished(member, result, 0.01)
+
+    @params(
+        ("idle", ok(), 1, "near"),
+        ("half busy", ok(2), 1, "far"),
+        ("full", ok(4, 3), 1, "far"),
+        ("failing", Answer(500, [], b""), 3, "far"),
+        ("losing answers", Unknown("x"), 3, "far"),
+        ("rejecting", NotRun(NotRunReason.BACKEND_REJECTED, True), 3, "far"),
+        ("refusing at the node", NotRun(NotRunReason.OVERLOAD), 3, "near"),
+    )
+    def test_near_member_is_used_while_it_is_fit(self, name, result, times, chosen):
+        self.finish(NEAR, result, times)
+        self.assertEqual(self.choose(), chosen, name)
+
+    def test_calls_on_their_way_count(self):
+        for _ in range(3):
+            self.chooser.started(NEAR)
+        self.assertEqual(self.choose(), "far")
+
+    def test_tried_members_are_avoided(self):
+        self.assertEqual(self.choose({"near"}), "far")
+        self.assertIsNone(self.choose({"near", "far"}))
+
+    def test_unreachable_member_is_tried_again_after_growing_pauses(self):
+        pauses = []
+        for _ in range(4):
+            self.chooser.unavailable(NEAR)
+            began_s = self.now_s
+            while self.choose() == "far":
+                self.now_s += 0.05
+            pauses.append(round(self.now_s - began_s, 2))
+        self.assertEqual(pauses, sorted(pauses))
+        self.assertGreater(pauses[-1], 3 * pauses[0])
+        self.chooser.forget("near")
+        self.chooser.unavailable(NEAR)
+        self.chooser.forget("near")
+        self.assertEqual(self.choose(), "near")
+
+    def test_failures_are_forgotten(self):
+        self.finish(NEAR, Unknown("x"), 5)
+        self.assertEqual(self.choose(), "far")
+        self.now_s += 20
+        self.assertEqual(self.choose(), "near")
+
+
+class SplitterTests(unittest.TestCase):
+    """Guards against shares that are off their weights."""
+
+    @params(((90, 10),), ((1, 1, 1),), ((5, 0, 15),), ((0.3, 0.7),))
+    def test_every_run_of_requests_has_the_shares(self, weights):
+        services = tuple((f"s{i}", float(w)) for i, w in enumerate(weights))
+        route, splitter = make_route(services=services), Splitter()
+        chosen = [splitter.next_service(route) for _ in range(200)]
+        for begin in (0, 37, 100):
+            part = chosen[begin : begin + 100]
+            for service, weight in services:
+                share = part.count(service) / len(part)
+                self.assertAlmostEqual(share, weight / sum(weights), delta=0.02)
+
+
+class CrashGuardTests(unittest.TestCase):
+    """Guards against a request that takes one backend server after the other down."""
+
+    POISON = make_call(target=b"/poison")
+
+    def setUp(self):
+        self.now_s = 1000.0
+        self.announced = 0
+        self.guard = CrashGuard(self.announce, lambda: self.now_s)
+
+    def announce(self):
+        self.announced += 1
+
+    def crash(self, *calls):
+        digests = [digest_of(call) for call in calls]
+        self.guard.crashed(digests)
+
+    def test_request_at_two_crashes_is_quarantined(self):
+        self.crash(self.POISON, make_call())
+        self.assertFalse(self.guard.is_quarantined(self.POISON))
+        self.crash(self.POISON, make_call(target=b"/other"))
+        self.assertTrue(self.guard.is_quarantined(self.POISON))
+        self.assertFalse(self.guard.is_quarantined(make_call()))
+        self.assertEqual(self.announced, 2)
+
+    @params(
+        ({"request_id": b"again"}, True),
+        ({"deadline_ms": 5}, True),
+        ({"headers": []}, True),
+        ({"caller": "tracking"}, False),
+        ({"body": b"x"}, False),
+        ({"target": b"/poison?x"}, False),
+    )
+    def test_identity_is_path_caller_and_body(self, changes, is_same):
+        self.crash(self.POISON)
+        self.crash(self.POISON)
+        call = msgspec.structs.replace(self.POISON, **changes)
+        self.assertEqual(self.guard.is_quarantined(call), is_same)
+
+    def test_crashes_of_other_nodes_count(self):
+        self.crash(self.POISON)
+        crash = (int(self.now_s * 1000), (digest_of(self.POISON),))
+        self.guard.learn(make_member("n2", crashes=(crash,)))
+        self.assertTrue(self.guard.is_quarantined(self.POISON))
+
+    def test_quarantine_ends(self):
+        self.crash(self.POISON)
+        self.crash(self.POISON)
+        self.now_s += 121
+        self.assertFalse(self.guard.is_quarantined(self.POISON))
+
+
+class TextTableTests(unittest.TestCase):
+    """Guards against headers that change between nodes."""
+
+    HEADERS = [
+        (b"Host", b"h"),
+        (b"X-Id", b"1"),
+        (b"Empty", b""),
+        (b"Zero", b"a\0b"),
+        (b"Long", b"x" * 100),
+    ]
+
+    def test_headers_travel_unchanged_and_repeated_ones_as_numbers(self):
+        sender, receiver = (TextTable(frozenset({b"x-id"})) for _ in range(2))
+        for _ in range(3):
+            packed = sender.pack_headers(self.HEADERS)
+            self.assertEqual(receiver.unpack_headers(packed), self.HEADERS)
+        self.assertEqual(packed[0], 0)
+        self.assertEqual(packed[1][1], b"1")
+
+    def test_full_table_still_carries_new_texts(self):
+        sender, receiver = TextTable(frozenset()), TextTable(frozenset())
+        for number in range(1500):
+            text = b"text-%d" % (number % 700)
+            self.assertEqual(receiver.unpack(sender.pack(text)), text)
+
+    def test_unknown_number_is_an_error(self):
+        with self.assertRaises(FrameError):
+            TextTable(frozenset()).unpack(7)
+
+    @params(b"\xff\xff\xff\xff", b"\0\0\0\1\xc1", b"\0\0\0\2\x91\x63")
+    def test_damaged_stream_is_an_error(self, data):
+        with self.assertRaises(FrameError):
+            FrameDecoder().feed(data)
+
+
+class DelayMeterTests(unittest.TestCase):
+    """Guards against a time budget that does not count the time on the way."""
+
+    @params(
+        ("steady", [5, 5, 5], [0, 0, 0]),
+        ("delayed", [5, 805, 5], [0, 800, 0]),
+        ("shorter way found", [9, 5, 9], [0, 0, 4]),
+    )
+    def test_delay_beyond_the_shortest_is_measured(self, name, ways_ms, delays_ms):
+        meter = DelayMeter()
+        found = []
+        for number, way_ms in enumerate(ways_ms):
+            sent_ms = 1_000_000 + number * 100
+            arrived_s = (sent_ms + 4_000_000 + way_ms) / 1000
+            with mock.patch(
+                "damaskproxy.forwarding.links.boot_s", lambda s=arrived_s: s
+            ):
+                found.append(meter.delay_ms(sent_ms))
+        self.assertEqual(found, delays_ms, name)
