--- /dev/null
+++ b/damaskproxy/platform/control.py
@@ -0,0 +1,113 @@
+"""Interfaces that the platform and the backend server call."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from urllib.parse import unquote
+
+from damaskproxy.events import log_event
+from damaskproxy.forwarding import Backend
+from damaskproxy.http1 import Request, Response
+from damaskproxy.platform import events
+from damaskproxy.platform.messages import (
+    MessageError,
+    decode_born_ms,
+    decode_report,
+)
+
+__all__ = ["make_control_handler", "make_readiness_handler"]
+
+logger = logging.getLogger(__name__)
+
+INSTANCES_PATH = "/api/instances/"
+READINESS_PATH = "/api/readiness"
+STATE_PATH = "/damask/state"
+STORE_WAIT_S = 0.6
+"""Longest wait of a leaving backend server for the store; it gives up after 1 s."""
+
+
+def make_control_handler(
+    backend: Backend,
+    address: str,
+    knows_service: Callable[[str], bool],
+    stored: Callable[[], Awaitable[None]],
+    encoded_state: Callable[[], bytes],
+):
+    """Return the handler of status reports and of starting nodes.
+
+    Parameters
+    ----------
+    backend : Backend
+        State of the backend server.
+    address : str
+        Of the backend server.
+    knows_service : callable
+        Tells whether the configuration names a service.
+    stored : callable
+        Waits until the newest record of this node is in the store.
+    encoded_state : callable
+        Returns configuration and members for a starting node.
+    """
+
+    async def handle(request: Request) -> Response:
+        path = request.target.decode("latin-1").partition("?")[0]
+        if path == STATE_PATH and request.method == b"GET":
+            return Response(200, body=encoded_state())
+        if not path.startswith(INSTANCES_PATH):
+            return Response(404)
+        instance_id = unquote(path.removeprefix(INSTANCES_PATH))
+        if request.method == b"PUT":
+            return await report(instance_id, request.body)
+        if request.method == b"DELETE":
+            backend.leave(instance_id, decode_born_ms(request.body))
+            await stored_soon()
+            return _json(200, b"{}")
+        return Response(404)
+
+    async def report(instance_id: str, body: bytes) -> Response:
+        try:
+            status = decode_report(instance_id, body, address)
+            if not knows_service(status.service):
+                raise MessageError(f"unknown service {status.service!r}")
+        except MessageError as error:
+            log_event(
+                logger,
+                events.REPORT_IGNORED,
+                instance_id=instance_id,
+                reason=str(error),
+            )
+            return Response(400)
+        if not backend.report(status):
+            log_event(
+                logger,
+                events.REPORT_IGNORED,
+                instance_id=instance_id,
+                reason="a newer report or another lifetime is known",
+                sequence=status.sequence,
+            )
+        elif status.is_draining:
+            await stored_soon()
+        return _json(200, b"{}")
+
+    async def stored_soon() -> None:
+        """Let the store keep what is confirmed; without it, this process does."""
+        try:
+            async with asyncio.timeout(STORE_WAIT_S):
+                await stored()
+        except TimeoutError:
+            log_event(logger, events.CONFIRMED_UNSTORED)
+
+    return handle
+
+
+def make_readiness_handler(is_ready: Callable[[], bool]):
+    """Return the handler of the platform's health check."""
+
+    async def handle(request: Request) -> Response:
+        return Response(200 if is_ready() else 503)
+
+    return handle
+
+
+def _json(status: int, body: bytes) -> Response:
+    return Response(status, [(b"Content-Type", b"application/json")], body)
--- /dev/null
+++ b/damaskproxy/platform/headers.py
@@ -0,0 +1,20 @@
+"""Header names of the platform."""
+
+from damaskproxy.forwarding import HeaderNames
+
+__all__ = ["HEADERS", "VOLATILE_HEADERS"]
+
+HEADERS = HeaderNames(
+    request_id=b"X-Damaskproxy-Request-Id",
+    deadline_ms=b"X-Damaskproxy-Deadline-Ms",
+    caller=b"X-Damaskproxy-Caller-Service",
+    target_instance=b"X-Damaskproxy-Target-Instance",
+    not_executed=b"X-Damaskproxy-Not-Executed",
+    stamp=b"X-Damaskproxy-Server-Stamp",
+    instance=b"X-Damaskproxy-Instance-Id",
+)
+
+VOLATILE_HEADERS = frozenset(
+    {HEADERS.lower("request_id"), HEADERS.lower("stamp"), b"date"}
+)
+"""Headers that have another value in each message."""
--- /dev/null
+++ b/damaskproxy/platform/tests/test_sync.py
@@ -0,0 +1,155 @@
+"""A store that is dark, slow, forgetful or loses its answers."""
+
+import asyncio
+import random
+import unittest
+from unittest import mock
+
+import msgspec
+from nose2.tools import params
+
+from damaskproxy.directory import ConfigurationBook, Directory, MemberRecord
+from damaskproxy.platform import (
+    OwnRow,
+    RowStore,
+    StoreWatch,
+    store as store_module,
+    sync,
+)
+from damaskproxy.platform.messages import decode_member, encode_member
+from damaskproxy.platform.sync import MEMBER_TABLE
+from damaskproxy.sidecar.settings import to_address
+from damaskproxy.standins.rows import RowStoreStandIn
+
+
+def configuration(version):
+    """Return an encoded configuration without routes."""
+    body = {"version": version, "routes": {}, "services": {}}
+    return msgspec.json.encode(body)
+
+
+def record(node_id, version=1, incarnation=1):
+    """Return a member record."""
+    return MemberRecord(node_id, incarnation, version, "a", "10.0.0.1", 1)
+
+
+class SyncTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against a view of the mesh that stays behind the store."""
+
+    async def asyncSetUp(self):
+        for module, name, value in (
+            (sync, "RETRY_MIN_S", 0.01),
+            (sync, "RETRY_MAX_S", 0.02),
+            (sync, "CONFIGURATION_WAIT_MS", 100),
+            (sync, "MEMBERS_WAIT_MS", 100),
+            (store_module, "READ_TIMEOUT_S", 0.1),
+            (store_module, "FEED_GRACE_S", 0.05),
+        ):
+            patch = mock.patch.object(module, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.rows = RowStoreStandIn()
+        self.store = RowStore(to_address(await self.rows.open()))
+        self.book, self.directory = ConfigurationBook(), Directory()
+        rng = random.Random(1)
+        self.watch = StoreWatch(self.store, self.book, self.directory, "n1", rng)
+        self.spread = []
+        self.own = OwnRow(self.store, self.watch, self.spread.append, rng)
+        self.tasks = [
+            asyncio.create_task(step())
+            for step in (
+                self.watch.follow_configuration,
+                self.watch.follow_members,
+                self.own.keep_written,
+            )
+        ]
+
+    async def asyncTearDown(self):
+        for task in self.tasks:
+            task.cancel()
+        self.store.close()
+        await self.rows.close()
+
+    async def until(self, condition):
+        """Wait until `condition` holds."""
+        async with asyncio.timeout(5):
+            while not condition():  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+
+    async def test_each_new_configuration_comes_into_force(self):
+        for version in (3, 9, 10):
+            self.rows.put("op", "config", configuration(version))
+            await self.until(lambda v=version: self.book.version == v)
+
+    @params(("unreadable", b"\xff"), ("older", configuration(2)))
+    async def test_bad_configuration_changes_nothing(self, name, value):
+        self.rows.put("op", "config", configuration(5))
+        await self.until(lambda: self.book.version == 5)
+        self.rows.put("op", "config", value)
+        self.rows.put("op", "other", configuration(8))
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.book.version, 5, name)
+        self.rows.put("op", "config", configuration(6))
+        await self.until(lambda: self.book.version == 6)
+
+    @params(503, 429, 0)
+    async def test_store_that_was_dark_is_followed_again(self, status):
+        self.rows.put("op", "config", configuration(1))
+        await self.until(lambda: self.book.version == 1)
+        self.rows.status = status
+        self.rows.put("op", "config", configuration(2))
+        await self.until(lambda: self.watch.is_dark)
+        self.rows.status = 200
+        self.rows.put("op", "config", configuration(3))
+        await self.until(lambda: self.book.version == 3 and not self.watch.is_dark)
+
+    async def test_lost_history_is_read_anew_and_dropped_members_go(self):
+        self.rows.put(MEMBER_TABLE, "n2", encode_member(record("n2")))
+        self.rows.put(MEMBER_TABLE, "n3", encode_member(record("n3")))
+        await self.until(lambda: len(self.directory) == 2)
+        self.rows.status = 503
+        await self.until(lambda: self.watch.is_dark)
+        self.rows.drop(MEMBER_TABLE, "n2")
+        self.rows.put(MEMBER_TABLE, "n4", encode_member(record("n4")))
+        self.rows.oldest_version = self.rows.version
+        self.rows.version += 1
+        self.rows.oldest_version = self.rows.version
+        self.rows.status = 200
+        names = {"n3", "n4"}
+        await self.until(lambda: {r.node_id for r in self.directory.records()} == names)
+
+    async def test_row_of_another_writer_is_ignored(self):
+        self.rows.put(MEMBER_TABLE, "bad", b"\x00")
+        self.rows.put(MEMBER_TABLE, "n9", encode_member(record("n8")))
+        self.rows.put(MEMBER_TABLE, "n2", encode_member(record("n2")))
+        await self.until(lambda: self.directory.get("n2") is not None)
+        self.assertEqual(len(self.directory), 1)
+
+    @params(0, 1, 3)
+    async def test_own_row_is_written_although_answers_are_lost(self, lost):
+        self.rows.lost_writes = lost
+        for version in (1, 2, 3):
+            self.own.publish(record("n1", version))
+            await asyncio.sleep(0.02)
+        await self.until(lambda: self.rows.get(MEMBER_TABLE, "n1") is not None)
+        async with asyncio.timeout(5):
+            await self.own.stored()
+        stored = decode_member(self.rows.get(MEMBER_TABLE, "n1"))
+        self.assertEqual(stored.version, 3)
+
+    async def test_row_of_an_earlier_start_is_replaced(self):
+        self.rows.put(MEMBER_TABLE, "n1", encode_member(record("n1", 9, 0)))
+        self.own.publish(record("n1", 1, 1))
+        async with asyncio.timeout(5):
+            await self.own.stored()
+        stored = decode_member(self.rows.get(MEMBER_TABLE, "n1"))
+        self.assertEqual(stored.order, (1, 1))
+
+    async def test_record_goes_to_other_nodes_while_the_store_is_dark(self):
+        self.rows.status = 503
+        self.own.publish(record("n1"))
+        await self.until(lambda: self.spread)
+        self.assertEqual(self.spread[0].node_id, "n1")
+        self.rows.status = 200
+        async with asyncio.timeout(5):
+            await self.own.stored()
--- /dev/null
+++ b/damaskproxy/sidecar/__main__.py
@@ -0,0 +1,31 @@
+"""Run a node: ``python -m damaskproxy.sidecar SETTINGS``."""
+
+import sys
+
+import uvloop
+
+from damaskproxy.events import configure_logging
+from damaskproxy.sidecar.lifecycle import run_sidecar
+from damaskproxy.sidecar.settings import SidecarSettingsError, load_settings
+
+EXIT_SETTINGS = 2
+
+
+def main() -> int:
+    """Run the node that the settings file describes and return the exit status."""
+    if len(sys.argv) != 2:
+        print("usage: python -m damaskproxy.sidecar SETTINGS", file=sys.stderr)
+        return EXIT_SETTINGS
+    path = sys.argv[1]
+    try:
+        settings = load_settings(path)
+    except SidecarSettingsError as error:
+        print(f"damaskproxy: {error}", file=sys.stderr)
+        return EXIT_SETTINGS
+    configure_logging(level=settings.log_level, stream=sys.stdout)
+    uvloop.run(run_sidecar(settings, path))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/damaskproxy/sidecar/compose.py
@@ -0,0 +1,241 @@
+"""Composition root of a node beside a backend server."""
+
+import random
+import time
+from dataclasses import dataclass
+
+import msgspec
+
+from damaskproxy.admission import AdmissionController
+from damaskproxy.admission.settings import AdmissionSettings
+from damaskproxy.common.clock import boot_s
+from damaskproxy.directory import ConfigurationBook, Directory, MemberRecord
+from damaskproxy.forwarding import (
+    AskFrame,
+    Backend,
+    Chooser,
+    CrashGuard,
+    LinkHandlers,
+    Links,
+    Origin,
+    Target,
+    TellFrame,
+)
+from damaskproxy.http1 import ClientLimits, ConnectionPool, HttpServer
+from damaskproxy.platform import (
+    HEADERS,
+    VOLATILE_HEADERS,
+    OwnRow,
+    RowStore,
+    StoreWatch,
+    make_control_handler,
+    make_readiness_handler,
+    offer_configuration,
+)
+from damaskproxy.retries import RetryRatio, RetrySettings
+from damaskproxy.sidecar.settings import SidecarSettings, to_address
+from damaskproxy.world import MemberState
+
+__all__ = ["Sidecar", "compose"]
+
+MS_PER_S = 1000
+CALL_DEPTH = 4
+"""Services on the longest call chain. A run that is repeated repeats the calls below
+it, so each level gets an equal part of the permitted ratio."""
+RETRY_BURST = 1.0
+"""Repeats of one service that a node may have saved; all nodes together stay below the
+slack of the platform."""
+RETRY_RATIO_DEFAULT = 0.2
+
+ADMISSION = AdmissionSettings(
+    adaptive_limit=False,
+    newest_first=False,
+    queue_wait_max_ms=300,
+    queue_per_slot=2.0,
+)
+
+
+@dataclass(slots=True)
+class Sidecar:
+    """Parts of a node."""
+
+    settings: SidecarSettings
+    configuration: ConfigurationBook
+    directory: Directory
+    backend: Backend
+    target: Target
+    pool: ConnectionPool
+    links: Links
+    origin: Origin
+    store: RowStore
+    watch: StoreWatch
+    own_row: OwnRow
+    guard: CrashGuard
+    servers: dict[str, HttpServer]
+    record: MemberRecord
+    rng: random.Random
+    is_ready: bool = False
+    is_stopping: bool = False
+
+    def update_record(self, **changes) -> None:
+        """Change the record of this node and publish it."""
+        version = self.record.version + 1
+        self.record = msgspec.structs.replace(self.record, version=version, **changes)
+        self.directory.merge(self.record)
+        if self.is_ready or self.watch.has_read_members:
+            self.own_row.publish(self.record)
+
+    def spread(self, record: MemberRecord) -> None:
+        """Send a record to the nodes with an open connection."""
+        for link in self.links.all_open():
+            link.write(TellFrame(b"", [record]))
+
+    def answer_ask(self, ask: AskFrame) -> TellFrame | None:
+        """Return what the asking node does not know."""
+        current = self.configuration.current
+        encoded = b""
+        if current is not None and current.version > ask.configuration_version:
+            encoded = current.encoded
+        records = []
+        if ask.directory_digest not in (None, self.directory.digest()):
+            records = list(self.directory.records())
+        return TellFrame(encoded, records) if encoded or records else None
+
+    def learn(self, told: TellFrame) -> None:
+        """Take over what another node told."""
+        if told.configuration:
+            offer_configuration(self.configuration, told.configuration)
+        for record in told.records:
+            if record.node_id != self.settings.node_id:
+                self.directory.merge(record)
+
+    def encoded_state(self) -> bytes:
+        """Return configuration and members for a node that starts."""
+        current = self.configuration.current
+        encoded = current.encoded if current else b""
+        return msgspec.msgpack.encode(
+            TellFrame(encoded, list(self.directory.records()))
+        )
+
+
+def compose(settings: SidecarSettings, *, seed: int | None = None) -> Sidecar:
+    """Build a node; nothing is started.
+
+    Parameters
+    ----------
+    settings : SidecarSettings
+        Checked settings.
+    seed : int, optional
+        Seed of all random choices; from the operating system by default.
+    """
+    rng = random.Random(seed)
+    sidecar: Sidecar
+    configuration = ConfigurationBook()
+    guard = CrashGuard(
+        on_crash=lambda: sidecar.update_record(crashes=guard.own_crashes)
+    )
+    chooser = Chooser(settings.data_centre, rng)
+    lifetimes: dict[str, tuple] = {}
+
+    def member_changed(record: MemberRecord) -> None:
+        guard.learn(record)
+        backend_id = record.backend.instance_id if record.backend else ""
+        lifetime = (record.incarnation, backend_id)
+        if lifetimes.get(record.node_id) != lifetime:
+            lifetimes[record.node_id] = lifetime
+            chooser.forget(record.node_id)
+            links.drop(record)
+
+    directory = Directory(member_changed)
+
+    def backend_changed() -> None:
+        target.follow_backend()
+        sidecar.update_record(backend=backend.announced())
+
+    backend = Backend(settings.heartbeat_interval_ms, backend_changed)
+    pool = ConnectionPool(to_address(settings.backend_address))
+    target = Target(
+        backend,
+        pool,
+        HEADERS,
+        guard,
+        lambda slots: AdmissionController(slots, now_s=boot_s, settings=ADMISSION),
+    )
+    links = Links(
+        settings.node_id,
+        LinkHandlers(
+            target.run,
+            lambda: configuration.version,
+            lambda ask: sidecar.answer_ask(ask),
+            lambda told: sidecar.learn(told),
+        ),
+        VOLATILE_HEADERS,
+    )
+    ratio = settings.bound("retryBudgetRatio", RETRY_RATIO_DEFAULT) / CALL_DEPTH
+    origin = Origin(
+        settings.node_id,
+        lambda: sidecar.settings.service,
+        configuration,
+        directory,
+        chooser,
+        target.run,
+        links.run,
+        RetryRatio(RetrySettings(ratio=ratio, saved_max=RETRY_BURST)),
+        guard,
+        HEADERS,
+        rng,
+    )
+    store = RowStore(to_address(settings.store_address))
+    watch = StoreWatch(store, configuration, directory, settings.node_id, rng)
+    own_row = OwnRow(store, watch, lambda record: sidecar.spread(record), rng)
+
+    def client_limits() -> ClientLimits:
+        current = configuration.current
+        return current.limits if current else ClientLimits()
+
+    def knows_service(service: str) -> bool:
+        current = configuration.current
+        return current is None or service in current.services
+
+    control = make_control_handler(
+        backend,
+        settings.backend_address,
+        knows_service,
+        own_row.stored,
+        lambda: sidecar.encoded_state(),
+    )
+    readiness = make_readiness_handler(
+        lambda: sidecar.is_ready and not sidecar.is_stopping
+    )
+    servers = {
+        "caller": HttpServer("caller", origin.handle, client_limits),
+        "readiness": HttpServer("readiness", readiness),
+        "control": HttpServer("control", control),
+    }
+    peer = to_address(settings.listeners.peer)
+    sidecar = Sidecar(
+        settings=settings,
+        configuration=configuration,
+        directory=directory,
+        backend=backend,
+        target=target,
+        pool=pool,
+        links=links,
+        origin=origin,
+        store=store,
+        watch=watch,
+        own_row=own_row,
+        guard=guard,
+        servers=servers,
+        record=MemberRecord(
+            settings.node_id,
+            int(time.time() * MS_PER_S),
+            0,
+            settings.data_centre,
+            peer.host,
+            peer.port,
+            MemberState.SERVING,
+        ),
+        rng=rng,
+    )
+    return sidecar
--- /dev/null
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -0,0 +1,284 @@
+"""Start, upkeep and stop of a node beside a backend server."""
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from damaskproxy.common import RefusalReason
+from damaskproxy.common.clock import boot_s
+from damaskproxy.events import log_event
+from damaskproxy.forwarding import AskFrame, TellFrame
+from damaskproxy.http1 import ConnectionPool, HttpError, Request
+from damaskproxy.platform import MessageError, decode_member, decode_value
+from damaskproxy.sidecar import events
+from damaskproxy.sidecar.compose import Sidecar, compose
+from damaskproxy.sidecar.settings import (
+    SidecarSettings,
+    SidecarSettingsError,
+    load_settings,
+    to_address,
+)
+from damaskproxy.world import MemberState
+
+__all__ = ["drain", "run_sidecar", "start", "stop"]
+
+logger = logging.getLogger(__name__)
+
+UPKEEP_S = 0.5
+SETTINGS_POLL_S = 2.0
+"""The settings file may change without a signal."""
+ASK_PEER_S = 0.5
+"""Pause between questions to peers while the store is dark; a configuration has to be
+in force within 2 s."""
+NEAR_SHARE = 0.5
+"""Share of the questions that stay in the data centre, whose bytes are not charged; the
+others reach nodes that a whole data centre without the store does not have."""
+SEED_TIMEOUT_S = 0.5
+RESTART_PAUSE_S = 0.2
+STOP_SERVE_S = 3.0
+"""Time after SIGTERM in which clients may still come: the platform takes a node out
+after two health checks a second apart."""
+STOP_MARGIN_S = 0.3
+"""The node ends itself so long before it would be killed."""
+GRACE_DEFAULT_S = 6.0
+
+
+async def run_sidecar(settings: SidecarSettings, path: str) -> None:
+    """Run a node until SIGTERM and the end of its requests.
+
+    Parameters
+    ----------
+    settings : SidecarSettings
+        Checked settings.
+    path : str
+        Of the settings file, which is read again when it changes.
+    """
+    sidecar = compose(settings)
+    stopping = asyncio.Event()
+    reload = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
+    tasks = await start(sidecar, path, reload)
+    gc.collect()
+    gc.freeze()
+    await stopping.wait()
+    await drain(sidecar)
+    for task in tasks:
+        task.cancel()
+    await stop(sidecar)
+
+
+async def start(
+    sidecar: Sidecar, path: str, reload: asyncio.Event | None = None
+) -> list[asyncio.Task]:
+    """Open the listeners and start the background tasks.
+
+    Parameters
+    ----------
+    sidecar : Sidecar
+        From `compose`.
+    path : str
+        Of the settings file.
+    reload : asyncio.Event, optional
+        Set when the settings file has to be read again.
+
+    Returns
+    -------
+    list of asyncio.Task
+        Tasks to cancel at the end.
+    """
+    reload = reload or asyncio.Event()
+    await _open_listeners(sidecar)
+    log_event(logger, events.SIDECAR_STARTED, node_id=sidecar.settings.node_id)
+    steps: list[Callable[[], Awaitable[None]]] = [
+        sidecar.watch.follow_configuration,
+        sidecar.watch.follow_members,
+        sidecar.own_row.keep_written,
+        lambda: _ask_seeds(sidecar),
+        lambda: _ask_peers_while_dark(sidecar),
+        lambda: _become_ready(sidecar),
+        lambda: _upkeep(sidecar),
+        lambda: _follow_settings(sidecar, path, reload),
+    ]
+    return [asyncio.create_task(_keep_running(step)) for step in steps]
+
+
+async def _keep_running(step: Callable[[], Awaitable[None]]) -> None:
+    while True:
+        try:
+            await step()
+            return
+        except Exception:
+            log_event(logger, events.TASK_ENDED, exc_info=True)
+            await asyncio.sleep(RESTART_PAUSE_S)
+
+
+async def _open_listeners(sidecar: Sidecar) -> None:
+    listeners = sidecar.settings.listeners
+    for name, server in sidecar.servers.items():
+        address = to_address(getattr(listeners, name))
+        await server.open(address.host, address.port)
+    peer = to_address(listeners.peer)
+    await sidecar.links.listen(peer.host, peer.port)
+
+
+async def _become_ready(sidecar: Sidecar) -> None:
+    """Announce the node once it knows the mesh, from the store or from a peer."""
+    await sidecar.watch.members_read()
+    _restore(sidecar)
+    sidecar.update_record()
+    await sidecar.configuration.known()
+    sidecar.is_ready = True
+    log_event(
+        logger,
+        events.SIDECAR_READY,
+        configuration_version=sidecar.configuration.version,
+        members=len(sidecar.directory),
+    )
+
+
+def _restore(sidecar: Sidecar) -> None:
+    """Take over what this node had stored before it was restarted."""
+    row = sidecar.watch.own_row
+    if row is None or row.deleted:
+        return
+    try:
+        stored = decode_member(decode_value(row))
+    except MessageError:
+        return
+    incarnation = max(sidecar.record.incarnation, stored.incarnation + 1)
+    sidecar.record = msgspec.structs.replace(sidecar.record, incarnation=incarnation)
+    backend = stored.backend
+    is_same_machine = stored.host == sidecar.record.host
+    if is_same_machine and backend is not None and not sidecar.backend.record:
+        if backend.state is MemberState.STARTING:
+            return
+        sidecar.backend.restore(backend)
+
+
+async def _ask_seeds(sidecar: Sidecar) -> None:
+    """Read the mesh from seeds while the store has not answered a starting node."""
+    while not sidecar.watch.has_read_members:
+        await asyncio.sleep(ASK_PEER_S)
+        if sidecar.watch.has_read_members or not sidecar.watch.is_dark:
+            continue
+        for seed in sidecar.settings.seeds:
+            if await _ask_seed(sidecar, seed):
+                sidecar.is_ready = sidecar.configuration.current is not None
+                sidecar.update_record()
+                break
+
+
+async def _ask_seed(sidecar: Sidecar, seed: str) -> bool:
+    pool = ConnectionPool(to_address(seed), SEED_TIMEOUT_S)
+    request = Request(b"GET", b"/damask/state", [(b"Host", seed.encode())])
+    try:
+        async with asyncio.timeout(SEED_TIMEOUT_S):
+            response = await pool.exchange(request)
+        told = msgspec.msgpack.decode(response.body, type=TellFrame)
+    except (HttpError, TimeoutError, msgspec.MsgspecError):
+        return False
+    finally:
+        pool.close()
+    sidecar.learn(told)
+    return True
+
+
+async def _ask_peers_while_dark(sidecar: Sidecar) -> None:
+    while True:
+        await asyncio.sleep(ASK_PEER_S)
+        if not sidecar.watch.is_dark:
+            continue
+        own_id = sidecar.settings.node_id
+        others = [r for r in sidecar.directory.records() if r.node_id != own_id]
+        near = [r for r in others if r.data_centre == sidecar.settings.data_centre]
+        if not others:
+            continue
+        is_near = bool(near) and sidecar.rng.random() < NEAR_SHARE
+        member = sidecar.rng.choice(near if is_near else others)
+        link = await sidecar.links.open(member)
+        if link is not None:
+            digest = sidecar.directory.digest()
+            link.ask(AskFrame(sidecar.configuration.version, digest))
+
+
+async def _upkeep(sidecar: Sidecar) -> None:
+    while True:
+        await asyncio.sleep(UPKEEP_S)
+        for server in sidecar.servers.values():
+            server.sweep()
+        sidecar.pool.close_idle()
+        sidecar.store.close_idle()
+        sidecar.links.close_idle()
+        sidecar.backend.check_heartbeat()
+
+
+async def _follow_settings(sidecar: Sidecar, path: str, reload: asyncio.Event) -> None:
+    seen = _modified(path)
+    while True:
+        try:
+            async with asyncio.timeout(SETTINGS_POLL_S):
+                await reload.wait()
+        except TimeoutError:
+            pass
+        modified = _modified(path)
+        if not reload.is_set() and modified == seen:
+            continue
+        reload.clear()
+        seen = modified
+        try:
+            sidecar.settings = load_settings(path)
+        except SidecarSettingsError as error:
+            log_event(logger, events.SETTINGS_KEPT, reason=str(error))
+            continue
+        log_event(logger, events.SETTINGS_RELOADED)
+
+
+def _modified(path: str) -> float:
+    try:
+        return os.stat(path).st_mtime
+    except OSError:
+        return 0.0
+
+
+async def drain(sidecar: Sidecar) -> None:
+    """Leave gracefully: announce, serve what comes and what runs, then end."""
+    began_s = boot_s()
+    grace_s = sidecar.settings.bound("graceS", GRACE_DEFAULT_S)
+    log_event(logger, events.SIDECAR_STOPPING, in_flight=sidecar.target.in_flight)
+    sidecar.is_stopping = True
+    sidecar.target.is_stopping = True
+    sidecar.target.refuse_waiting(RefusalReason.LEAVING)
+    sidecar.update_record(state=MemberState.STOPPED)
+    sidecar.spread(sidecar.record)
+    sidecar.servers["caller"].is_closing = True
+    last_s = began_s + grace_s - STOP_MARGIN_S
+    while boot_s() < last_s:
+        await asyncio.sleep(0.05)
+        if boot_s() - began_s < STOP_SERVE_S:
+            continue
+        sidecar.servers["caller"].close_idle()
+        busy = sidecar.servers["caller"].busy_count + sidecar.links.running_count
+        if not busy:
+            break
+    log_event(
+        logger,
+        events.SIDECAR_STOPPED,
+        cut=sidecar.servers["caller"].busy_count + sidecar.links.running_count,
+    )
+
+
+async def stop(sidecar: Sidecar) -> None:
+    """Close everything at once."""
+    for server in sidecar.servers.values():
+        await server.close()
+    await sidecar.links.close()
+    sidecar.pool.close()
+    sidecar.store.close()
--- /dev/null
+++ b/damaskproxy/sidecar/tests/mesh.py
@@ -0,0 +1,170 @@
+"""A mesh of sidecars in one process, with stand-ins of store and backend servers."""
+
+import asyncio
+import json
+import socket
+import tempfile
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+from damaskproxy.http1 import ConnectionPool, Request
+from damaskproxy.sidecar.compose import compose
+from damaskproxy.sidecar.lifecycle import start, stop
+from damaskproxy.sidecar.settings import load_settings, to_address
+from damaskproxy.standins.rows import RowStoreStandIn
+from damaskproxy.standins.stamped import StampedBackend
+
+__all__ = ["MeshTestCase", "configuration", "free_port"]
+
+ROUTES = {
+    "read": {"prefix": "/read/", "kind": "safe", "service": "orders"},
+    "write": {"prefix": "/write/", "kind": "unsafe", "service": "orders"},
+}
+
+
+def configuration(version=1, routes=None):
+    """Return an encoded configuration of two routes to one service."""
+    common = {"host": "shop", "timeoutMs": 800, "maxAttempts": 2, "priority": 1}
+    body = {
+        "version": version,
+        "routes": {
+            name: {**common, **route} for name, route in (routes or ROUTES).items()
+        },
+        "services": {"orders": {}, "stores": {}},
+    }
+    return json.dumps(body).encode()
+
+
+def free_port():
+    """Return a port of the loopback that is free now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Member:
+    """One sidecar and its backend server."""
+
+    def __init__(self, name, service):
+        self.name = name
+        self.backend = StampedBackend(f"i-{name}", service)
+        self.born = 1000
+        self.sequence = 0
+        self.sidecar = None
+        self.tasks = []
+
+    async def call(self, target, *, method=b"GET", request_id=b"1", **headers):
+        """Send one request as a client of this machine."""
+        fields = [(b"Host", b"shop"), (b"X-Damaskproxy-Request-Id", request_id)]
+        fields += [(k.replace("_", "-").encode(), v) for k, v in headers.items()]
+        pool = ConnectionPool(to_address(self.sidecar.settings.listeners.caller))
+        try:
+            return await pool.exchange(Request(method, target, fields, b""))
+        finally:
+            pool.close()
+
+    async def control(self, method, path, body=b""):
+        """Call the control address as the backend server does."""
+        pool = ConnectionPool(to_address(self.sidecar.settings.listeners.control))
+        try:
+            return await pool.exchange(Request(method, path, [(b"Host", b"c")], body))
+        finally:
+            pool.close()
+
+    async def report(self, state="ready", **changes):
+        """Send a status report and return the status of the answer."""
+        self.sequence += 1
+        body = {
+            "address": self.sidecar.settings.backend_address,
+            "born": self.born,
+            "info": {"service": self.backend.service, "slots": 4, "zone": "a"},
+            "status": {"state": state, "sequence": self.sequence, **changes},
+        }
+        path = f"/api/instances/{self.backend.instance_id}".encode()
+        answer = await self.control(b"PUT", path, json.dumps(body).encode())
+        return answer.status
+
+    async def ready_status(self):
+        """Return the status of the health check."""
+        pool = ConnectionPool(to_address(self.sidecar.settings.listeners.readiness))
+        request = Request(b"GET", b"/api/readiness", [(b"Host", b"r")])
+        try:
+            return (await pool.exchange(request)).status
+        finally:
+            pool.close()
+
+
+class MeshTestCase:
+    """Mix-in that starts a store and sidecars."""
+
+    async def asyncSetUp(self):
+        self.stack = AsyncExitStack()
+        self.rows = RowStoreStandIn()
+        self.store_address = await self.rows.open()
+        self.rows.put("op", "config", configuration())
+        folder = self.stack.enter_context(tempfile.TemporaryDirectory())
+        self.folder = Path(folder)
+        self.members = []
+
+    async def asyncTearDown(self):
+        for member in self.members:
+            await self.kill(member)
+            await member.backend.close()
+        await self.rows.close()
+        await self.stack.aclose()
+
+    async def start(self, name, service="orders", data_centre="a", **settings):
+        """Start a sidecar beside a new backend server that has reported."""
+        member = Member(name, service)
+        address = await member.backend.open()
+        listeners = ("caller", "peer", "readiness", "control")
+        body = {
+            "node_id": name,
+            "data_centre": data_centre,
+            "region": "r",
+            "service": service,
+            "backend_address": address,
+            "listeners": {n: f"127.0.0.1:{free_port()}" for n in listeners},
+            "store_address": self.store_address,
+            "bounds": {"graceS": 2},
+            **settings,
+        }
+        member.path = self.folder / f"{name}.json"
+        member.path.write_text(json.dumps(body), encoding="utf-8")
+        self.members.append(member)
+        await self.restart(member)
+        return member
+
+    async def restart(self, member, *, report=True):
+        """Start the process of a member."""
+        member.sidecar = compose(load_settings(str(member.path)))
+        member.reload = asyncio.Event()
+        member.tasks = await start(member.sidecar, str(member.path), member.reload)
+        if report:
+            await self.until(lambda: member.sidecar.is_ready)
+            await member.report()
+
+    async def kill(self, member):
+        """End the process of a member at once."""
+        if member.sidecar is None:
+            return
+        for task in member.tasks:
+            task.cancel()
+        await stop(member.sidecar)
+        member.sidecar = None
+
+    async def until(self, condition):
+        """Wait until `condition` holds."""
+        async with asyncio.timeout(8):
+            while not condition():  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+
+    async def until_known(self, count, service="orders"):
+        """Wait until all sidecars know `count` serving members."""
+        await self.until(
+            lambda: all(
+                len(m.sidecar.directory.serving(service)) == count
+                for m in self.members
+                if m.sidecar is not None
+            )
+        )
--- /dev/null
+++ b/damaskproxy/sidecar/tests/test_mesh.py
@@ -0,0 +1,361 @@
+"""Requests through sidecars whose store, peers and backend servers fail."""
+
+import asyncio
+import json
+import time
+import unittest
+
+from nose2.tools import params
+
+from damaskproxy.http1 import ConnectionPool, ExchangeLost, Request, find_header
+from damaskproxy.platform import StoreError
+from damaskproxy.sidecar.lifecycle import drain
+from damaskproxy.sidecar.settings import to_address
+from damaskproxy.sidecar.tests.mesh import MeshTestCase, configuration
+from damaskproxy.world import MemberState
+
+STAMP = b"x-damaskproxy-server-stamp"
+
+
+class PathTests(MeshTestCase, unittest.IsolatedAsyncioTestCase):
+    """Guards against requests that are changed, mixed up or run twice."""
+
+    async def test_request_crosses_two_nodes_unchanged(self):
+        one = await self.start("n1", "stores")
+        two = await self.start("n2")
+        await self.until_known(1)
+        answer = await one.call(
+            b"/read/../x?q=%41",
+            X_Own=b"kept",
+            X_Damaskproxy_Caller_Service=b"forged",
+            X_Damaskproxy_Target_Instance=b"forged",
+            X_Damaskproxy_Deadline_Ms=b"500",
+        )
+        self.assertEqual((answer.status, answer.body), (200, b"from i-n2"))
+        self.assertEqual(find_header(answer.headers, STAMP), b"stamp-i-n2")
+        self.assertEqual(find_header(answer.headers, b"x-damaskproxy-request-id"), b"1")
+        request = two.backend.requests[0]
+        self.assertEqual(request.target, b"/read/../x?q=%41")
+        headers = {n.lower(): v for n, v in request.headers}
+        self.assertEqual(len(headers), len(request.headers))
+        self.assertEqual(headers[b"x-own"], b"kept")
+        self.assertEqual(headers[b"x-damaskproxy-caller-service"], b"stores")
+        self.assertEqual(headers[b"x-damaskproxy-target-instance"], b"i-n2")
+        self.assertLessEqual(int(headers[b"x-damaskproxy-deadline-ms"]), 500)
+
+    @params((b"/none/", 404), (b"/read", 404), (b"/read/", 200))
+    async def test_only_configured_paths_are_served(self, target, status):
+        one = await self.start("n1")
+        await self.until_known(1)
+        self.assertEqual((await one.call(target)).status, status)
+
+    async def test_node_without_a_configuration_refuses_and_is_not_ready(self):
+        self.rows.drop("op", "config")
+        member = await self.start_unready("n1")
+        answer = await member.call(b"/read/1")
+        self.assertEqual(answer.status, 503)
+        self.assertIsNotNone(find_header(answer.headers, b"retry-after"))
+        self.assertEqual(await member.ready_status(), 503)
+        self.rows.put("op", "config", configuration())
+        await self.until(lambda: member.sidecar.is_ready)
+        self.assertEqual(await member.ready_status(), 200)
+
+    async def start_unready(self, name, **settings):
+        """Start a sidecar that cannot become ready."""
+        restart = self.restart
+        self.restart = lambda member: restart(member, report=False)
+        try:
+            return await self.start(name, **settings)
+        finally:
+            self.restart = restart
+
+    @params(
+        ("idempotent, failing", b"/read/1", "error", 200, 2),
+        ("idempotent, cut", b"/read/1", "cut", 200, 2),
+        ("idempotent, rejected", b"/read/1", "shed", 200, 1),
+        ("idempotent, encoded", b"/read/1", "encoded", 200, 2),
+        ("idempotent, without MAC", b"/read/1", "unstamped", 200, 2),
+        ("order, failing", b"/write/1", "error", 500, 1),
+        ("order, cut", b"/write/1", "cut", 502, 1),
+        ("order, rejected", b"/write/1", "shed", 200, 1),
+        ("order, encoded", b"/write/1", "encoded", 502, 1),
+    )
+    async def test_only_what_may_be_repeated_is_repeated(
+        self, name, target, fault, status, runs
+    ):
+        one = await self.start("n1")
+        two = await self.start("n2", data_centre="b")
+        await self.until_known(2)
+        one.backend.faults[target] = fault
+        answer = await one.call(target, method=b"POST")
+        self.assertEqual(answer.status, status, name)
+        ran = one.backend.runs[b"1"] + two.backend.runs[b"1"]
+        self.assertEqual(ran, runs, name)
+
+    @params(
+        ("all fail", "error", 500, 2),
+        ("all reject", "shed", 503, 0),
+        ("all cut", "cut", 502, 2),
+    )
+    async def test_attempts_are_limited(self, name, fault, status, runs):
+        members = [await self.start(f"n{i}") for i in range(1, 4)]
+        await self.until_known(3)
+        for member in members:
+            member.backend.faults[b"/read/1"] = fault
+        answer = await members[0].call(b"/read/1")
+        self.assertEqual(answer.status, status, name)
+        self.assertEqual(sum(m.backend.runs[b"1"] for m in members), runs, name)
+        arrivals = runs + sum(m.backend.rejected for m in members)
+        self.assertLessEqual(arrivals, 2, name)
+
+    async def test_answer_comes_at_the_timeout_of_the_route(self):
+        one = await self.start("n1", "stores")
+        two = await self.start("n2")
+        await self.until_known(1)
+        two.backend.faults[b"/read/1"] = "hang"
+        began_s = time.monotonic()
+        answer = await one.call(b"/read/1", X_Damaskproxy_Deadline_Ms=b"9000")
+        self.assertEqual(answer.status, 504)
+        self.assertAlmostEqual(time.monotonic() - began_s, 0.8, delta=0.3)
+        await self.until(lambda: two.backend.cancelled == 1)
+
+    async def test_backend_learns_at_once_that_the_client_left(self):
+        one = await self.start("n1", "stores")
+        two = await self.start("n2")
+        await self.until_known(1)
+        two.backend.faults[b"/read/1"] = "hang"
+        task = asyncio.create_task(one.call(b"/read/1"))
+        await self.until(lambda: two.backend.runs[b"1"] == 1)
+        task.cancel()
+        began_s = time.monotonic()
+        await self.until(lambda: two.backend.cancelled == 1)
+        self.assertLess(time.monotonic() - began_s, 0.4)
+
+
+class MembershipTests(MeshTestCase, unittest.IsolatedAsyncioTestCase):
+    """Guards against work for servers that left and against nodes that stay blind."""
+
+    async def test_no_call_starts_after_a_confirmed_drain(self):
+        one = await self.start("n1", "stores")
+        two = await self.start("n2")
+        await self.until_known(1)
+        self.assertEqual(await two.report("draining"), 200)
+        answer = await one.call(b"/read/1")
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(await two.report("ready"), 200)
+        self.assertEqual((await one.call(b"/read/1")).status, 503)
+        self.assertFalse(two.backend.runs)
+
+    async def test_confirmed_drain_survives_a_restart_of_the_node(self):
+        two = await self.start("n2")
+        await two.report("draining")
+        await self.kill(two)
+        await self.restart(two, report=False)
+        await self.until(lambda: two.sidecar.is_ready)
+        two.sequence = 0
+        await two.report("ready")
+        self.assertEqual((await two.call(b"/read/1")).status, 503)
+        self.assertFalse(two.backend.runs)
+
+    async def test_leave_without_a_drain_is_kept(self):
+        two = await self.start("n2")
+        path = f"/api/instances/{two.backend.instance_id}".encode()
+        self.assertEqual((await two.control(b"DELETE", path)).status, 200)
+        await two.report("ready")
+        self.assertEqual((await two.call(b"/read/1")).status, 503)
+
+    async def test_drain_is_confirmed_while_the_store_is_dark(self):
+        two = await self.start("n2")
+        self.rows.status = 0
+        began_s = time.monotonic()
+        self.assertEqual(await two.report("draining"), 200)
+        self.assertLess(time.monotonic() - began_s, 1.0)
+
+    async def test_restarted_node_serves_before_the_next_report(self):
+        two = await self.start("n2")
+        await asyncio.sleep(0.1)
+        await self.kill(two)
+        await self.restart(two, report=False)
+        await self.until(lambda: two.sidecar.is_ready)
+        self.assertEqual((await two.call(b"/read/1")).status, 200)
+
+    async def test_address_that_another_service_took_over_is_not_used(self):
+        one = await self.start("n1", "stores")
+        two = await self.start("n2")
+        await self.until_known(1)
+        two.backend.instance_id = "i-other"
+        self.assertEqual((await one.call(b"/read/1")).status, 503)
+        self.assertFalse(two.backend.runs)
+        two.backend.service, two.born = "stores", 2000
+        await two.report()
+        self.assertEqual((await one.call(b"/read/2")).status, 503)
+        self.assertFalse(two.backend.runs)
+
+    @params(503, 429, 0)
+    async def test_node_that_the_store_turns_away_learns_from_peers(self, status):
+        one = await self.start("n1", "stores")
+        two = await self.start("n2")
+        await self.until_known(1)
+        await one.call(b"/read/1")
+        dark = one.sidecar.store
+
+        async def refuse(*_):
+            raise StoreError(f"status {status}")
+
+        dark._call = refuse
+        dark.close()
+        await self.until(lambda: one.sidecar.watch.is_dark)
+        self.rows.put("op", "config", configuration(5))
+        await self.until(lambda: two.sidecar.configuration.version == 5)
+        await self.until(lambda: one.sidecar.configuration.version == 5)
+        await two.report("draining")
+        await self.until(lambda: not one.sidecar.directory.serving("orders"))
+
+    async def test_node_that_starts_while_the_store_is_dark_asks_seeds(self):
+        two = await self.start("n2")
+        self.rows.status = 503
+        seed = two.sidecar.settings.listeners.control
+        one = await self.start("n1", "stores", seeds=["127.0.0.1:1", seed])
+        self.assertEqual((await one.call(b"/read/1")).status, 200)
+        self.assertEqual(await one.ready_status(), 200)
+
+    async def test_newer_configuration_of_a_peer_is_fetched(self):
+        one = await self.start("n1", "stores")
+        two = await self.start("n2")
+        await self.until_known(1)
+        one.tasks[0].cancel()
+        self.rows.put("op", "config", configuration(9))
+        await self.until(lambda: two.sidecar.configuration.version == 9)
+        await one.call(b"/read/1")
+        await self.until(lambda: one.sidecar.configuration.version == 9)
+
+    async def test_killed_peer_is_avoided_and_found_again(self):
+        one = await self.start("n1", "stores")
+        two = await self.start("n2")
+        three = await self.start("n3", data_centre="b")
+        await self.until_known(2)
+        await self.kill(two)
+        for number in range(8):
+            answer = await one.call(b"/read/1", request_id=b"%d" % number)
+            self.assertEqual(answer.status, 200)
+        self.assertEqual(sum(three.backend.runs.values()), 8)
+        await self.restart(two)
+        await self.until(lambda: _incarnation(one, "n2") == _incarnation(two, "n2"))
+        self.assertEqual((await one.call(b"/read/1")).status, 200)
+        self.assertEqual(sum(two.backend.runs.values()), 1)
+
+    @params(b"\xff\xfe", b"{}", b'{"address": 1}', b"")
+    async def test_status_report_of_another_writer_changes_nothing(self, body):
+        two = await self.start("n2")
+        path = f"/api/instances/{two.backend.instance_id}".encode()
+        self.assertEqual((await two.control(b"PUT", path, body)).status, 400)
+        self.assertEqual((await two.call(b"/read/1")).status, 200)
+
+
+class CrashTests(MeshTestCase, unittest.IsolatedAsyncioTestCase):
+    """Guards against a request that takes backend servers down one after another."""
+
+    async def test_request_that_crashes_servers_is_refused_at_every_node(self):
+        members = [await self.start(f"n{i}") for i in range(1, 5)]
+        await self.until_known(4)
+        for member in members:
+            member.backend.faults[b"/read/poison"] = "hang"
+        for number in range(2):
+            task = asyncio.create_task(
+                members[0].call(b"/read/poison", request_id=b"p%d" % number)
+            )
+            await self.until(lambda: any(_running(m) for m in members))
+            victim = next(m for m in members if _running(m))
+            await victim.backend.close()
+            await self.until(lambda v=victim: len(v.sidecar.guard.own_crashes) == 1)
+            task.cancel()
+        await self.until(
+            lambda: all(len(_crashes(m)) == 2 for m in members if m is not None)
+        )
+        ran = sum(sum(m.backend.runs.values()) for m in members)
+        for member in members:
+            answer = await member.call(b"/read/poison", request_id=b"again")
+            self.assertEqual(answer.status, 503)
+        self.assertEqual(sum(sum(m.backend.runs.values()) for m in members), ran)
+
+
+class StopTests(MeshTestCase, unittest.IsolatedAsyncioTestCase):
+    """Guards against planned stops that cut requests."""
+
+    async def test_stop_finishes_requests_and_takes_late_ones(self):
+        one = await self.start("n1", "stores", bounds={"graceS": 3})
+        two = await self.start("n2")
+        await self.until_known(1)
+        two.backend.work_s = 0.3
+        pool = ConnectionPool(to_address(one.sidecar.settings.listeners.caller))
+        fields = [(b"Host", b"shop"), (b"X-Damaskproxy-Request-Id", b"1")]
+        request = Request(b"GET", b"/read/1", fields)
+        running = asyncio.create_task(pool.exchange(request))
+        await self.until(lambda: two.backend.runs[b"1"] == 1)
+        stopping = asyncio.create_task(drain(one.sidecar))
+        await asyncio.sleep(0.05)
+        self.assertEqual(await one.ready_status(), 503)
+        answer = await running
+        self.assertEqual(answer.status, 200)
+        self.assertEqual((await one.call(b"/read/2", request_id=b"2")).status, 200)
+        await self.until(
+            lambda: two.sidecar.directory.get("n1").state is MemberState.STOPPED
+        )
+        await stopping
+        pool.close()
+
+    async def test_stopping_node_takes_no_calls_of_others(self):
+        one = await self.start("n1", "stores")
+        two = await self.start("n2")
+        await self.until_known(1)
+        stopping = asyncio.create_task(drain(two.sidecar))
+        await asyncio.sleep(0.02)
+        self.assertEqual((await one.call(b"/read/1")).status, 503)
+        await stopping
+
+    async def test_stop_ends_before_the_platform_kills(self):
+        one = await self.start("n1", bounds={"graceS": 1})
+        await self.until_known(1)
+        one.backend.faults[b"/read/1"] = "hang"
+        task = asyncio.create_task(one.call(b"/read/1"))
+        await self.until(lambda: one.backend.runs[b"1"] == 1)
+        began_s = time.monotonic()
+        await drain(one.sidecar)
+        self.assertLess(time.monotonic() - began_s, 1.0)
+        await self.kill(one)
+        with self.assertRaises(ExchangeLost):
+            await task
+
+    @params(
+        ("valid", {"service": "catalogue"}, "catalogue"), ("not valid", None, "stores")
+    )
+    async def test_changed_settings_are_read_without_a_restart(
+        self, name, changes, service
+    ):
+        one = await self.start("n1", "stores")
+        two = await self.start("n2")
+        await self.until_known(1)
+        body = json.loads(one.path.read_text(encoding="utf-8"))
+        text = json.dumps({**body, **changes}) if changes else "{"
+        one.path.write_text(text, encoding="utf-8")
+        one.reload.set()
+        await asyncio.sleep(0.05)
+        self.assertEqual((await one.call(b"/read/1")).status, 200, name)
+        caller = find_header(
+            two.backend.requests[-1].headers, b"x-damaskproxy-caller-service"
+        )
+        self.assertEqual(caller, service.encode(), name)
+
+
+def _running(member):
+    backend = member.backend
+    return backend.server.busy_count and bool(backend.runs)
+
+
+def _crashes(member):
+    sidecar = member.sidecar
+    return [crash for record in sidecar.directory.records() for crash in record.crashes]
+
+
+def _incarnation(member, node_id):
+    return member.sidecar.directory.get(node_id).incarnation
--- /dev/null
+++ b/damaskproxy/standins/rows.py
@@ -0,0 +1,159 @@
+"""Stand-in of the platform's row store, with the faults that its page names."""
+
+import asyncio
+import base64
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import msgspec
+
+from damaskproxy.http1 import HttpServer, Request, Response
+
+__all__ = ["RowStoreStandIn"]
+
+NEVER_S = 3600.0
+
+
+@dataclass(slots=True)
+class _Row:
+    value: str
+    version: int
+    is_deleted: bool = False
+
+
+@dataclass(slots=True)
+class RowStoreStandIn:
+    """Rows, conditional writes and changes in memory.
+
+    Attributes
+    ----------
+    status : int
+        Status of all calls while it is not 200; 0 gives no response at all.
+    lost_writes : int
+        Writes that are applied and not answered.
+    oldest_version : int
+        Changes before it are gone.
+    calls : list of str
+        Method and path of all calls.
+    """
+
+    status: int = 200
+    lost_writes: int = 0
+    oldest_version: int = 0
+    calls: list[str] = field(default_factory=list)
+    version: int = 0
+    _rows: dict[tuple[str, str], _Row] = field(default_factory=dict)
+    _changed: asyncio.Event = field(default_factory=asyncio.Event)
+    server: HttpServer | None = None
+
+    async def open(self) -> str:
+        """Listen on a free port of the loopback and return the address."""
+        self.server = HttpServer("row store", self._handle)
+        await self.server.open("127.0.0.1", 0)
+        return f"127.0.0.1:{self.server.port}"
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.server.close()
+
+    def put(self, table: str, key: str, value: bytes) -> int:
+        """Write a row without a condition, as the operator does."""
+        self.version += 1
+        encoded = base64.b64encode(value).decode()
+        self._rows[table, key] = _Row(encoded, self.version)
+        self._notify()
+        return self.version
+
+    def drop(self, table: str, key: str) -> None:
+        """Delete a row."""
+        self.version += 1
+        self._rows[table, key] = _Row("", self.version, is_deleted=True)
+        self._notify()
+
+    def get(self, table: str, key: str) -> bytes | None:
+        """Return the value of a row, None without one."""
+        row = self._rows.get((table, key))
+        if row is None or row.is_deleted:
+            return None
+        return base64.b64decode(row.value)
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _handle(self, request: Request) -> Response:
+        url = urlsplit(request.target.decode())
+        self.calls.append(f"{request.method.decode()} {url.path}")
+        if self.status == 0:
+            await asyncio.sleep(NEVER_S)
+        if self.status != 200:
+            return Response(self.status)
+        query = {key: values[0] for key, values in parse_qs(url.query).items()}
+        if url.path == "/api/rows-get":
+            return self._read(query)
+        if url.path == "/api/rows-feed":
+            return await self._changes(query)
+        if url.path == "/api/rows-tx":
+            return await self._commit(request)
+        return Response(404)
+
+    def _read(self, query: dict[str, str]) -> Response:
+        first = unquote(query.get("from", ""))
+        rows = [
+            self._body(table, key, row)
+            for (table, key), row in sorted(self._rows.items())
+            if table == query["table"] and key >= first and not row.is_deleted
+        ]
+        return self._answer({"rows": rows, "truncated": False})
+
+    async def _changes(self, query: dict[str, str]) -> Response:
+        after = int(query["after"])
+        deadline_s = asyncio.get_running_loop().time() + int(query["waitMs"]) / 1000
+        while True:
+            if after < self.oldest_version:
+                return Response(410)
+            rows = [
+                self._body(table, key, row)
+                for (table, key), row in self._rows.items()
+                if table == query["table"] and row.version > after
+            ]
+            if rows:
+                return self._answer({"rows": sorted(rows, key=lambda r: r["ver"])})
+            try:
+                async with asyncio.timeout_at(deadline_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                return self._answer({"rows": []})
+            if self.status != 200:
+                return Response(503)
+
+    async def _commit(self, request: Request) -> Response:
+        body = msgspec.json.decode(request.body)
+        current = []
+        is_met = True
+        for row in body["precondition"]:
+            known = self._rows.get((row["table"], row["key"]))
+            version = 0 if known is None or known.is_deleted else known.version
+            is_met = is_met and version == row["ver"]
+            if version:
+                current.append(self._body(row["table"], row["key"], known))
+        if not is_met:
+            return self._answer({"rows": current}, 412)
+        for row in body["puts"]:
+            self.put(row["table"], row["key"], base64.b64decode(row["value"]))
+        for row in body["drops"]:
+            self.drop(row["table"], row["key"])
+        if self.lost_writes:
+            self.lost_writes -= 1
+            await asyncio.sleep(NEVER_S)
+        return self._answer({})
+
+    def _body(self, table: str, key: str, row: _Row) -> dict:
+        body = {"table": table, "part": "", "key": key, "ver": row.version}
+        if row.is_deleted:
+            return {**body, "deleted": True}
+        return {**body, "value": row.value}
+
+    def _answer(self, body: dict, status: int = 200) -> Response:
+        content = {**body, "ver": self.version, "nowMs": 0}
+        return Response(status, body=msgspec.json.encode(content))
--- /dev/null
+++ b/damaskproxy/standins/stamped.py
@@ -0,0 +1,80 @@
+"""Stand-in of a backend server that signs its answers and misbehaves on request."""
+
+import asyncio
+from collections import Counter
+
+from damaskproxy.http1 import HttpServer, Request, Response, find_header
+
+__all__ = ["StampedBackend"]
+
+
+class StampedBackend:
+    """Backend server beside a sidecar.
+
+    Parameters
+    ----------
+    instance_id : str
+        Name of its lifetime.
+    service : str
+        Service that it runs.
+
+    Attributes
+    ----------
+    runs : Counter
+        How often each request id was run.
+    requests : list of Request
+        All requests that were run.
+    faults : dict
+        Fault by path: ``shed``, ``error``, ``hang``, ``encoded``, ``unstamped``,
+        ``cut``.
+    """
+
+    def __init__(self, instance_id: str, service: str):
+        self.instance_id = instance_id
+        self.service = service
+        self.runs: Counter[bytes] = Counter()
+        self.rejected = 0
+        self.cancelled = 0
+        self.requests: list[Request] = []
+        self.faults: dict[bytes, str] = {}
+        self.work_s = 0.0
+        self.server = HttpServer("stamped backend", self._handle)
+
+    async def open(self, port: int = 0) -> str:
+        """Listen on the loopback and return the address."""
+        await self.server.open("127.0.0.1", port)
+        return f"127.0.0.1:{self.server.port}"
+
+    async def close(self) -> None:
+        """Break all connections, as a crash does."""
+        await self.server.close()
+
+    async def _handle(self, request: Request) -> Response:
+        request_id = find_header(request.headers, b"x-damaskproxy-request-id")
+        echo = (b"X-Damaskproxy-Request-Id", request_id)
+        target = find_header(request.headers, b"x-damaskproxy-target-instance")
+        fault = self.faults.get(request.target)
+        if target != self.instance_id.encode():
+            self.rejected += 1
+            return Response(421, [echo])
+        if fault == "shed":
+            self.rejected += 1
+            return Response(503, [echo, (b"X-Damaskproxy-Not-Executed", b"1")])
+        self.runs[request_id] += 1
+        self.requests.append(request)
+        try:
+            await asyncio.sleep(3600 if fault == "hang" else self.work_s)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        if fault == "cut":
+            for connection in list(self.server.connections):
+                connection.abort()
+        stamp = (b"X-Damaskproxy-Server-Stamp", b"stamp-" + self.instance_id.encode())
+        headers = [echo, stamp, (b"Content-Type", b"text/plain")]
+        if fault == "encoded":
+            headers.append((b"Content-Encoding", b"gzip"))
+        if fault == "unstamped":
+            headers.remove(stamp)
+        status = 500 if fault == "error" else 200
+        return Response(status, headers, b"from " + self.instance_id.encode())
