Log without blocking and explain a request from the logs of several nodes

A reader that stops costs log lines, which are counted, and nothing else. damask-node explain prints the lines about a request and its calls in order.

--- a/damaskproxy/events/logs.py
+++ b/damaskproxy/events/logs.py
@@ -88,7 +88,11 @@
 
 
 def configure_logging(
-    *, style: str = "json", level: str = "INFO", stream: TextIO | None = None
+    *,
+    style: str = "json",
+    level: str = "INFO",
+    stream: TextIO | None = None,
+    node_id: str = "",
 ) -> None:
     """Send all records to `stream`.
 
@@ -100,10 +104,13 @@
         Lowest level that is printed.
     stream : file object, optional
         Standard error by default.
+    node_id : str, optional
+        Named in each JSON line.
     """
     handler = logging.StreamHandler(stream or sys.stderr)
     if style == "json":
-        handler.setFormatter(EventJsonFormatter(JSON_FIELDS))
+        static = {"node": node_id} if node_id else {}
+        handler.setFormatter(EventJsonFormatter(JSON_FIELDS, static_fields=static))
     else:
         handler.setFormatter(TerminalFormatter(TERMINAL_FORMAT))
     root = logging.getLogger()
--- /dev/null
+++ b/damaskproxy/events/story.py
@@ -0,0 +1,94 @@
+"""Story of one request over the logs of several nodes."""
+
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from damaskproxy.events.catalogue import defined_events
+
+__all__ = ["Entry", "read_story", "tell"]
+
+OWN_FIELDS = frozenset(
+    {"asctime", "levelname", "name", "message", "event", "node", "request_id"}
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One log line about the request or about a call that it caused.
+
+    Parameters
+    ----------
+    at : str
+        Time of day at the node.
+    node : str
+        Node that wrote the line.
+    event : int
+        Number in the catalogue.
+    request_id : str
+        Id of the request or of the call.
+    fields : dict
+        What the decision depended on, and its result.
+    """
+
+    at: str
+    node: str
+    event: int
+    request_id: str
+    fields: dict[str, object]
+
+
+def read_story(lines: Iterable[str], request_id: str) -> list[Entry]:
+    """Return the entries of a request and of its calls in order of time.
+
+    Parameters
+    ----------
+    lines : iterable of str
+        Lines of the logs of any nodes; text before the JSON object is skipped and
+        lines of other programs are ignored.
+    request_id : str
+        Id that the client sent.
+    """
+    entries = []
+    for line in lines:
+        start = line.find("{")
+        if start < 0 or request_id not in line:
+            continue
+        try:
+            content = json.loads(line[start:])
+        except ValueError:
+            continue
+        entry = _to_entry(content, request_id)
+        if entry is not None:
+            entries.append(entry)
+    return sorted(entries, key=lambda entry: entry.at)
+
+
+def tell(entry: Entry) -> str:
+    """Return an entry as one line of text."""
+    meanings = {event.number: event.meaning for event in defined_events()}
+    meaning = meanings.get(entry.event, f"event {entry.event}")
+    fields = ", ".join(f"{name} {_text(value)}" for name, value in entry.fields.items())
+    what = f"request {entry.request_id}"
+    return f"{entry.at} {entry.node}: {what}: {meaning} ({fields})"
+
+
+def _to_entry(content: object, request_id: str) -> Entry | None:
+    if not isinstance(content, dict):
+        return None
+    found = str(content.get("request_id", ""))
+    if found != request_id and not found.startswith(request_id + "."):
+        return None
+    return Entry(
+        str(content.get("asctime", "")),
+        str(content.get("node", "")),
+        int(content.get("event", 0)),
+        found,
+        {name: v for name, v in content.items() if name not in OWN_FIELDS},
+    )
+
+
+def _text(value: object) -> str:
+    if isinstance(value, list):
+        return "[" + "; ".join(map(_text, value)) + "]"
+    return str(value)
--- /dev/null
+++ b/damaskproxy/events/tests/test_story.py
@@ -0,0 +1,47 @@
+"""Logs of several nodes, with lines of other programs and damaged ones."""
+
+import json
+import unittest
+
+from nose2.tools import params
+
+from damaskproxy.events.story import read_story, tell
+from damaskproxy.forwarding import events
+
+
+def line(at, node, request_id, **fields):
+    """Return a log line."""
+    body = {"asctime": at, "node": node, "event": events.REQUEST_NOT_SERVED.number}
+    return json.dumps({**body, "request_id": request_id, **fields})
+
+
+LOG = [
+    line("2026-01-01 10:00:02,000", "n2", "abc.1", status=503),
+    "Traceback (most recent call last):",
+    line("2026-01-01 10:00:01,000", "n1", "abc", attempts=["n2: lost", "n3: lost"]),
+    line("2026-01-01 10:00:03,000", "n1", "abcd", status=504),
+    '{"request_id": "abc"',
+    "  3.88 node-1 " + line("2026-01-01 10:00:04,000", "n1", "abc", status=502),
+    '["abc"]',
+]
+
+
+class StoryTests(unittest.TestCase):
+    """Guards against a story that lacks a node or mixes requests."""
+
+    @params(
+        ("abc", ["n1", "n2", "n1"]),
+        ("abc.1", ["n2"]),
+        ("abcd", ["n1"]),
+        ("none", []),
+    )
+    def test_entries_of_the_request_are_in_order(self, request_id, nodes):
+        story = read_story(LOG, request_id)
+        self.assertEqual([entry.node for entry in story], nodes)
+        self.assertEqual(sorted(e.at for e in story), [e.at for e in story])
+
+    def test_entry_is_told_in_words(self):
+        text = tell(read_story(LOG, "abc")[0])
+        self.assertIn("10:00:01,000 n1: request abc", text)
+        self.assertIn(events.REQUEST_NOT_SERVED.meaning, text)
+        self.assertIn("attempts [n2: lost; n3: lost]", text)
--- a/damaskproxy/node/cli.py
+++ b/damaskproxy/node/cli.py
@@ -1,6 +1,7 @@
 """Command line of ``damask-node``."""
 
 import asyncio
+import dataclasses
 import json
 import sys
 import urllib.error
@@ -11,12 +12,18 @@
 import typer
 import uvloop
 
+import damaskproxy.forwarding.events  # noqa: F401 (registers its events)
 from damaskproxy.common import DamaskError
 from damaskproxy.common.version import make_version_printer
 from damaskproxy.config import NodeSettings, SettingsError, load_settings
 from damaskproxy.events import configure_logging
+from damaskproxy.events.story import read_story, tell
 from damaskproxy.node.lifecycle import run_node
 from damaskproxy.node.status import format_status
+from damaskproxy.sidecar import (
+    SidecarSettingsError,
+    load_settings as load_sidecar_settings,
+)
 
 __all__ = ["main"]
 
@@ -103,6 +110,40 @@
     print(json.dumps(known, indent=2) if as_json else format_status(known))
 
 
+@app.command()
+def check_sidecar(settings_path: SettingsPath) -> None:
+    """Check the settings file of a node on the prepared machines."""
+    try:
+        settings = load_sidecar_settings(str(settings_path))
+    except SidecarSettingsError as error:
+        raise _fail(str(error), EXIT_SETTINGS) from error
+    print(f"{settings_path}: ok (node {settings.node_id})")
+
+
+@app.command()
+def explain(
+    log_paths: Annotated[
+        list[Path], typer.Argument(metavar="LOGFILE...", help="Logs of the nodes.")
+    ],
+    request: Annotated[str, typer.Option(help="Id of the request.")],
+    as_json: Annotated[
+        bool, typer.Option("--json", help="Print one JSON object a line.")
+    ] = False,
+) -> None:
+    """Print what the logs of several nodes say about one request."""
+    lines: list[str] = []
+    for path in log_paths:
+        try:
+            lines += path.read_text(encoding="utf-8", errors="replace").splitlines()
+        except OSError as error:
+            raise _fail(f"cannot read {path}: {error}", EXIT_FAILED) from error
+    story = read_story(lines, request)
+    for entry in story:
+        print(json.dumps(dataclasses.asdict(entry)) if as_json else tell(entry))
+    if not story:
+        raise _fail(f"no line about request {request}", EXIT_FAILED)
+
+
 def main() -> None:
     """Run the command line."""
     app(prog_name="damask-node")
--- a/damaskproxy/sidecar/__main__.py
+++ b/damaskproxy/sidecar/__main__.py
@@ -4,7 +4,7 @@
 
 import uvloop
 
-from damaskproxy.events import configure_logging
+from damaskproxy.events import DroppingOutput, configure_logging
 from damaskproxy.sidecar.lifecycle import run_sidecar
 from damaskproxy.sidecar.settings import SidecarSettingsError, load_settings
 
@@ -22,7 +22,11 @@
     except SidecarSettingsError as error:
         print(f"damaskproxy: {error}", file=sys.stderr)
         return EXIT_SETTINGS
-    configure_logging(level=settings.log_level, stream=sys.stdout)
+    configure_logging(
+        level=settings.log_level,
+        stream=DroppingOutput(sys.stdout),
+        node_id=settings.node_id,
+    )
     uvloop.run(run_sidecar(settings, path))
     return 0
 
