Refuse root requests whose calls would be refused, and hand the priority down

The service at the end of the chains (tracking) was full, its node refused calls of runs that had already cost work in three services, and calls of orders waited behind those of browsing, since inner routes share one priority.

Each call now has the priority and the ordinal of its root request, found by the id of the request in flight that caused it. Results carry the admission level of the server or of those it calls; the origin refuses a root request above that level before any server starts it. Calls of repeated runs are charged to the retry budget of their service.

Tests in test_origin.py.

--- a/damaskproxy/common/ids.py
+++ b/damaskproxy/common/ids.py
@@ -25,12 +25,12 @@
     return f"{rng.getrandbits(ATTEMPT_ID_BITS):032x}"
 
 
-def ordinal_of(identity: str) -> int:
+def ordinal_of(identity: str | bytes) -> int:
     """Return the ordinal of a root request, 0 (shed last) to 127 (shed first).
 
     Parameters
     ----------
-    identity : str
+    identity : str or bytes
         Identity of the root request, the same at each hop.
 
     Returns
@@ -38,4 +38,6 @@
     int
         Position of the request within its priority for admission levels.
     """
-    return zlib.crc32(identity.encode()) % ORDINAL_COUNT
+    if isinstance(identity, str):
+        identity = identity.encode()
+    return zlib.crc32(identity) % ORDINAL_COUNT
--- a/damaskproxy/forwarding/__init__.py
+++ b/damaskproxy/forwarding/__init__.py
@@ -5,6 +5,7 @@
 from damaskproxy.forwarding.crash_guard import CrashGuard
 from damaskproxy.forwarding.frames import AskFrame, TellFrame
 from damaskproxy.forwarding.headers import HeaderNames
+from damaskproxy.forwarding.lineage import Lineage
 from damaskproxy.forwarding.links import LinkHandlers, Links
 from damaskproxy.forwarding.origin import Origin
 from damaskproxy.forwarding.target import Target
@@ -15,6 +16,7 @@
     "Chooser",
     "CrashGuard",
     "HeaderNames",
+    "Lineage",
     "LinkHandlers",
     "Links",
     "Origin",
--- a/damaskproxy/forwarding/calls.py
+++ b/damaskproxy/forwarding/calls.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from damaskproxy.common import Priority
+
 __all__ = [
     "Answer",
     "Call",
@@ -12,6 +14,7 @@
     "NotRunReason",
     "Result",
     "Unknown",
+    "to_priority",
 ]
 
 
@@ -23,6 +26,7 @@
     DRAINING = "draining"
     STOPPING = "stopping"
     OVERLOAD = "overload"
+    OVERLOAD_BELOW = "overload-below"
     DEADLINE_PASSED = "deadline-passed"
     QUARANTINED = "quarantined"
     BACKEND_UNREACHABLE = "backend-unreachable"
@@ -42,12 +46,16 @@
         Calls that run, wait, and may run at once.
     latency_ms : int
         Usual time of a call.
+    level : int
+        First position of a root request, by priority and ordinal, that this server or
+        one that it calls refuses.
     """
 
     in_flight: int
     queued: int
     limit: int
     latency_ms: int
+    level: int
 
 
 class Call(msgspec.Struct, array_like=True):
@@ -70,11 +78,13 @@
     caller : str
         Service beside the node where the request began.
     priority : int
-        Rank of the route, 0 is the most urgent.
+        Rank of the root request, 0 is the most urgent.
     is_idempotent : bool
         Whether a second run does no harm.
     deadline_ms : int
         Time that is left.
+    is_repeat : bool
+        Whether this run, or that of an ancestor, is not the first.
     """
 
     service: str
@@ -88,6 +98,7 @@
     priority: int
     is_idempotent: bool
     deadline_ms: int
+    is_repeat: bool = False
 
 
 class Answer(msgspec.Struct, array_like=True):
@@ -126,3 +137,8 @@
 
 
 Result = Answer | NotRun | Unknown
+
+
+def to_priority(rank: int) -> Priority:
+    """Return the priority class of a route's rank; lower ranks share the last class."""
+    return Priority(min(max(rank, 0), max(Priority)))
--- a/damaskproxy/forwarding/events.py
+++ b/damaskproxy/forwarding/events.py
@@ -7,6 +7,7 @@
 __all__ = [
     "BACKEND_CRASHED",
     "CALL_FAILED",
+    "CALL_NOT_ANSWERED",
     "LINK_LOST",
     "LINK_OPENED",
     "LINK_REFUSED",
@@ -37,6 +38,12 @@
     logging.INFO,
     "A request was refused or got no response; the results of its attempts are given.",
 )
+CALL_NOT_ANSWERED = define(
+    10107,
+    "call-not-answered",
+    logging.INFO,
+    "The node beside the backend server refused a call, or got no valid response.",
+)
 CALL_FAILED = define(
     10106,
     "peer-call-failed",
--- a/damaskproxy/forwarding/frames.py
+++ b/damaskproxy/forwarding/frames.py
@@ -75,6 +75,7 @@
     priority: int
     is_idempotent: bool
     deadline_ms: int
+    is_repeat: bool
 
 
 class AnswerFrame(msgspec.Struct, array_like=True, tag=2):
--- a/damaskproxy/forwarding/links.py
+++ b/damaskproxy/forwarding/links.py
@@ -214,6 +214,7 @@
             call.priority,
             call.is_idempotent,
             call.deadline_ms,
+            call.is_repeat,
         )
 
     def _handle(self, frame: Frame) -> None:
@@ -250,6 +251,7 @@
             frame.priority,
             frame.is_idempotent,
             max(0, frame.deadline_ms - delay_ms),
+            frame.is_repeat,
         )
         self._note_version(frame.configuration_version)
         task = asyncio.get_running_loop().create_task(self._run_here(frame, call))
--- a/damaskproxy/forwarding/origin.py
+++ b/damaskproxy/forwarding/origin.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from damaskproxy.admission.tickets import position_of
+from damaskproxy.common import ordinal_of
 from damaskproxy.common.clock import boot_s
 from damaskproxy.directory import ConfigurationBook, Directory, MemberRecord, Route
 from damaskproxy.events import log_event
@@ -19,12 +21,14 @@
     NotRunReason,
     Result,
     Unknown,
+    to_priority,
 )
 from damaskproxy.forwarding.choosing import Chooser
 from damaskproxy.forwarding.crash_guard import CrashGuard
 from damaskproxy.forwarding.headers import HeaderNames
+from damaskproxy.forwarding.lineage import Lineage, Parent, ReportedLevel, root_of
 from damaskproxy.forwarding.splitting import Splitter
-from damaskproxy.http1 import Request, Response, end_to_end, find_header
+from damaskproxy.http1 import Request, Response, end_to_end
 from damaskproxy.retries import RetryRatio
 
 __all__ = ["Origin"]
@@ -70,6 +74,7 @@
     failure: Answer | None = None
     history: list[str] = field(default_factory=list)
     last_refusal: NotRunReason = NotRunReason.NO_MEMBER
+    parent: Parent | None = None
 
 
 class Origin:
@@ -95,6 +100,8 @@
         Limit of further attempts for each service.
     guard : CrashGuard
         Requests that crash backend servers.
+    lineage : Lineage
+        Knows the requests of whose runs calls are a part.
     names : HeaderNames
         Header names of the platform.
     rng : random.Random
@@ -112,6 +119,7 @@
         run_there: Callable[[MemberRecord, Call], Awaitable[Result]],
         ratio: RetryRatio,
         guard: CrashGuard,
+        lineage: Lineage,
         names: HeaderNames,
         rng: random.Random,
     ):
@@ -124,7 +132,11 @@
         self._run_there = run_there
         self._ratio = ratio
         self._guard = guard
+        self._lineage = lineage
+        self._levels: dict[str, ReportedLevel] = {}
         self._names = names
+        self._request_id = names.lower("request_id")
+        self._deadline_ms = names.lower("deadline_ms")
         self._rng = rng
         self._splitter = Splitter()
         self._set_here = frozenset(
@@ -136,7 +148,7 @@
     async def handle(self, request: Request) -> Response:
         """Return the response to a request of this machine."""
         configuration = self._configuration.current
-        request_id = find_header(request.headers, self._names.lower("request_id"))
+        request_id = request.header(self._request_id)
         if configuration is None:
             return self._refuse(
                 request_id or b"", NotRunReason.NO_CONFIGURATION, RETRY_AFTER_MIN_S
@@ -149,10 +161,12 @@
         budget_ms = self._budget_ms(request, route)
         if budget_ms <= 0:
             return self._refuse(request_id, NotRunReason.DEADLINE_PASSED, 0.0)
+        parent = self._lineage.parent_of(request_id)
         attempts = _Attempts(
-            self._make_call(request, request_id, route, budget_ms),
+            self._make_call(request, request_id, route, budget_ms, parent),
             route,
             boot_s() + budget_ms / MS_PER_S,
+            parent=parent,
         )
         try:
             async with asyncio.timeout(budget_ms / MS_PER_S):
@@ -166,13 +180,18 @@
         return response
 
     def _budget_ms(self, request: Request, route: Route) -> int:
-        text = find_header(request.headers, self._names.lower("deadline_ms"))
+        text = request.header(self._deadline_ms)
         if text is None or not text.isdigit():
             return route.timeout_ms
         return min(int(text[:12]), route.timeout_ms)
 
     def _make_call(
-        self, request: Request, request_id: bytes, route: Route, budget_ms: int
+        self,
+        request: Request,
+        request_id: bytes,
+        route: Route,
+        budget_ms: int,
+        parent: Parent | None,
     ) -> Call:
         return Call(
             self._splitter.next_service(route),
@@ -183,14 +202,21 @@
             request.body,
             request_id,
             self._service(),
-            route.priority,
+            route.priority if parent is None else parent.priority,
             route.is_idempotent,
             budget_ms,
+            parent is not None and parent.is_repeat,
         )
 
     async def _attempt_all(self, attempts: _Attempts) -> Response:
         call = attempts.call
-        self._ratio.first_attempt(call.service)
+        if call.is_repeat:
+            self._ratio.charge(call.service)
+        else:
+            self._ratio.first_attempt(call.service)
+        if attempts.parent is None and self._is_above_level(call):
+            attempts.last_refusal = NotRunReason.OVERLOAD_BELOW
+            return self._give_up(attempts)
         if self._guard.is_quarantined(call):
             attempts.last_refusal = NotRunReason.QUARANTINED
             return self._give_up(attempts)
@@ -198,7 +224,7 @@
             result = await self._send(member, attempts)
             if isinstance(result, Answer):
                 if result.status < 500 or not call.is_idempotent:
-                    return Response(result.status, result.headers, result.body)
+                    return _to_response(result)
                 attempts.failure = result
                 attempts.reached += 1
             elif isinstance(result, NotRun):
@@ -235,7 +261,9 @@
         attempts.tried.add(member.node_id)
         remaining_ms = int((attempts.deadline_s - boot_s()) * MS_PER_S)
         call = msgspec.structs.replace(
-            attempts.call, deadline_ms=max(remaining_ms - QUEUE_MARGIN_MS, 1)
+            attempts.call,
+            deadline_ms=max(remaining_ms - QUEUE_MARGIN_MS, 1),
+            is_repeat=attempts.call.is_repeat or attempts.reached > 0,
         )
         started_s = boot_s()
         result = None
@@ -247,9 +275,35 @@
                 result = await self._run_there(member, call)
         finally:
             self._chooser.finished(member, result, boot_s() - started_s)
+            self._note_level(attempts, result)
             attempts.history.append(f"{member.node_id}: {_describe(result)}")
         return result
 
+    def _is_above_level(self, call: Call) -> bool:
+        """Tell whether the calls of a root request would be refused further on.
+
+        Notes
+        -----
+        A run whose calls are refused wastes the work of all servers above, so the
+        request is refused before any of them starts.
+        """
+        level = self._levels.get(call.route)
+        if level is None:
+            return False
+        ordinal = ordinal_of(root_of(call.request_id))
+        return position_of(to_priority(call.priority), ordinal) >= level.now()
+
+    def _note_level(self, attempts: _Attempts, result: Result | None) -> None:
+        if result is None or result.load is None:
+            return
+        if attempts.parent is not None:
+            self._lineage.report(attempts.parent, result.load.level)
+            return
+        level = self._levels.get(attempts.call.route)
+        if level is None:
+            level = self._levels[attempts.call.route] = ReportedLevel()
+        level.report(result.load.level)
+
     def _note_refusal(
         self, attempts: _Attempts, member: MemberRecord, result: NotRun
     ) -> None:
@@ -258,13 +312,15 @@
             attempts.reached += 1
         else:
             attempts.refusals += 1
+            if attempts.reached:
+                self._ratio.give_back(attempts.call.service)
         if result.reason in UNAVAILABLE_REASONS:
             self._chooser.unavailable(member)
 
     def _give_up(self, attempts: _Attempts) -> Response:
         failure = attempts.failure
         if failure is not None:
-            return Response(failure.status, failure.headers, failure.body)
+            return _to_response(failure)
         if attempts.may_have_run:
             return Response(502)
         remaining_s = attempts.deadline_s - boot_s()
@@ -304,7 +360,7 @@
 
 
 def _host(request: Request) -> str:
-    host = find_header(request.headers, b"host") or b""
+    host = request.header(b"host") or b""
     return host.decode("latin-1").partition(":")[0].lower()
 
 
@@ -312,6 +368,10 @@
     return request.target.decode("latin-1").partition("?")[0]
 
 
+def _to_response(answer: Answer) -> Response:
+    return Response(answer.status, list(answer.headers), answer.body)
+
+
 def _describe(result: Result | None) -> str:
     if isinstance(result, Answer):
         return f"status {result.status}"
--- a/damaskproxy/forwarding/target.py
+++ b/damaskproxy/forwarding/target.py
@@ -4,8 +4,10 @@
 import logging
 from collections.abc import Callable
 
+import msgspec
+
 from damaskproxy.admission import AdmissionController, Permit, Ticket
-from damaskproxy.common import Outcome, Priority, Refusal, RefusalReason, ordinal_of
+from damaskproxy.common import Outcome, Refusal, RefusalReason, ordinal_of
 from damaskproxy.common.clock import boot_s
 from damaskproxy.events import log_event
 from damaskproxy.forwarding import events
@@ -18,9 +20,11 @@
     NotRunReason,
     Result,
     Unknown,
+    to_priority,
 )
 from damaskproxy.forwarding.crash_guard import CrashGuard, digest_of
 from damaskproxy.forwarding.headers import HeaderNames
+from damaskproxy.forwarding.lineage import Lineage, root_of
 from damaskproxy.http1 import (
     ConnectFailed,
     ConnectionPool,
@@ -28,7 +32,6 @@
     Request,
     Response,
     end_to_end,
-    find_header,
 )
 
 __all__ = ["Target"]
@@ -59,6 +62,8 @@
         Header names of the platform.
     guard : CrashGuard
         Requests that crash backend servers.
+    lineage : Lineage
+        Learns which requests run.
     make_admission : callable
         Returns an admission controller for a number of slots.
 
@@ -76,6 +81,7 @@
         pool: ConnectionPool,
         names: HeaderNames,
         guard: CrashGuard,
+        lineage: Lineage,
         make_admission: Callable[[int], AdmissionController],
     ):
         self.in_flight = 0
@@ -84,26 +90,34 @@
         self._pool = pool
         self._names = names
         self._guard = guard
+        self._lineage = lineage
         self._make_admission = make_admission
         self._admission: AdmissionController | None = None
         self._lifetime: tuple = ()
         self._lost: list[Call] = []
         self._crash_check: asyncio.Task | None = None
+        self._request_id = names.lower("request_id")
+        self._not_executed = names.lower("not_executed")
+        self._stamp = names.lower("stamp")
         # The origin knows the id; sending it back would cost bytes between nodes.
-        self._not_returned = frozenset(
-            {names.lower("not_executed"), names.lower("request_id")}
-        )
+        self._not_returned = frozenset({self._not_executed, self._request_id})
 
     async def run(self, call: Call) -> Result:
         """Run `call` when there is room; cancelling it tells the backend server."""
+        result = await self._run(call)
+        if not isinstance(result, Answer):
+            self._log_failure(call, result)
+        return result
+
+    async def _run(self, call: Call) -> Result:
         deadline_s = boot_s() + call.deadline_ms / MS_PER_S
         refusal = self._refusal(call)
         if refusal is not None:
             return refusal
         admission = self._admission
         ticket = Ticket(
-            _priority(call.priority),
-            ordinal_of(call.request_id.decode("latin-1")),
+            to_priority(call.priority),
+            ordinal_of(root_of(call.request_id)),
             call.route,
             deadline_s,
         )
@@ -111,7 +125,7 @@
         if permit is None:
             permit = await admission.acquire(ticket, counted=True)
         if not isinstance(permit, Permit):
-            return self._not_run(_reason(permit), retry_after_ms=permit.retry_after_ms)
+            return self._not_run(call, _reason(permit), permit.retry_after_ms)
         started_s = boot_s()
         result = None
         try:
@@ -123,16 +137,20 @@
                 elapsed_s=boot_s() - started_s,
                 ok=isinstance(result, Answer),
             )
-        result.load = self.load()
+        result.load = self._load(call.route)
         return result
 
-    def load(self) -> LoadReport | None:
-        """Return the load that goes back with each result."""
+    def _load(self, route: str) -> LoadReport | None:
+        """Return the load that goes back with a result."""
         if self._admission is None:
             return None
         load = self._admission.load()
         return LoadReport(
-            load.in_flight, load.queued, int(load.limit), int(load.latency_ms)
+            load.in_flight,
+            load.queued,
+            int(load.limit),
+            int(load.latency_ms),
+            min(load.level, self._lineage.level_below(route)),
         )
 
     def follow_backend(self) -> None:
@@ -158,21 +176,23 @@
     def _refusal(self, call: Call) -> NotRun | None:
         record = self._backend.record
         if self.is_stopping:
-            return self._not_run(NotRunReason.STOPPING)
+            return self._not_run(call, NotRunReason.STOPPING)
         if record is None:
-            return self._not_run(NotRunReason.NO_BACKEND)
+            return self._not_run(call, NotRunReason.NO_BACKEND)
         if record.service != call.service:
-            return self._not_run(NotRunReason.OTHER_SERVICE)
+            return self._not_run(call, NotRunReason.OTHER_SERVICE)
         if not self._backend.is_serving:
-            return self._not_run(NotRunReason.DRAINING)
+            return self._not_run(call, NotRunReason.DRAINING)
         if not self._backend.is_reachable:
-            return self._not_run(NotRunReason.BACKEND_UNREACHABLE)
+            return self._not_run(call, NotRunReason.BACKEND_UNREACHABLE)
         if self._guard.is_quarantined(call):
-            return self._not_run(NotRunReason.QUARANTINED)
+            return self._not_run(call, NotRunReason.QUARANTINED)
         return None
 
-    def _not_run(self, reason: NotRunReason, retry_after_ms: int = 0) -> NotRun:
-        return NotRun(reason, False, retry_after_ms, self.load())
+    def _not_run(
+        self, call: Call, reason: NotRunReason, retry_after_ms: int = 0
+    ) -> NotRun:
+        return NotRun(reason, False, retry_after_ms, self._load(call.route))
 
     async def _send(self, call: Call, deadline_s: float) -> Result:
         names = self._names
@@ -189,6 +209,7 @@
         ]
         request = Request(call.method, call.target, headers, call.body)
         self.in_flight += 1
+        self._lineage.began(call)
         try:
             response = await self._pool.exchange(
                 request,
@@ -203,14 +224,14 @@
             return Unknown(str(error))
         finally:
             self.in_flight -= 1
+            self._lineage.ended(call)
         return self._classify(response)
 
     def _make_accept(self, request_id: bytes):
-        names = self._names
-        id_name = names.lower("request_id")
+        id_name = self._request_id
 
         def accept(response: Response) -> bool:
-            echoed = find_header(response.headers, id_name)
+            echoed = response.header(id_name)
             if echoed is not None:
                 return echoed == request_id
             return response.status in REJECTED_STATUSES
@@ -218,18 +239,32 @@
         return accept
 
     def _classify(self, response: Response) -> Result:
-        names, headers = self._names, response.headers
-        is_rejected = find_header(headers, names.lower("not_executed")) is not None
+        is_rejected = response.header(self._not_executed) is not None
         if is_rejected or response.status == 421:
             return NotRun(NotRunReason.BACKEND_REJECTED, reached_backend=True)
-        if find_header(headers, b"content-encoding") is not None:
+        if response.header(b"content-encoding") is not None:
             return Unknown("the response is encoded although that was not asked for")
-        is_stamped = find_header(headers, names.lower("stamp")) is not None
+        is_stamped = response.header(self._stamp) is not None
         if not is_stamped and response.status < 500:
             return Unknown(f"status {response.status} without a MAC")
-        headers = end_to_end(headers, self._not_returned)
+        headers = end_to_end(response.headers, self._not_returned)
         return Answer(response.status, headers, response.body)
 
+    def _log_failure(self, call: Call, result: NotRun | Unknown) -> None:
+        is_refusal = isinstance(result, NotRun)
+        log_event(
+            logger,
+            events.CALL_NOT_ANSWERED,
+            request_id=call.request_id.decode("latin-1"),
+            route=call.route,
+            priority=call.priority,
+            budget_ms=call.deadline_ms,
+            reason=result.reason if is_refusal else result.detail,
+            is_not_run=is_refusal,
+            load=msgspec.to_builtins(result.load),
+            instance_id=self._lifetime[0] if self._lifetime else "",
+        )
+
     def _note_loss(self, call: Call) -> None:
         self._lost.append(call)
         if self._crash_check is None:
@@ -259,10 +294,6 @@
         return True
 
 
-def _priority(rank: int) -> Priority:
-    return Priority(min(max(rank, 0), max(Priority)))
-
-
 def _reason(refusal: Refusal) -> NotRunReason:
     if refusal.reason is RefusalReason.LEAVING:
         return NotRunReason.DRAINING
--- a/damaskproxy/forwarding/tests/test_decisions.py
+++ b/damaskproxy/forwarding/tests/test_decisions.py
@@ -27,7 +27,7 @@
 
 def ok(in_flight=0, queued=0):
     """Return a successful answer with a load report."""
-    return Answer(200, [], b"", LoadReport(in_flight, queued, 4, 10))
+    return Answer(200, [], b"", LoadReport(in_flight, queued, 4, 10, 512))
 
 
 class ChooserTests(unittest.TestCase):
--- /dev/null
+++ b/damaskproxy/forwarding/tests/test_origin.py
@@ -0,0 +1,222 @@
+"""Requests of callers: what is sent, repeated, refused and promised."""
+
+import asyncio
+import random
+import unittest
+from unittest import mock
+
+from nose2.tools import params
+
+from damaskproxy.directory import Configuration, ConfigurationBook, Directory
+from damaskproxy.forwarding import (
+    Chooser,
+    CrashGuard,
+    Lineage,
+    Origin,
+    lineage as lineage_module,
+)
+from damaskproxy.forwarding.calls import (
+    Answer,
+    LoadReport,
+    NotRun,
+    NotRunReason,
+    Unknown,
+)
+from damaskproxy.forwarding.tests.builders import (
+    NAMES,
+    make_call,
+    make_member,
+    make_route,
+)
+from damaskproxy.http1 import ClientLimits, Request, find_header
+from damaskproxy.retries import RetryRatio, RetrySettings
+
+ROUTES = (
+    make_route(),
+    make_route(name="w", prefix="/w/", is_idempotent=False, priority=0),
+    make_route(name="late", prefix="/late/", priority=3),
+)
+REJECTED = NotRun(NotRunReason.BACKEND_REJECTED, reached_backend=True)
+OVERLOAD = NotRun(NotRunReason.OVERLOAD)
+DRAINING = NotRun(NotRunReason.DRAINING)
+LOST = Unknown("lost")
+FAILED = Answer(500, [], b"failed")
+DONE = Answer(200, [], b"done")
+OPEN_LEVEL = 512
+
+
+def with_level(level):
+    """Return a successful answer from a server with an admission level."""
+    return Answer(200, [], b"", LoadReport(1, 0, 4, 10, level))
+
+
+class OriginTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against false promises, repeated orders and retry storms."""
+
+    def setUp(self):
+        self.sent = []
+        self.results = []
+        self.lineage = Lineage()
+        book, directory = ConfigurationBook(), Directory()
+        book.offer(Configuration(1, ROUTES, {}, ClientLimits(), b""))
+        for number in range(6):
+            directory.merge(make_member(f"n{number}"))
+        rng = random.Random(1)
+        self.ratio = RetryRatio(RetrySettings(ratio=0.1, saved_max=2))
+        self.origin = Origin(
+            "here",
+            lambda: "stores",
+            book,
+            directory,
+            Chooser("a", rng),
+            self.run_call,
+            lambda member, call: self.run_call(call),
+            self.ratio,
+            CrashGuard(lambda: None),
+            self.lineage,
+            NAMES,
+            rng,
+        )
+
+    async def run_call(self, call):
+        self.sent.append(call)
+        result = self.results.pop(0) if self.results else DONE
+        if result is None:
+            await asyncio.sleep(3600)
+        return result
+
+    async def send(self, target=b"/a/1", request_id=b"1", deadline=b"5000"):
+        fields = [(b"Host", b"H:80"), (b"X-Id", request_id), (b"X-Deadline", deadline)]
+        return await self.origin.handle(Request(b"GET", target, fields))
+
+    @params(
+        ("done", b"/a/1", [DONE], 200, 1),
+        ("failed, then done", b"/a/1", [FAILED, DONE], 200, 2),
+        ("lost, then done", b"/a/1", [LOST, DONE], 200, 2),
+        ("twice lost", b"/a/1", [LOST, LOST], 502, 2),
+        ("lost, then refused", b"/a/1", [LOST, OVERLOAD, OVERLOAD, OVERLOAD], 502, 4),
+        ("twice failed", b"/a/1", [FAILED, FAILED], 500, 2),
+        ("twice rejected", b"/a/1", [REJECTED, REJECTED], 503, 2),
+        ("refused by nodes", b"/a/1", [OVERLOAD, DRAINING, OVERLOAD], 503, 3),
+        ("order, done", b"/w/1", [DONE], 200, 1),
+        ("order, failed", b"/w/1", [FAILED], 500, 1),
+        ("order, lost", b"/w/1", [LOST], 502, 1),
+        ("order, refused, then done", b"/w/1", [OVERLOAD, DONE], 200, 2),
+        ("order, rejected, then lost", b"/w/1", [REJECTED, LOST], 502, 2),
+        ("order, twice rejected", b"/w/1", [REJECTED, REJECTED], 503, 2),
+    )
+    async def test_status_says_what_is_known(self, name, target, results, status, sent):
+        self.results = list(results)
+        answer = await self.send(target)
+        self.assertEqual((answer.status, len(self.sent)), (status, sent), name)
+        self.assertEqual(find_header(answer.headers, b"x-id"), b"1")
+        promised = find_header(answer.headers, b"retry-after")
+        self.assertEqual(promised is not None, status == 503, name)
+
+    async def test_stuck_call_is_answered_at_the_timeout(self):
+        self.results = [None]
+        answer = await self.send(deadline=b"50")
+        self.assertEqual(answer.status, 504)
+
+    async def test_later_attempt_gets_the_time_that_is_left(self):
+        async def slow_failure(call):
+            self.sent.append(call)
+            await asyncio.sleep(0.1)
+            return LOST
+
+        self.origin._run_there = lambda member, call: slow_failure(call)
+        await self.send(deadline=b"600")
+        first, second = (call.deadline_ms for call in self.sent)
+        self.assertLessEqual(first, 600)
+        self.assertLessEqual(second, first - 95)
+
+    async def test_repeats_stay_within_the_ratio(self):
+        for number in range(100):
+            self.results = [LOST, DONE]
+            await self.send(request_id=b"%d" % number)
+        repeats = sum(call.is_repeat for call in self.sent)
+        self.assertLessEqual(repeats, 2 + 100 * 0.1)
+        self.assertGreaterEqual(repeats, 10)
+
+    async def test_calls_of_repeated_runs_use_the_budget_up(self):
+        self.lineage.began(make_call(request_id=b"p", is_repeat=True))
+        for number in range(10):
+            await self.send(request_id=b"p.%d" % number)
+        self.assertTrue(all(call.is_repeat for call in self.sent))
+        self.results = [LOST, DONE]
+        self.assertEqual((await self.send(request_id=b"root")).status, 502)
+
+    @params(
+        ("child of an urgent request", b"p.1", 0),
+        ("grandchild", b"p.1.2", 1),
+        ("child of a request elsewhere", b"q.1", 1),
+        ("root request", b"p", 1),
+        ("other id", b"p1", 1),
+    )
+    async def test_calls_have_the_priority_of_their_root(self, name, request_id, rank):
+        self.lineage.began(make_call(request_id=b"p", priority=0))
+        await self.send(request_id=request_id)
+        self.assertEqual(self.sent[0].priority, rank, name)
+
+    async def test_priority_of_an_ended_run_is_forgotten(self):
+        call = make_call(request_id=b"p", priority=0)
+        self.lineage.began(call)
+        self.lineage.ended(call)
+        await self.send(request_id=b"p.1")
+        self.assertEqual(self.sent[0].priority, 1)
+
+    async def load_below(self, level, target):
+        """Let `target` report a level several times."""
+        for number in range(40):
+            self.results = [with_level(level)]
+            await self.send(target, request_id=b"p.%d" % number)
+            self.results = [with_level(level)]
+            await self.send(target, request_id=b"%d" % number)
+        self.sent.clear()
+
+    @params(
+        ("open", OPEN_LEVEL, b"/late/1", 100),
+        ("closed above this priority", 2 * 128, b"/a/1", 100),
+        ("closed for this priority", 128, b"/a/1", 0),
+        ("half closed", 128 + 64, b"/a/1", 50),
+    )
+    async def test_roots_whose_calls_would_be_refused_are_refused_first(
+        self, name, level, target, served
+    ):
+        with mock.patch.object(lineage_module, "boot_s", lambda: 100.0):
+            await self.load_below(level, target)
+            statuses = []
+            for number in range(100):
+                self.results = [with_level(level)]
+                answer = await self.send(target, request_id=b"r%d" % number)
+                statuses.append(answer.status)
+        self.assertAlmostEqual(statuses.count(200), served, delta=15, msg=name)
+        self.assertEqual(statuses.count(200) + statuses.count(503), 100, name)
+
+    async def test_calls_of_a_running_request_are_not_refused_first(self):
+        self.lineage.began(make_call(request_id=b"p", priority=1))
+        with mock.patch.object(lineage_module, "boot_s", lambda: 100.0):
+            await self.load_below(128, b"/a/1")
+            self.assertEqual((await self.send(request_id=b"p.x")).status, 200)
+
+    async def test_level_opens_when_nothing_reports(self):
+        now_s = 100.0
+        with mock.patch.object(lineage_module, "boot_s", lambda: now_s):
+            await self.load_below(1, b"/a/1")
+            self.assertEqual((await self.send()).status, 503)
+            now_s += 1.1
+            self.assertEqual((await self.send()).status, 200)
+
+
+class LineageTests(unittest.TestCase):
+    """Guards against a level that stays in the place where it was measured."""
+
+    def test_level_below_is_learned_for_the_route_of_the_parent(self):
+        lineage = Lineage()
+        lineage.began(make_call(request_id=b"p", route="buy"))
+        parent = lineage.parent_of(b"p.1")
+        with mock.patch.object(lineage_module, "boot_s", lambda: 100.0):
+            for _ in range(40):
+                lineage.report(parent, 100)
+            self.assertAlmostEqual(lineage.level_below("buy"), 100, delta=2)
+            self.assertEqual(lineage.level_below("read"), OPEN_LEVEL)
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -15,6 +15,7 @@
     Backend,
     Chooser,
     CrashGuard,
+    Lineage,
     LinkHandlers,
     Links,
     Origin,
@@ -39,9 +40,9 @@
 __all__ = ["Sidecar", "compose"]
 
 MS_PER_S = 1000
-CALL_DEPTH = 4
-"""Services on the longest call chain. A run that is repeated repeats the calls below
-it, so each level gets an equal part of the permitted ratio."""
+OWN_RATIO_SHARE = 0.5
+"""Share of the permitted ratio for repeats that a node decides on. The rest is for the
+calls of runs that are repeats themselves, which no node can refuse."""
 RETRY_BURST = 1.0
 """Repeats of one service that a node may have saved; all nodes together stay below the
 slack of the platform."""
@@ -154,11 +155,13 @@
 
     backend = Backend(settings.heartbeat_interval_ms, backend_changed)
     pool = ConnectionPool(to_address(settings.backend_address))
+    lineage = Lineage()
     target = Target(
         backend,
         pool,
         HEADERS,
         guard,
+        lineage,
         lambda slots: AdmissionController(slots, now_s=boot_s, settings=ADMISSION),
     )
     links = Links(
@@ -171,7 +174,7 @@
         ),
         VOLATILE_HEADERS,
     )
-    ratio = settings.bound("retryBudgetRatio", RETRY_RATIO_DEFAULT) / CALL_DEPTH
+    ratio = settings.bound("retryBudgetRatio", RETRY_RATIO_DEFAULT) * OWN_RATIO_SHARE
     origin = Origin(
         settings.node_id,
         lambda: sidecar.settings.service,
@@ -182,6 +185,7 @@
         links.run,
         RetryRatio(RetrySettings(ratio=ratio, saved_max=RETRY_BURST)),
         guard,
+        lineage,
         HEADERS,
         rng,
     )
