--- /dev/null
+++ b/damaskproxy/common/deadline.py
@@ -0,0 +1,39 @@
+"""Deadline of the current task without the system calls of `asyncio.timeout`."""
+
+import asyncio
+
+__all__ = ["Deadline"]
+
+
+class Deadline:
+    """Cancels a task after a time.
+
+    `asyncio.timeout` looks up the running loop several times, and each look-up asks for
+    the process id. A request passes through here at both of its nodes.
+
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop
+        Running loop.
+    delay_s : float
+        Time until the task is cancelled.
+    """
+
+    __slots__ = ("_handle", "_is_fired", "_task")
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, delay_s: float):
+        self._is_fired = False
+        self._task = asyncio.current_task(loop)
+        self._handle = loop.call_later(delay_s, self._fire)
+
+    def is_expired(self) -> bool:
+        """Tell in a handler of `CancelledError` whether this deadline caused it."""
+        return self._is_fired and self._task.uncancel() <= 0
+
+    def close(self) -> None:
+        """Stop the timer."""
+        self._handle.cancel()
+
+    def _fire(self) -> None:
+        self._is_fired = True
+        self._task.cancel()
--- a/damaskproxy/forwarding/links.py
+++ b/damaskproxy/forwarding/links.py
@@ -121,6 +121,7 @@
         self._on_open = on_open
         self._on_lost = on_lost
         self._transport: asyncio.Transport | None = None
+        self._loop: asyncio.AbstractEventLoop | None = None
         self._decoder = FrameDecoder()
         self._sent, self._received = TextTable(volatile), TextTable(volatile)
         self._delays = DelayMeter()
@@ -137,6 +138,7 @@
     def connection_made(self, transport):
         """Take over the connection."""
         self._transport = transport
+        self._loop = asyncio.get_running_loop()
         self.is_open = True
         detect_silence(transport)
         if self._hello is not None:
@@ -183,7 +185,7 @@
     async def run(self, call: Call) -> Result:
         """Run `call` at the peer; cancelling it cancels it there."""
         call_id = next(self._call_ids)
-        future = asyncio.get_running_loop().create_future()
+        future = self._loop.create_future()
         self._waiting[call_id] = future
         self.used_s = boot_s()
         self.write(self._run_frame(call_id, call))
@@ -254,7 +256,7 @@
             frame.is_repeat,
         )
         self._note_version(frame.configuration_version)
-        task = asyncio.get_running_loop().create_task(self._run_here(frame, call))
+        task = self._loop.create_task(self._run_here(frame, call))
         self._running[frame.call_id] = task
 
     async def _run_here(self, frame: RunFrame, call: Call) -> None:
--- a/damaskproxy/forwarding/origin.py
+++ b/damaskproxy/forwarding/origin.py
@@ -9,8 +9,9 @@
 import msgspec
 
 from damaskproxy.admission.tickets import position_of
-from damaskproxy.common import ordinal_of
+from damaskproxy.common import Priority, ordinal_of
 from damaskproxy.common.clock import boot_s
+from damaskproxy.common.deadline import Deadline
 from damaskproxy.directory import ConfigurationBook, Directory, MemberRecord, Route
 from damaskproxy.events import log_event
 from damaskproxy.forwarding import events
@@ -43,6 +44,10 @@
 QUEUE_MARGIN_MS = 30
 """A target gives up a waiting call so much before the origin does, so that the caller
 learns that it has not run."""
+URGENT_RESERVE = 0.5
+"""Saved retries that calls of normal and lower priority leave to urgent ones. When all
+servers of a service reject calls, the budget serves few of them, and a browsing request
+needs more calls than an order."""
 RETRY_AFTER_MIN_S = 0.3
 RETRY_AFTER_SHARE = 0.3
 """Share of a caller's time; callers do not wait longer than a third."""
@@ -139,6 +144,7 @@
         self._deadline_ms = names.lower("deadline_ms")
         self._rng = rng
         self._splitter = Splitter()
+        self._loop: asyncio.AbstractEventLoop | None = None
         self._set_here = frozenset(
             names.lower(name)
             for name in ("request_id", "deadline_ms", "caller", "target_instance")
@@ -168,12 +174,18 @@
             boot_s() + budget_ms / MS_PER_S,
             parent=parent,
         )
+        if self._loop is None:
+            self._loop = asyncio.get_running_loop()
+        deadline = Deadline(self._loop, budget_ms / MS_PER_S)
         try:
-            async with asyncio.timeout(budget_ms / MS_PER_S):
-                response = await self._attempt_all(attempts)
-        except TimeoutError:
+            response = await self._attempt_all(attempts)
+        except asyncio.CancelledError:
+            if not deadline.is_expired():
+                raise
             attempts.history.append("timeout")
             response = Response(504)
+        finally:
+            deadline.close()
         if response.status in (502, 503, 504):
             self._log_failure(attempts, response.status)
         response.headers.append((self._names.request_id, request_id))
@@ -251,11 +263,17 @@
         member = self._chooser.choose(members, attempts.tried)
         if member is None:
             return None
-        if attempts.reached and not self._ratio.allow(service):
+        if attempts.reached and not self._may_repeat(attempts.call):
             attempts.history.append(NotRunReason.RETRY_BUDGET)
             return None
         return member
 
+    def _may_repeat(self, call: Call) -> bool:
+        """Tell whether the retry budget has room for a further attempt."""
+        is_urgent = to_priority(call.priority) < Priority.NORMAL
+        reserve = 0.0 if is_urgent else URGENT_RESERVE
+        return self._ratio.allow(call.service, reserve=reserve)
+
     async def _send(self, member: MemberRecord, attempts: _Attempts) -> Result:
         """Run one attempt and tell the chooser how it went."""
         attempts.tried.add(member.node_id)
--- a/damaskproxy/forwarding/tests/test_origin.py
+++ b/damaskproxy/forwarding/tests/test_origin.py
@@ -138,6 +138,13 @@
         self.assertLessEqual(repeats, 2 + 100 * 0.1)
         self.assertGreaterEqual(repeats, 10)
 
+    async def test_urgent_calls_get_the_last_of_the_budget(self):
+        self.ratio.limit_saved(1.0)
+        self.results = [LOST, DONE]
+        self.assertEqual((await self.send(b"/late/1")).status, 502)
+        self.results = [LOST, DONE]
+        self.assertEqual((await self.send(b"/a/1")).status, 200)
+
     async def test_calls_of_repeated_runs_use_the_budget_up(self):
         self.lineage.began(make_call(request_id=b"p", is_repeat=True))
         for number in range(10):
--- a/damaskproxy/http1/client.py
+++ b/damaskproxy/http1/client.py
@@ -45,6 +45,7 @@
 
     def __init__(self):
         self.transport: asyncio.Transport | None = None
+        self._loop: asyncio.AbstractEventLoop | None = None
         self.idle_since_s = boot_s()
         self.idle_max_s = IDLE_DEFAULT_S
         self.is_reusable = True
@@ -62,6 +63,7 @@
     def connection_made(self, transport):
         """Take over the connection."""
         self.transport = transport
+        self._loop = asyncio.get_running_loop()
         detect_silence(transport)
 
     def connection_lost(self, exc):
@@ -135,7 +137,7 @@
         ExchangeLost
             If none came before the connection ended.
         """
-        self._waiter = asyncio.get_running_loop().create_future()
+        self._waiter = self._loop.create_future()
         self._accept = accept
         self._is_head = request.method == b"HEAD"
         self._reset_message()
--- a/damaskproxy/http1/server.py
+++ b/damaskproxy/http1/server.py
@@ -64,12 +64,13 @@
         self.limits = limits
         self.connections: set[ServerConnection] = set()
         self.is_closing = False
+        self.loop: asyncio.AbstractEventLoop | None = None
         self._server: asyncio.Server | None = None
 
     async def open(self, host: str, port: int) -> None:
         """Listen."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
+        self.loop = asyncio.get_running_loop()
+        self._server = await self.loop.create_server(
             lambda: ServerConnection(self), host, port, backlog=1024
         )
 
@@ -259,9 +260,7 @@
 
     def _start_next(self) -> None:
         request, is_last = self._pending.popleft()
-        self._task = asyncio.get_running_loop().create_task(
-            self._serve(request, is_last)
-        )
+        self._task = self._server.loop.create_task(self._serve(request, is_last))
 
     async def _serve(self, request: Request, is_last: bool) -> None:
         try:
@@ -317,4 +316,4 @@
         self._transport.write(format_response(response, is_last=True, is_head=False))
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        asyncio.get_running_loop().call_later(LINGER_S, self._transport.close)
+        self._server.loop.call_later(LINGER_S, self._transport.close)
--- a/damaskproxy/platform/sync.py
+++ b/damaskproxy/platform/sync.py
@@ -33,6 +33,9 @@
 MEMBERS_WAIT_MS = 20000
 """Members also reach a node through refusals of their peers, so a silent feed harms
 less and fewer calls are charged."""
+MEMBERS_PAUSE_S = 0.4
+"""Pause after a change of members. Many nodes change at once at a start or a release,
+and without a pause each change would cost each node a call."""
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 1.0
 """Longest pause between calls to a store that does not answer, well within the 3 s
@@ -106,6 +109,7 @@
         await self._follow(
             OPERATOR_TABLE,
             CONFIGURATION_WAIT_MS,
+            0.0,
             self._apply_operator,
             lambda keys: None,
         )
@@ -113,13 +117,18 @@
     async def follow_members(self) -> None:
         """Follow the members' rows for ever."""
         await self._follow(
-            MEMBER_TABLE, MEMBERS_WAIT_MS, self._apply_member, self._keep_members
+            MEMBER_TABLE,
+            MEMBERS_WAIT_MS,
+            MEMBERS_PAUSE_S,
+            self._apply_member,
+            self._keep_members,
         )
 
     async def _follow(
         self,
         table: str,
         wait_ms: int,
+        change_pause_s: float,
         apply: Callable[[RowBody], None],
         keep: Callable[[set[str]], None],
     ) -> None:
@@ -144,6 +153,8 @@
             if after is None:
                 keep({row.key for row in body.rows if not row.part})
             after = body.ver
+            if body.rows and change_pause_s:
+                await asyncio.sleep(change_pause_s)
 
     async def _next(self, table: str, after: int | None, wait_ms: int) -> FeedBody:
         if after is None:
--- a/damaskproxy/platform/tests/test_sync.py
+++ b/damaskproxy/platform/tests/test_sync.py
@@ -40,6 +40,7 @@
         for module, name, value in (
             (sync, "RETRY_MIN_S", 0.01),
             (sync, "RETRY_MAX_S", 0.02),
+            (sync, "MEMBERS_PAUSE_S", 0.1),
             (sync, "CONFIGURATION_WAIT_MS", 100),
             (sync, "MEMBERS_WAIT_MS", 100),
             (store_module, "READ_TIMEOUT_S", 0.1),
@@ -118,6 +119,16 @@
         names = {"n3", "n4"}
         await self.until(lambda: {r.node_id for r in self.directory.records()} == names)
 
+    async def test_many_changes_of_members_cost_few_calls(self):
+        await self.until(lambda: self.watch.has_read_members)
+        self.rows.calls.clear()
+        for number in range(50):
+            name = f"n{number + 2}"
+            self.rows.put(MEMBER_TABLE, name, encode_member(record(name)))
+            await asyncio.sleep(0.002)
+        await self.until(lambda: len(self.directory) == 50)
+        self.assertLess(self.rows.calls.count("GET /api/rows-feed"), 12)
+
     async def test_row_of_another_writer_is_ignored(self):
         self.rows.put(MEMBER_TABLE, "bad", b"\x00")
         self.rows.put(MEMBER_TABLE, "n9", encode_member(record("n8")))
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -40,12 +40,15 @@
 __all__ = ["Sidecar", "compose"]
 
 MS_PER_S = 1000
-OWN_RATIO_SHARE = 0.5
-"""Share of the permitted ratio for repeats that a node decides on. The rest is for the
-calls of runs that are repeats themselves, which no node can refuse."""
-RETRY_BURST = 1.0
-"""Repeats of one service that a node may have saved; all nodes together stay below the
-slack of the platform."""
+OWN_RATIO_SHARE = 0.85
+"""Share of the permitted ratio that nodes use. The calls of a repeated run are charged
+where they begin, which may be a node without savings; the rest covers that."""
+SLACK_SHARE = 0.6
+"""Share of the platform's slack that all nodes together may have saved."""
+RETRY_SLACK_DEFAULT = 47
+SAVED_RETRIES_MIN, SAVED_RETRIES_MAX = 1.0, 2.0
+"""Repeats of one service that a node may have saved, depending on the number of
+nodes."""
 RETRY_RATIO_DEFAULT = 0.2
 
 ADMISSION = AdmissionSettings(
@@ -135,11 +138,17 @@
     guard = CrashGuard(
         on_crash=lambda: sidecar.update_record(crashes=guard.own_crashes)
     )
+    permitted = settings.bound("retryBudgetRatio", RETRY_RATIO_DEFAULT)
+    ratio = RetryRatio(
+        RetrySettings(ratio=permitted * OWN_RATIO_SHARE, saved_max=SAVED_RETRIES_MIN)
+    )
     chooser = Chooser(settings.data_centre, rng)
     lifetimes: dict[str, tuple] = {}
 
     def member_changed(record: MemberRecord) -> None:
         guard.learn(record)
+        saved = slack / max(len(directory), 1)
+        ratio.limit_saved(min(max(saved, SAVED_RETRIES_MIN), SAVED_RETRIES_MAX))
         backend_id = record.backend.instance_id if record.backend else ""
         lifetime = (record.incarnation, backend_id)
         if lifetimes.get(record.node_id) != lifetime:
@@ -148,6 +157,7 @@
             links.drop(record)
 
     directory = Directory(member_changed)
+    slack = settings.bound("budgetSlack", RETRY_SLACK_DEFAULT) * SLACK_SHARE
 
     def backend_changed() -> None:
         target.follow_backend()
@@ -174,7 +184,6 @@
         ),
         VOLATILE_HEADERS,
     )
-    ratio = settings.bound("retryBudgetRatio", RETRY_RATIO_DEFAULT) * OWN_RATIO_SHARE
     origin = Origin(
         settings.node_id,
         lambda: sidecar.settings.service,
@@ -183,7 +192,7 @@
         chooser,
         target.run,
         links.run,
-        RetryRatio(RetrySettings(ratio=ratio, saved_max=RETRY_BURST)),
+        ratio,
         guard,
         lineage,
         HEADERS,
--- a/tools/settings_page.py
+++ b/tools/settings_page.py
@@ -12,6 +12,7 @@
 from msgspec import inspect as models
 
 from damaskproxy.config import NodeSettings
+from damaskproxy.sidecar import SidecarSettings
 
 __all__ = ["PAGE", "field_meanings", "render"]
 
@@ -25,6 +26,14 @@
 default is required. This page is generated: `python -m tools.settings_page`.
 """
 
+SIDECAR_HEAD = """
+# Settings of a node on the prepared machines
+
+`python -m damaskproxy.sidecar SETTINGS` reads a JSON file, which the platform fills in
+from `deploy/node.json.template`; `damask-node check-sidecar SETTINGS` checks it. The
+file is read again after SIGHUP and when it changes.
+"""
+
 BOUNDS = {"ge": "at least", "gt": "above", "le": "at most", "lt": "below"}
 TYPE_NAMES = {
     models.IntType: "integer",
@@ -136,7 +145,9 @@
 
 def render() -> str:
     """Return the page."""
-    return HEAD + "\n".join(render_model(NodeSettings, "", {})) + "\n"
+    node = "\n".join(render_model(NodeSettings, "", {}))
+    sidecar = "\n".join(render_model(SidecarSettings, "", {}))
+    return f"{HEAD}{node}\n{SIDECAR_HEAD}{sidecar}\n"
 
 
 def main() -> None:
