Start fewer requests of routes that mostly fail, and lower the retry ratio

From 13 s to 21 s all servers of anggota reject 55 % of their requests; nearly all requests of katalog failed there after runs in three services and were sent again.

--- a/damaskproxy/forwarding/calls.py
+++ b/damaskproxy/forwarding/calls.py
@@ -27,6 +27,7 @@
     STOPPING = "stopping"
     OVERLOAD = "overload"
     OVERLOAD_BELOW = "overload-below"
+    MOSTLY_FAILING = "mostly-failing"
     DEADLINE_PASSED = "deadline-passed"
     QUARANTINED = "quarantined"
     BACKEND_UNREACHABLE = "backend-unreachable"
--- a/damaskproxy/forwarding/origin.py
+++ b/damaskproxy/forwarding/origin.py
@@ -15,6 +15,7 @@
 from damaskproxy.directory import ConfigurationBook, Directory, MemberRecord, Route
 from damaskproxy.events import log_event
 from damaskproxy.forwarding import events
+from damaskproxy.forwarding.breaker import RouteBreaker
 from damaskproxy.forwarding.calls import (
     Answer,
     Call,
@@ -77,7 +78,8 @@
     refusals: int = 0
     may_have_run: bool = False
     failure: Answer | None = None
-    history: list[str] = field(default_factory=list)
+    history: list[tuple[str, Result | None]] = field(default_factory=list)
+    end: str = ""
     last_refusal: NotRunReason = NotRunReason.NO_MEMBER
     parent: Parent | None = None
 
@@ -139,6 +141,7 @@
         self._guard = guard
         self._lineage = lineage
         self._levels: dict[str, ReportedLevel] = {}
+        self._breakers: dict[str, RouteBreaker] = {}
         self._names = names
         self._request_id = names.lower("request_id")
         self._deadline_ms = names.lower("deadline_ms")
@@ -182,15 +185,21 @@
         except asyncio.CancelledError:
             if not deadline.is_expired():
                 raise
-            attempts.history.append("timeout")
+            attempts.end = "timeout"
             response = Response(504)
         finally:
             deadline.close()
         if response.status in (502, 503, 504):
             self._log_failure(attempts, response.status)
+        self._note_outcome(attempts, response.status)
         response.headers.append((self._names.request_id, request_id))
         return response
 
+    def _note_outcome(self, attempts: _Attempts, status: int) -> None:
+        breaker = self._breaker(attempts)
+        if breaker is not None and attempts.tried:
+            breaker.ended(is_served=status < 500)
+
     def _budget_ms(self, request: Request, route: Route) -> int:
         text = request.header(self._deadline_ms)
         if text is None or not text.isdigit():
@@ -229,6 +238,10 @@
         if attempts.parent is None and self._is_above_level(call):
             attempts.last_refusal = NotRunReason.OVERLOAD_BELOW
             return self._give_up(attempts)
+        breaker = self._breaker(attempts)
+        if breaker is not None and not breaker.admits():
+            attempts.last_refusal = NotRunReason.MOSTLY_FAILING
+            return self._give_up(attempts)
         if self._guard.is_quarantined(call):
             attempts.last_refusal = NotRunReason.QUARANTINED
             return self._give_up(attempts)
@@ -264,7 +277,7 @@
         if member is None:
             return None
         if attempts.reached and not self._may_repeat(attempts.call):
-            attempts.history.append(NotRunReason.RETRY_BUDGET)
+            attempts.end = NotRunReason.RETRY_BUDGET
             return None
         return member
 
@@ -294,9 +307,19 @@
         finally:
             self._chooser.finished(member, result, boot_s() - started_s)
             self._note_level(attempts, result)
-            attempts.history.append(f"{member.node_id}: {_describe(result)}")
+            attempts.history.append((member.node_id, result))
         return result
 
+    def _breaker(self, attempts: _Attempts) -> RouteBreaker | None:
+        """Return the breaker of a root request that is not urgent."""
+        call = attempts.call
+        if attempts.parent is not None or to_priority(call.priority) < Priority.NORMAL:
+            return None
+        breaker = self._breakers.get(call.route)
+        if breaker is None:
+            breaker = self._breakers[call.route] = RouteBreaker(self._rng.random)
+        return breaker
+
     def _is_above_level(self, call: Call) -> bool:
         """Tell whether the calls of a root request would be refused further on.
 
@@ -371,7 +394,11 @@
             service=attempts.call.service,
             status=status,
             reason=attempts.last_refusal,
-            attempts=attempts.history,
+            attempts=[
+                f"{node_id}: {_describe(result)}"
+                for node_id, result in attempts.history
+            ],
+            end=attempts.end,
             budget_ms=attempts.call.deadline_ms,
             configuration_version=self._configuration.version,
         )
--- a/damaskproxy/forwarding/tests/test_origin.py
+++ b/damaskproxy/forwarding/tests/test_origin.py
@@ -172,6 +172,19 @@
         await self.send(request_id=b"p.1")
         self.assertEqual(self.sent[0].priority, 1)
 
+    @params(("browsing", b"/late/1", 50), ("urgent", b"/a/1", 100))
+    async def test_route_that_mostly_fails_costs_less_work(self, name, target, limit):
+        for number in range(100):
+            self.results = [FAILED, FAILED]
+            await self.send(target, request_id=b"%d" % number)
+        self.sent.clear()
+        for number in range(100):
+            self.results = [FAILED, FAILED]
+            await self.send(target, request_id=b"%d" % number)
+        first_attempts = sum(not call.is_repeat for call in self.sent)
+        self.assertLessEqual(first_attempts, limit, name)
+        self.assertGreater(first_attempts, limit / 4, name)
+
     async def load_below(self, level, target):
         """Let `target` report a level several times."""
         for number in range(40):
--- a/damaskproxy/http1/tests/test_server.py
+++ b/damaskproxy/http1/tests/test_server.py
@@ -176,10 +176,10 @@
 
     async def test_client_that_does_not_read_is_closed_after_the_idle_time(self):
         self.writer.write(b"GET /large HTTP/1.1\r\nHost: x\r\n\r\n")
-        await asyncio.sleep(0.3)
-        self.server.sweep()
-        await asyncio.sleep(0.05)
-        self.assertFalse(self.server.connections)
+        async with asyncio.timeout(10):
+            while self.server.connections:  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+                self.server.sweep()
 
     async def test_unexpected_error_promises_nothing(self):
         with self.assertLogs("damaskproxy.http1.server", "ERROR"):
--- a/damaskproxy/retries/settings.py
+++ b/damaskproxy/retries/settings.py
@@ -23,4 +23,4 @@
 
     ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
     saved_max: Annotated[float, msgspec.Meta(ge=0)] = 10.0
-    debt_max: Annotated[float, msgspec.Meta(ge=0)] = 20.0
+    debt_max: Annotated[float, msgspec.Meta(ge=0)] = 100.0
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -9,6 +9,7 @@
 from damaskproxy.admission import AdmissionController
 from damaskproxy.admission.settings import AdmissionSettings
 from damaskproxy.common.clock import boot_s
+from damaskproxy.common.fibers import Fiber
 from damaskproxy.directory import ConfigurationBook, Directory, MemberRecord
 from damaskproxy.forwarding import (
     AskFrame,
@@ -40,9 +41,10 @@
 __all__ = ["Sidecar", "compose"]
 
 MS_PER_S = 1000
-OWN_RATIO_SHARE = 0.85
+OWN_RATIO_SHARE = 0.6
 """Share of the permitted ratio that nodes use. The calls of a repeated run are charged
-where they begin, which may be a node without savings; the rest covers that."""
+where they begin, which may be a node without savings; with 0.85 they exceeded the
+budget of a service at the end of long chains by 1 %."""
 SLACK_SHARE = 0.6
 """Share of the platform's slack that all nodes together may have saved."""
 RETRY_SLACK_DEFAULT = 47
@@ -221,7 +223,7 @@
         lambda: sidecar.is_ready and not sidecar.is_stopping
     )
     servers = {
-        "caller": HttpServer("caller", origin.handle, client_limits),
+        "caller": HttpServer("caller", origin.handle, client_limits, Fiber),
         "readiness": HttpServer("readiness", readiness),
         "control": HttpServer("control", control),
     }
--- a/tools/tests/test_pages.py
+++ b/tools/tests/test_pages.py
@@ -7,6 +7,7 @@
 from nose2.tools import params
 
 from damaskproxy.common import RefusalReason, RetryReason
+from damaskproxy.forwarding.calls import NotRunReason
 from damaskproxy.routing.problems import status_of
 from tools import event_catalogue as event_page, settings_page
 from tools.event_catalogue import PAGE as EVENTS
@@ -19,7 +20,11 @@
 class PagesTests(unittest.TestCase):
     """Guards against reasons and events that the pages lack or invent."""
 
-    @params(("Refusal reasons", RefusalReason), ("Retry reasons", RetryReason))
+    @params(
+        ("Refusal reasons", RefusalReason),
+        ("Retry reasons", RetryReason),
+        ("Reasons of the sidecar", NotRunReason),
+    )
     def test_operations_page_lists_every_reason(self, heading, reasons):
         page = (DOCS / "operations.md").read_text(encoding="utf-8")
         self.assertEqual(sorted(first_column(page, heading)), sorted(map(str, reasons)))
