Continue requests from the callback that delivers their result

A fiber replaces the task of a request, which continued in the next turn of the event loop, with a poll in between. Loops, timers and waiters are handed over instead of looked up.

--- a/damaskproxy/common/deadline.py
+++ b/damaskproxy/common/deadline.py
@@ -1,12 +1,14 @@
-"""Deadline of the current task without the system calls of `asyncio.timeout`."""
+"""Deadline of the current fiber or task without the cost of `asyncio.timeout`."""
 
 import asyncio
 
+from damaskproxy.common.fibers import current_fiber
+
 __all__ = ["Deadline"]
 
 
 class Deadline:
-    """Cancels a task after a time.
+    """Cancels the current fiber or task after a time.
 
     `asyncio.timeout` looks up the running loop several times, and each look-up asks for
     the process id. A request passes through here at both of its nodes.
@@ -16,19 +18,22 @@
     loop : asyncio.AbstractEventLoop
         Running loop.
     delay_s : float
-        Time until the task is cancelled.
+        Time until it is cancelled.
     """
 
-    __slots__ = ("_handle", "_is_fired", "_task")
+    __slots__ = ("_fiber", "_handle", "_is_fired", "_task")
 
     def __init__(self, loop: asyncio.AbstractEventLoop, delay_s: float):
         self._is_fired = False
-        self._task = asyncio.current_task(loop)
+        self._fiber = current_fiber()
+        self._task = None if self._fiber else asyncio.current_task(loop)
         self._handle = loop.call_later(delay_s, self._fire)
 
     def is_expired(self) -> bool:
         """Tell in a handler of `CancelledError` whether this deadline caused it."""
-        return self._is_fired and self._task.uncancel() <= 0
+        if not self._is_fired:
+            return False
+        return self._task is None or self._task.uncancel() <= 0
 
     def close(self) -> None:
         """Stop the timer."""
@@ -36,4 +41,4 @@
 
     def _fire(self) -> None:
         self._is_fired = True
-        self._task.cancel()
+        (self._fiber or self._task).cancel()
--- /dev/null
+++ b/damaskproxy/common/tests/test_fibers.py
@@ -0,0 +1,149 @@
+"""Fibers that wait, are resumed at once, are cancelled, or fail."""
+
+import asyncio
+import contextlib
+import unittest
+
+from nose2.tools import params
+
+from damaskproxy.common.deadline import Deadline
+from damaskproxy.common.fibers import Fiber, Waiter, current_fiber
+
+
+class FiberTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against steps that are lost, doubled or run in another fiber."""
+
+    def setUp(self):
+        self.log = []
+        self.errors = []
+
+    def start(self, coroutine):
+        return Fiber(coroutine, self.errors.append)
+
+    async def wait_for(self, waiter):
+        """Log how a wait ends."""
+        try:
+            self.log.append(await waiter)
+        except ValueError as error:
+            self.log.append(str(error))
+        except asyncio.CancelledError:
+            self.log.append("cancelled")
+            raise
+        finally:
+            self.log.append("end")
+
+    async def test_result_continues_the_fiber_at_once(self):
+        waiter = Waiter()
+        fiber = self.start(self.wait_for(waiter))
+        self.assertEqual(self.log, [])
+        waiter.set_result(7)
+        self.assertEqual(self.log, [7, "end"])
+        self.assertTrue(fiber.is_done)
+        waiter.set_result(8)
+        self.assertEqual(self.log, [7, "end"])
+
+    async def test_result_before_the_wait_needs_no_wait(self):
+        waiter = Waiter()
+        waiter.set_result(7)
+        self.assertTrue(self.start(self.wait_for(waiter)).is_done)
+        self.assertEqual(self.log, [7, "end"])
+
+    async def test_error_is_raised_in_the_fiber(self):
+        waiter = Waiter()
+        self.start(self.wait_for(waiter))
+        waiter.set_exception(ValueError("bad"))
+        self.assertEqual(self.log, ["bad", "end"])
+
+    async def test_unhandled_error_is_reported(self):
+        waiter = Waiter()
+        fiber = self.start(self.wait_for(waiter))
+        waiter.set_exception(KeyError("bad"))
+        self.assertTrue(fiber.is_done)
+        self.assertIsInstance(self.errors[0], KeyError)
+
+    async def test_futures_and_tasks_of_asyncio_can_be_awaited(self):
+        async def later():
+            await asyncio.sleep(0.01)
+            return 5
+
+        async def run():
+            self.log.append(await asyncio.create_task(later()))
+            await asyncio.sleep(0)
+            self.log.append(current_fiber() is not None)
+
+        fiber = self.start(run())
+        while not fiber.is_done:  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
+        self.assertEqual((self.log, self.errors), ([5, True], []))
+
+    @params("waiter", "future", "task")
+    async def test_cancelled_wait_ends_once(self, kind):
+        waits = {
+            "waiter": Waiter(),
+            "future": asyncio.get_running_loop().create_future(),
+            "task": asyncio.create_task(asyncio.sleep(5)),
+        }
+        fiber = self.start(self.wait_for(waits[kind]))
+        fiber.cancel()
+        fiber.cancel()
+        self.assertEqual(self.log, ["cancelled", "end"])
+        if kind != "task":
+            with contextlib.suppress(asyncio.InvalidStateError):
+                waits[kind].set_result(1)
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.log, ["cancelled", "end"])
+
+    async def test_fiber_that_cancels_itself_ends_at_its_next_wait(self):
+        waiter = Waiter()
+
+        async def run():
+            current_fiber().cancel()
+            self.log.append("still runs")
+            await self.wait_for(waiter)
+
+        self.start(run())
+        self.assertEqual(self.log, ["still runs", "cancelled", "end"])
+        waiter.set_result(1)
+        self.assertEqual(len(self.log), 3)
+
+    async def test_fibers_that_resume_each_other_keep_their_identity(self):
+        first, second = Waiter(), Waiter()
+
+        async def outer():
+            me = current_fiber()
+            await first
+            second.set_result(2)
+            self.log.append(current_fiber() is me)
+
+        self.start(outer())
+        self.start(self.wait_for(second))
+        first.set_result(1)
+        self.assertEqual(self.log, [2, "end", True])
+        self.assertIsNone(current_fiber())
+
+    async def test_task_can_wait_for_a_waiter(self):
+        waiter = Waiter()
+        task = asyncio.create_task(self.wait_for(waiter))
+        await asyncio.sleep(0)
+        waiter.set_result(3)
+        await task
+        self.assertEqual(self.log, [3, "end"])
+
+    @params((0.01, "expired"), (1.0, 7))
+    async def test_deadline_cancels_a_fiber(self, delay_s, ending):
+        waiter = Waiter()
+
+        async def run():
+            deadline = Deadline(asyncio.get_running_loop(), delay_s)
+            try:
+                self.log.append(await waiter)
+            except asyncio.CancelledError:
+                self.assertTrue(deadline.is_expired())
+                self.log.append("expired")
+            finally:
+                deadline.close()
+
+        self.start(run())
+        await asyncio.sleep(0.03)
+        waiter.set_result(7)
+        self.assertEqual((self.log, self.errors), ([ending], []))
--- a/damaskproxy/events/logs.py
+++ b/damaskproxy/events/logs.py
@@ -60,7 +60,12 @@
 
 
 def log_event(
-    logger: logging.Logger, event: Event, /, *, exc_info: bool = False, **fields: object
+    logger: logging.Logger,
+    event: Event,
+    /,
+    *,
+    exc_info: bool | BaseException = False,
+    **fields: object,
 ) -> None:
     """Log `event` with `fields`.
 
@@ -70,8 +75,8 @@
         Logger of the calling module.
     event : Event
         Registered event; its level decides whether the record is printed.
-    exc_info : bool
-        Whether to add the traceback of the current exception.
+    exc_info : bool or BaseException
+        Whether to add the traceback of the current exception, or that of this one.
     **fields
         Structured values; names carry their unit as a suffix.
     """
--- a/damaskproxy/forwarding/frames.py
+++ b/damaskproxy/forwarding/frames.py
@@ -206,6 +206,8 @@
         self._volatile = volatile
         self._numbers: dict[bytes, int] = {}
         self._texts: list[bytes] = []
+        self._header_numbers: dict[tuple[bytes, bytes], int] = {}
+        self._headers: list[tuple[bytes, bytes]] = []
 
     def pack(self, text: bytes) -> Item:
         """Return the number of a text that was sent before, else the text."""
@@ -234,20 +236,35 @@
 
     def pack_headers(self, headers: list[tuple[bytes, bytes]]) -> list[HeaderItem]:
         """Return `headers` for the wire."""
+        numbers = self._header_numbers
         return [
-            (self.pack(name), value)
-            if name.lower() in self._volatile
-            else self.pack(name + b"\0" + value)
-            for name, value in headers
+            number
+            if (number := numbers.get(header)) is not None
+            else self._pack_header(header)
+            for header in headers
         ]
 
     def unpack_headers(self, items: list[HeaderItem]) -> list[tuple[bytes, bytes]]:
         """Return the headers of `items`."""
-        headers = []
-        for item in items:
-            if isinstance(item, tuple):
-                headers.append((self.unpack(item[0]), item[1]))
-                continue
-            name, _, value = self.unpack(item).partition(b"\0")
-            headers.append((name, value))
-        return headers
+        return [self._unpack_header(item) for item in items]
+
+    def _pack_header(self, header: tuple[bytes, bytes]) -> HeaderItem:
+        name, value = header
+        if name.lower() in self._volatile:
+            return (self.pack(name), value)
+        text = name + b"\0" + value
+        if len(text) <= TABLE_TEXT_MAX_BYTES and len(self._header_numbers) < TABLE_MAX:
+            self._header_numbers[header] = len(self._header_numbers)
+        return text
+
+    def _unpack_header(self, item: HeaderItem) -> tuple[bytes, bytes]:
+        if isinstance(item, int):
+            if not 0 <= item < len(self._headers):
+                raise FrameError(f"unknown header number {item}")
+            return self._headers[item]
+        if isinstance(item, tuple):
+            return (self.unpack(item[0]), item[1])
+        name, _, value = item.partition(b"\0")
+        if len(item) <= TABLE_TEXT_MAX_BYTES and len(self._headers) < TABLE_MAX:
+            self._headers.append((name, value))
+        return (name, value)
--- a/damaskproxy/forwarding/links.py
+++ b/damaskproxy/forwarding/links.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from damaskproxy.common.clock import boot_s
+from damaskproxy.common.fibers import Fiber, Waiter
 from damaskproxy.directory import MemberRecord
 from damaskproxy.events import log_event
 from damaskproxy.forwarding import events
@@ -121,13 +122,12 @@
         self._on_open = on_open
         self._on_lost = on_lost
         self._transport: asyncio.Transport | None = None
-        self._loop: asyncio.AbstractEventLoop | None = None
         self._decoder = FrameDecoder()
         self._sent, self._received = TextTable(volatile), TextTable(volatile)
         self._delays = DelayMeter()
         self._call_ids = itertools.count()
-        self._waiting: dict[int, asyncio.Future] = {}
-        self._running: dict[int, asyncio.Task] = {}
+        self._waiting: dict[int, Waiter] = {}
+        self._running: dict[int, Fiber] = {}
         self._asked_version = 0
 
     @property
@@ -138,7 +138,6 @@
     def connection_made(self, transport):
         """Take over the connection."""
         self._transport = transport
-        self._loop = asyncio.get_running_loop()
         self.is_open = True
         detect_silence(transport)
         if self._hello is not None:
@@ -148,16 +147,15 @@
     def connection_lost(self, exc):
         """End the calls in both directions."""
         self.is_open = False
-        for future in self._waiting.values():
-            if not future.done():
-                future.set_result(Unknown("the connection to the node was lost"))
-        for task in self._running.values():
-            task.cancel()
         log_event(
             logger, events.LINK_LOST, peer=self.peer_id, in_flight=len(self._waiting)
         )
-        self._waiting.clear()
         self._on_lost(self)
+        # Copies, since each fiber takes itself out as it goes on.
+        for waiter in list(self._waiting.values()):
+            waiter.set_result(Unknown("the connection to the node was lost"))
+        for fiber in list(self._running.values()):
+            fiber.cancel()
 
     def data_received(self, data):
         """Handle the frames of the peer."""
@@ -185,14 +183,14 @@
     async def run(self, call: Call) -> Result:
         """Run `call` at the peer; cancelling it cancels it there."""
         call_id = next(self._call_ids)
-        future = self._loop.create_future()
-        self._waiting[call_id] = future
+        waiter = Waiter()
+        self._waiting[call_id] = waiter
         self.used_s = boot_s()
         self.write(self._run_frame(call_id, call))
         if not self.is_open:
             return NotRun(NotRunReason.PEER_UNREACHABLE)
         try:
-            return await future
+            return await waiter
         except asyncio.CancelledError:
             self.write(CancelFrame(call_id))
             raise
@@ -225,9 +223,9 @@
         elif isinstance(frame, (AnswerFrame, NotRunFrame, UnknownFrame)):
             self._finish(frame)
         elif isinstance(frame, CancelFrame):
-            task = self._running.get(frame.call_id)
-            if task is not None:
-                task.cancel()
+            fiber = self._running.get(frame.call_id)
+            if fiber is not None:
+                fiber.cancel()
         elif isinstance(frame, AskFrame):
             told = self._handlers.answer_ask(frame)
             if told is not None:
@@ -256,8 +254,9 @@
             frame.is_repeat,
         )
         self._note_version(frame.configuration_version)
-        task = self._loop.create_task(self._run_here(frame, call))
-        self._running[frame.call_id] = task
+        fiber = Fiber(self._run_here(frame, call), self._report)
+        if not fiber.is_done:
+            self._running[frame.call_id] = fiber
 
     async def _run_here(self, frame: RunFrame, call: Call) -> None:
         try:
@@ -265,12 +264,15 @@
         except asyncio.CancelledError:
             return
         except Exception as error:
-            log_event(logger, events.CALL_FAILED, exc_info=True, peer=self.peer_id)
+            self._report(error)
             result = Unknown(f"internal error: {error}")
         finally:
-            del self._running[frame.call_id]
+            self._running.pop(frame.call_id, None)
         self.write(self._result_frame(frame.call_id, result))
 
+    def _report(self, error: BaseException) -> None:
+        log_event(logger, events.CALL_FAILED, exc_info=error, peer=self.peer_id)
+
     def _result_frame(self, call_id: int, result: Result) -> Frame:
         version = self._handlers.configuration_version()
         if isinstance(result, Answer):
@@ -302,9 +304,9 @@
             self._note_version(frame.configuration_version)
         else:
             result = Unknown(frame.detail, frame.load)
-        future = self._waiting.get(frame.call_id)
-        if future is not None and not future.done():
-            future.set_result(result)
+        waiter = self._waiting.get(frame.call_id)
+        if waiter is not None:
+            waiter.set_result(result)
 
     def _note_version(self, version: int) -> None:
         """Ask a peer with a newer configuration for it, once for each version."""
--- a/damaskproxy/http1/client.py
+++ b/damaskproxy/http1/client.py
@@ -7,6 +7,7 @@
 import httptools
 
 from damaskproxy.common.clock import boot_s
+from damaskproxy.common.fibers import Waiter
 from damaskproxy.http1.errors import ConnectFailed, ExchangeLost
 from damaskproxy.http1.messages import (
     Request,
@@ -45,11 +46,11 @@
 
     def __init__(self):
         self.transport: asyncio.Transport | None = None
-        self._loop: asyncio.AbstractEventLoop | None = None
         self.idle_since_s = boot_s()
         self.idle_max_s = IDLE_DEFAULT_S
         self.is_reusable = True
-        self._waiter: asyncio.Future | None = None
+        self._waiter: Waiter | None = None
+        self._response: Response | None = None
         self._accept: Accept = accept_any
         self._is_head = False
         self._has_eof = False
@@ -63,18 +64,18 @@
     def connection_made(self, transport):
         """Take over the connection."""
         self.transport = transport
-        self._loop = asyncio.get_running_loop()
         detect_silence(transport)
 
     def connection_lost(self, exc):
         """Fail the exchange in progress."""
         self.is_reusable = False
         waiter = self._waiter
-        if waiter is None or waiter.done():
+        if waiter is None or waiter.is_done:
             return
         if self._is_complete_at_eof(exc):
             self._complete()
-        if waiter.done():
+        if self._response is not None:
+            waiter.set_result(self._response)
             return
         reason = "the connection was reset" if exc else "the connection was closed"
         waiter.set_exception(ExchangeLost(f"{reason} before a complete response"))
@@ -85,23 +86,27 @@
 
     def data_received(self, data):
         """Parse a part of a response."""
-        if self._waiter is None or self._waiter.done():
+        waiter = self._waiter
+        if waiter is None or waiter.is_done:
             self.is_reusable = False
             self.transport.abort()
             return
+        failure = None
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.is_reusable = False
-            if not self._waiter.done():
-                self._waiter.set_exception(
-                    ExchangeLost(f"the response is malformed: {error}")
-                )
             self.transport.abort()
+            failure = ExchangeLost(f"the response is malformed: {error}")
+        # Not from within the parser: whoever waits may send the next request at once.
+        if self._response is not None:
+            waiter.set_result(self._response)
+        elif failure is not None:
+            waiter.set_exception(failure)
 
     def on_message_begin(self):
         """Start a response."""
-        if self._waiter.done():
+        if self._response is not None:
             raise ValueError("bytes after a complete response")
         self._reset_message()
 
@@ -123,7 +128,7 @@
 
     def on_message_complete(self):
         """End the exchange, or skip a response to another request."""
-        if self._waiter.done() or self._parser.get_status_code() < 200:
+        if self._response is not None or self._parser.get_status_code() < 200:
             return
         if not self._parser.should_keep_alive():
             self.is_reusable = False
@@ -137,7 +142,8 @@
         ExchangeLost
             If none came before the connection ended.
         """
-        self._waiter = self._loop.create_future()
+        self._waiter = Waiter()
+        self._response = None
         self._accept = accept
         self._is_head = request.method == b"HEAD"
         self._reset_message()
@@ -162,7 +168,7 @@
             self._reset_message()
             return
         self._note_keep_alive(response)
-        self._waiter.set_result(response)
+        self._response = response
 
     def _note_keep_alive(self, response: Response) -> None:
         value = response.header(b"keep-alive")
@@ -238,7 +244,10 @@
         ExchangeLost
             If the request was sent and no valid response came.
         """
-        connection = self._take_idle(idle_share) or await self._connect()
+        connection = self._take_idle(idle_share)
+        if connection is None:
+            # In a task, since the time-out asks for the current one.
+            connection = await asyncio.create_task(self._connect())
         self._busy.add(connection)
         try:
             return await connection.exchange(request, accept)
--- a/damaskproxy/http1/messages.py
+++ b/damaskproxy/http1/messages.py
@@ -122,17 +122,13 @@
     without : frozenset of bytes
         Further names to leave out, in lower case.
     """
-    named = set()
-    for name, value in headers:
-        if name.lower() == b"connection":
-            named.update(token.strip().lower() for token in value.split(b","))
-    return [
-        (name, value)
-        for name, value in headers
-        if (lower := name.lower()) not in HOP_BY_HOP
-        and lower not in without
-        and lower not in named
-    ]
+    lowered = [name.lower() for name, _ in headers]
+    left_out = HOP_BY_HOP | without
+    if b"connection" in lowered:
+        for lower, (_, value) in zip(lowered, headers):
+            if lower == b"connection":
+                left_out |= {token.strip().lower() for token in value.split(b",")}
+    return [header for lower, header in zip(lowered, headers) if lower not in left_out]
 
 
 def format_request(request: Request) -> bytes:
--- a/damaskproxy/http1/server.py
+++ b/damaskproxy/http1/server.py
@@ -9,6 +9,7 @@
 import httptools
 
 from damaskproxy.common.clock import boot_s
+from damaskproxy.common.fibers import BackgroundTask, Fiber
 from damaskproxy.events import log_event
 from damaskproxy.http1 import events
 from damaskproxy.http1.messages import Request, Response, format_response
@@ -51,6 +52,8 @@
         Returns the response to a request; cancelled when the client leaves.
     limits : callable
         Returns the limits in force.
+    run : type
+        `Fiber` for a handler that never asks for the current task.
     """
 
     def __init__(
@@ -58,10 +61,12 @@
         name: str,
         handle: Handle,
         limits: Callable[[], ClientLimits] = ClientLimits,
+        run: type[Fiber] | type[BackgroundTask] = BackgroundTask,
     ):
         self.name = name
         self.handle = handle
         self.limits = limits
+        self.run = run
         self.connections: set[ServerConnection] = set()
         self.is_closing = False
         self.loop: asyncio.AbstractEventLoop | None = None
@@ -116,7 +121,7 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._pending: deque[tuple[Request, bool]] = deque()
-        self._task: asyncio.Task | None = None
+        self._fiber: Fiber | BackgroundTask | None = None
         self._active_s = boot_s()
         self._message_began_s: float | None = None
         self._is_head_complete = False
@@ -128,7 +133,7 @@
     @property
     def is_busy(self) -> bool:
         """Whether a request is in progress or waits."""
-        return self._task is not None or bool(self._pending)
+        return self._fiber is not None or bool(self._pending)
 
     def connection_made(self, transport):
         """Take over an accepted connection."""
@@ -141,8 +146,8 @@
         """Cancel the request in progress: its client has left."""
         self._server.connections.discard(self)
         self._pending.clear()
-        if self._task is not None:
-            self._task.cancel()
+        if self._fiber is not None:
+            self._fiber.cancel()
 
     def data_received(self, data):
         """Parse a part of a request."""
@@ -158,12 +163,14 @@
             self._is_refused = True
         except httptools.HttpParserError:
             self._refuse(self._refusal_status or 400)
-        if self._message_began_s is None or self._is_head_complete:
-            return
-        # The parser keeps an unfinished field without a report.
-        self._unparsed_bytes += len(data)
-        if self._unparsed_bytes > self._limits.max_header_bytes + READ_AHEAD_BYTES:
-            self._refuse(431)
+        if self._message_began_s is not None and not self._is_head_complete:
+            # The parser keeps an unfinished field without a report.
+            self._unparsed_bytes += len(data)
+            if self._unparsed_bytes > self._limits.max_header_bytes + READ_AHEAD_BYTES:
+                self._refuse(431)
+        # Not from within the parser, which a response at once might enter again.
+        if self._fiber is None and self._pending:
+            self._start_next()
 
     def on_message_begin(self):
         """Start a request."""
@@ -213,9 +220,7 @@
         self._reset_message()
         self._message_began_s = None
         self._pending.append((request, is_last))
-        if self._task is None:
-            self._start_next()
-        elif len(self._pending) >= QUEUED_REQUESTS_MAX:
+        if len(self._pending) >= QUEUED_REQUESTS_MAX and not self._is_paused:
             self._is_paused = True
             self._transport.pause_reading()
 
@@ -259,22 +264,31 @@
         self._is_head_complete = False
 
     def _start_next(self) -> None:
-        request, is_last = self._pending.popleft()
-        self._task = self._server.loop.create_task(self._serve(request, is_last))
+        while self._pending and self._fiber is None:
+            request, is_last = self._pending.popleft()
+            fiber = self._server.run(self._serve(request, is_last), self._report)
+            if not fiber.is_done:
+                self._fiber = fiber
 
     async def _serve(self, request: Request, is_last: bool) -> None:
         try:
             response = await self._server.handle(request)
         except asyncio.CancelledError:
             return
-        except Exception:
-            log_event(
-                logger, events.REQUEST_FAILED, exc_info=True, listener=self._server.name
-            )
+        except Exception as error:
+            self._report(error)
             response = Response(502)
-        self._task = None
+        self._fiber = None
         self._write(response, is_last, request.method == b"HEAD")
 
+    def _report(self, error: BaseException) -> None:
+        log_event(
+            logger,
+            events.REQUEST_FAILED,
+            exc_info=error,
+            listener=self._server.name,
+        )
+
     def _write(self, response: Response, is_last: bool, is_head: bool) -> None:
         if self._transport.is_closing():
             return
