Move following the store into the product and bound the bodies that a node holds

platform/ translates only; recovery of the view of the mesh is in directory/. Bodies of requests beyond a quarter of the memory limit are refused with 503.

--- a/damaskproxy/platform/sync.py
+++ b/damaskproxy/directory/following.py
@@ -1,25 +1,33 @@
-"""Keeps this node's view of the mesh equal to the store's, or to its peers'."""
+"""Keeps this node's view of the mesh equal to the store's."""
 
 import asyncio
 import logging
 import random
 from collections.abc import Callable
 
-from damaskproxy.directory import ConfigurationBook, Directory, MemberRecord
-from damaskproxy.events import log_event
-from damaskproxy.platform import events
-from damaskproxy.platform.messages import (
-    FeedBody,
-    MessageError,
-    RowBody,
-    decode_configuration,
+from damaskproxy.directory import events
+from damaskproxy.directory.configuration import Configuration, ConfigurationBook
+from damaskproxy.directory.members import (
+    Directory,
+    MemberRecord,
+    RecordError,
     decode_member,
-    decode_value,
     encode_member,
 )
-from damaskproxy.platform.store import HistoryLost, RowStore, StoreError, WriteOutcome
+from damaskproxy.directory.rows import (
+    HistoryLost,
+    Row,
+    Rows,
+    RowStore,
+    StoreError,
+    WriteOutcome,
+)
+from damaskproxy.events import log_event
+
+__all__ = ["DecodeConfiguration", "OwnRow", "StoreWatch", "offer_configuration"]
 
-__all__ = ["OwnRow", "StoreWatch", "offer_configuration"]
+DecodeConfiguration = Callable[[bytes], Configuration]
+"""Raises `RecordError` for a configuration that cannot be read."""
 
 logger = logging.getLogger(__name__)
 
@@ -42,11 +50,13 @@
 after which the bounds hold again."""
 
 
-def offer_configuration(book: ConfigurationBook, encoded: bytes) -> None:
+def offer_configuration(
+    book: ConfigurationBook, encoded: bytes, decode: DecodeConfiguration
+) -> None:
     """Put an encoded configuration in force if it is newer and readable."""
     try:
-        configuration = decode_configuration(encoded)
-    except MessageError as error:
+        configuration = decode(encoded)
+    except RecordError as error:
         log_event(logger, events.ROW_IGNORED, key=CONFIGURATION_KEY, reason=str(error))
         return
     if book.offer(configuration):
@@ -64,6 +74,8 @@
         Receives configurations.
     directory : Directory
         Receives members.
+    decode : callable
+        Returns the configuration in a row of the operator.
     node_id : str
         Of this node; its own row is not merged.
     rng : random.Random
@@ -71,7 +83,7 @@
 
     Attributes
     ----------
-    own_row : RowBody or None
+    own_row : Row or None
         Row of this node as last read.
     has_read_members : bool
         Whether the members were read once.
@@ -82,14 +94,16 @@
         store: RowStore,
         configuration: ConfigurationBook,
         directory: Directory,
+        decode: DecodeConfiguration,
         node_id: str,
         rng: random.Random,
     ):
-        self.own_row: RowBody | None = None
+        self.own_row: Row | None = None
         self.has_read_members = False
         self._store = store
         self._configuration = configuration
         self._directory = directory
+        self._decode = decode
         self._node_id = node_id
         self._rng = rng
         self._failing: set[str] = set()
@@ -129,7 +143,7 @@
         table: str,
         wait_ms: int,
         change_pause_s: float,
-        apply: Callable[[RowBody], None],
+        apply: Callable[[Row], None],
         keep: Callable[[set[str]], None],
     ) -> None:
         after: int | None = None
@@ -151,38 +165,32 @@
             for row in body.rows:
                 apply(row)
             if after is None:
-                keep({row.key for row in body.rows if not row.part})
-            after = body.ver
+                keep({row.key for row in body.rows})
+            after = body.version
             if body.rows and change_pause_s:
                 await asyncio.sleep(change_pause_s)
 
-    async def _next(self, table: str, after: int | None, wait_ms: int) -> FeedBody:
+    async def _next(self, table: str, after: int | None, wait_ms: int) -> Rows:
         if after is None:
             return await self._store.read(table)
         return await self._store.changes(table, after, wait_ms)
 
-    def _apply_operator(self, row: RowBody) -> None:
-        if row.key != CONFIGURATION_KEY or row.part or row.deleted:
-            return
-        try:
-            offer_configuration(self._configuration, decode_value(row))
-        except MessageError as error:
-            log_event(logger, events.ROW_IGNORED, key=row.key, reason=str(error))
+    def _apply_operator(self, row: Row) -> None:
+        if row.key == CONFIGURATION_KEY and row.value is not None:
+            offer_configuration(self._configuration, row.value, self._decode)
 
-    def _apply_member(self, row: RowBody) -> None:
-        if row.part:
-            return
+    def _apply_member(self, row: Row) -> None:
         if row.key == self._node_id:
             self.own_row = row
             return
-        if row.deleted:
+        if row.value is None:
             self._directory.remove(row.key)
             return
         try:
-            record = decode_member(decode_value(row))
+            record = decode_member(row.value)
             if record.node_id != row.key:
-                raise MessageError(f"the row names node {record.node_id!r}")
-        except MessageError as error:
+                raise RecordError(f"the row names node {record.node_id!r}")
+        except RecordError as error:
             log_event(logger, events.ROW_IGNORED, key=row.key, reason=str(error))
             return
         self._directory.merge(record)
@@ -278,14 +286,15 @@
         one.
         """
         read = self._watch.own_row
-        version = max(self._version, read.ver if read and not read.deleted else 0)
+        is_there = read is not None and read.value is not None
+        version = max(self._version, read.version if is_there else 0)
         outcome, body = await self._store.put(
             MEMBER_TABLE, record.node_id, version, encode_member(record)
         )
         if outcome is WriteOutcome.APPLIED:
-            self._version = body.ver
+            self._version = body.version
             return True
         rows = [row for row in body.rows if row.key == record.node_id]
-        self._version = rows[0].ver if rows else 0
+        self._version = rows[0].version if rows else 0
         self._watch.own_row = rows[0] if rows else None
         return False
--- a/damaskproxy/directory/members.py
+++ b/damaskproxy/directory/members.py
@@ -5,9 +5,21 @@
 
 import msgspec
 
+from damaskproxy.common import DamaskError
 from damaskproxy.world import MemberState
 
-__all__ = ["BackendRecord", "Directory", "MemberRecord"]
+__all__ = [
+    "BackendRecord",
+    "Directory",
+    "MemberRecord",
+    "RecordError",
+    "decode_member",
+    "encode_member",
+]
+
+
+class RecordError(DamaskError):
+    """A record of another writer that cannot be read; its content is ignored."""
 
 
 class BackendRecord(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -88,6 +100,25 @@
         )
 
 
+def decode_member(value: bytes) -> MemberRecord:
+    """Return the member in a row.
+
+    Raises
+    ------
+    RecordError
+        If it cannot be read.
+    """
+    try:
+        return msgspec.json.decode(value, type=MemberRecord)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise RecordError(str(error)) from error
+
+
+def encode_member(record: MemberRecord) -> bytes:
+    """Return the value of a member's row."""
+    return msgspec.json.encode(record)
+
+
 class Directory:
     """Newest record of each node.
 
--- a/damaskproxy/http1/server.py
+++ b/damaskproxy/http1/server.py
@@ -23,6 +23,8 @@
 LINGER_S = 1.0
 """Time in which the rest of a refused request is discarded, so that the refusal is not
 lost to a reset."""
+HELD_DEFAULT_BYTES = 64 << 20
+"""A fifth of the memory of the smallest usual machine."""
 HEADER_OVERHEAD_BYTES = 4
 """Colon, space and line end of a header."""
 READ_AHEAD_BYTES = 262144
@@ -54,6 +56,9 @@
         Returns the limits in force.
     run : type
         `Fiber` for a handler that never asks for the current task.
+    held_max_bytes : int
+        Bodies of all requests that are read or in progress; a request beyond is
+        refused and has not run.
     """
 
     def __init__(
@@ -62,11 +67,14 @@
         handle: Handle,
         limits: Callable[[], ClientLimits] = ClientLimits,
         run: type[Fiber] | type[BackgroundTask] = BackgroundTask,
+        held_max_bytes: int = HELD_DEFAULT_BYTES,
     ):
         self.name = name
         self.handle = handle
         self.limits = limits
         self.run = run
+        self.held_max_bytes = held_max_bytes
+        self.held_bytes = 0
         self.connections: set[ServerConnection] = set()
         self.is_closing = False
         self.loop: asyncio.AbstractEventLoop | None = None
@@ -128,6 +136,7 @@
         self._is_refused = False
         self._refusal_status = 0
         self._is_paused = False
+        self._held_bytes = 0
         self._reset_message()
 
     @property
@@ -145,6 +154,7 @@
     def connection_lost(self, exc):
         """Cancel the request in progress: its client has left."""
         self._server.connections.discard(self)
+        self._release_body(self._held_bytes)
         self._pending.clear()
         if self._fiber is not None:
             self._fiber.cancel()
@@ -203,6 +213,11 @@
     def on_body(self, body):
         """Collect a part of the body."""
         self._body_bytes += len(body)
+        self._held_bytes += len(body)
+        self._server.held_bytes += len(body)
+        if self._server.held_bytes > self._server.held_max_bytes:
+            self._refusal_status = 503
+            raise ValueError("the bodies in progress are too large")
         if self._body_bytes > self._limits.max_body_bytes:
             self._refusal_status = 413
             raise ValueError("the body is too large")
@@ -279,8 +294,14 @@
             self._report(error)
             response = Response(502)
         self._fiber = None
+        self._release_body(len(request.body))
         self._write(response, is_last, request.method == b"HEAD")
 
+    def _release_body(self, size: int) -> None:
+        size = min(size, self._held_bytes)
+        self._held_bytes -= size
+        self._server.held_bytes -= size
+
     def _report(self, error: BaseException) -> None:
         log_event(
             logger,
--- a/damaskproxy/platform/control.py
+++ b/damaskproxy/platform/control.py
@@ -5,15 +5,12 @@
 from collections.abc import Awaitable, Callable
 from urllib.parse import unquote
 
+from damaskproxy.directory import RecordError
 from damaskproxy.events import log_event
 from damaskproxy.forwarding import Backend
 from damaskproxy.http1 import Request, Response
 from damaskproxy.platform import events
-from damaskproxy.platform.messages import (
-    MessageError,
-    decode_born_ms,
-    decode_report,
-)
+from damaskproxy.platform.messages import decode_born_ms, decode_report
 
 __all__ = ["make_control_handler", "make_readiness_handler"]
 
@@ -68,8 +65,8 @@
         try:
             status = decode_report(instance_id, body, address)
             if not knows_service(status.service):
-                raise MessageError(f"unknown service {status.service!r}")
-        except MessageError as error:
+                raise RecordError(f"unknown service {status.service!r}")
+        except RecordError as error:
             log_event(
                 logger,
                 events.REPORT_IGNORED,
--- a/damaskproxy/platform/messages.py
+++ b/damaskproxy/platform/messages.py
@@ -8,22 +8,20 @@
 
 import msgspec
 
-from damaskproxy.common import DamaskError
-from damaskproxy.directory import Configuration, MemberRecord, Route, ServiceEntry
+from damaskproxy.directory import Configuration, RecordError, Route, ServiceEntry
+from damaskproxy.directory.rows import Row, Rows
 from damaskproxy.forwarding import StatusReport
 from damaskproxy.http1 import ClientLimits
 
 __all__ = [
     "FeedBody",
-    "MessageError",
     "RowBody",
     "decode_born_ms",
     "decode_configuration",
     "decode_feed",
-    "decode_member",
     "decode_report",
-    "encode_member",
     "encode_put",
+    "to_rows",
 ]
 
 IDEMPOTENT_KIND = "safe"
@@ -34,10 +32,6 @@
 PositiveCount = Annotated[int, msgspec.Meta(ge=1)]
 
 
-class MessageError(DamaskError):
-    """A body that cannot be read; its content is ignored."""
-
-
 class SplitPart(msgspec.Struct):
     """Service of a split and its weight."""
 
@@ -140,7 +134,7 @@
 
     Raises
     ------
-    MessageError
+    RecordError
         If it cannot be read.
     """
     body = _decode(encoded, ConfigurationBody)
@@ -172,16 +166,16 @@
 
     Raises
     ------
-    MessageError
+    RecordError
         If it cannot be read or speaks of no backend server here.
     """
     body = _decode(encoded, ReportBody)
     if body.status.state not in STATES:
-        raise MessageError(f"unknown state {body.status.state!r}")
+        raise RecordError(f"unknown state {body.status.state!r}")
     if body.address != address:
-        raise MessageError(f"address {body.address} is not that of this machine")
+        raise RecordError(f"address {body.address} is not that of this machine")
     if not instance_id or not body.info.service:
-        raise MessageError("no instance id or no service")
+        raise RecordError("no instance id or no service")
     return StatusReport(
         instance_id,
         body.info.service,
@@ -201,28 +195,12 @@
         return None
 
 
-def decode_member(value: bytes) -> MemberRecord:
-    """Return the member in a row.
-
-    Raises
-    ------
-    MessageError
-        If it cannot be read.
-    """
-    return _decode(value, MemberRecord)
-
-
-def encode_member(record: MemberRecord) -> bytes:
-    """Return the value of a member's row."""
-    return msgspec.json.encode(record)
-
-
 def decode_feed(encoded: bytes) -> FeedBody:
     """Return rows of the store.
 
     Raises
     ------
-    MessageError
+    RecordError
         If they cannot be read.
     """
     return _decode(encoded, FeedBody)
@@ -253,25 +231,33 @@
     return msgspec.json.encode(body)
 
 
-def decode_value(row: RowBody) -> bytes:
-    """Return the value of a row.
+def to_rows(body: FeedBody) -> Rows:
+    """Return the rows with an empty part.
 
-    Raises
-    ------
-    MessageError
-        If it is not base64.
+    Notes
+    -----
+    A value that is not base64 becomes empty, which no reader of rows accepts.
     """
+    rows = [
+        Row(row.key, row.ver, None if row.deleted else _decode_value(row.value))
+        for row in body.rows
+        if not row.part
+    ]
+    return Rows(rows, body.ver)
+
+
+def _decode_value(value: str) -> bytes:
     try:
-        return base64.b64decode(row.value, validate=True)
-    except ValueError as error:
-        raise MessageError(f"row {row.key}: {error}") from error
+        return base64.b64decode(value, validate=True)
+    except ValueError:
+        return b""
 
 
 def _decode(encoded: bytes, kind: type):
     try:
         return msgspec.json.decode(encoded, type=kind)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise MessageError(str(error)) from error
+        raise RecordError(str(error)) from error
 
 
 def _route(name: str, body: RouteBody) -> Route:
--- a/damaskproxy/platform/store.py
+++ b/damaskproxy/platform/store.py
@@ -1,20 +1,25 @@
 """Client of the platform's store: rows, changes and conditional writes."""
 
 import asyncio
-from enum import Enum
 from urllib.parse import quote
 
-from damaskproxy.common import DamaskError
+from damaskproxy.directory import (
+    HistoryLost,
+    RecordError,
+    Rows,
+    StoreError,
+    WriteOutcome,
+)
 from damaskproxy.http1 import ConnectionPool, HttpError, Request, Response
 from damaskproxy.platform.messages import (
     FeedBody,
-    MessageError,
     decode_feed,
     encode_put,
+    to_rows,
 )
 from damaskproxy.world import Address
 
-__all__ = ["HistoryLost", "RowStore", "StoreError", "WriteOutcome"]
+__all__ = ["PlatformStore"]
 
 MS_PER_S = 1000
 READ_TIMEOUT_S = 1.0
@@ -24,22 +29,7 @@
 """Time beyond the asked wait until a silent feed is given up."""
 
 
-class StoreError(DamaskError):
-    """The store did not answer, or not with a result."""
-
-
-class HistoryLost(StoreError):
-    """The changes since the given version are no longer there."""
-
-
-class WriteOutcome(Enum):
-    """What became of a conditional write."""
-
-    APPLIED = "applied"
-    CONFLICT = "conflict"
-
-
-class RowStore:
+class PlatformStore:
     """Rows of the store with an empty part.
 
     Parameters
@@ -52,7 +42,7 @@
         self._host = str(address).encode()
         self._pool = ConnectionPool(address)
 
-    async def read(self, table: str) -> FeedBody:
+    async def read(self, table: str) -> Rows:
         """Return all rows of a table and their version.
 
         Raises
@@ -69,11 +59,11 @@
             body = _feed(await self._call(b"GET", target, b"", READ_TIMEOUT_S))
             rows += body.rows
             if not body.truncated or not body.rows:
-                return FeedBody(rows, body.ver)
+                return to_rows(FeedBody(rows, body.ver))
             # The smallest key above the last one.
             first = body.rows[-1].key + "\0"
 
-    async def changes(self, table: str, after: int, wait_ms: int) -> FeedBody:
+    async def changes(self, table: str, after: int, wait_ms: int) -> Rows:
         """Return the changes after a version, empty if there are none for `wait_ms`.
 
         Raises
@@ -88,11 +78,11 @@
         response = await self._call(b"GET", target, b"", timeout_s)
         if response.status == 410:
             raise HistoryLost(f"changes of {table} after {after} are gone")
-        return _feed(response)
+        return to_rows(_feed(response))
 
     async def put(
         self, table: str, key: str, version: int, value: bytes | None
-    ) -> tuple[WriteOutcome, FeedBody]:
+    ) -> tuple[WriteOutcome, Rows]:
         """Replace a row if it has `version`; the body holds the row of a conflict.
 
         Raises
@@ -103,8 +93,8 @@
         encoded = encode_put(table, key, version, value)
         response = await self._call(b"POST", "/api/rows-tx", encoded, READ_TIMEOUT_S)
         if response.status == 412:
-            return WriteOutcome.CONFLICT, _feed(response, 412)
-        return WriteOutcome.APPLIED, _feed(response)
+            return WriteOutcome.CONFLICT, to_rows(_feed(response, 412))
+        return WriteOutcome.APPLIED, to_rows(_feed(response))
 
     def close_idle(self) -> None:
         """Close connections that are too old for reuse."""
@@ -135,5 +125,5 @@
         raise StoreError(f"status {response.status}")
     try:
         return decode_feed(response.body)
-    except MessageError as error:
+    except RecordError as error:
         raise StoreError(f"unreadable answer: {error}") from error
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -10,7 +10,14 @@
 from damaskproxy.admission.settings import AdmissionSettings
 from damaskproxy.common.clock import boot_s
 from damaskproxy.common.fibers import Fiber
-from damaskproxy.directory import ConfigurationBook, Directory, MemberRecord
+from damaskproxy.directory import (
+    ConfigurationBook,
+    Directory,
+    MemberRecord,
+    OwnRow,
+    StoreWatch,
+    offer_configuration,
+)
 from damaskproxy.forwarding import (
     AskFrame,
     Backend,
@@ -27,12 +34,10 @@
 from damaskproxy.platform import (
     HEADERS,
     VOLATILE_HEADERS,
-    OwnRow,
-    RowStore,
-    StoreWatch,
+    PlatformStore,
+    decode_configuration,
     make_control_handler,
     make_readiness_handler,
-    offer_configuration,
 )
 from damaskproxy.retries import RetryRatio, RetrySettings
 from damaskproxy.sidecar.settings import SidecarSettings, to_address
@@ -45,6 +50,9 @@
 """Share of the permitted ratio that nodes use. The calls of a repeated run are charged
 where they begin, which may be a node without savings; with 0.85 they exceeded the
 budget of a service at the end of long chains by 1 %."""
+HELD_MEMORY_SHARE = 0.25
+"""Share of the memory limit for bodies of requests; each is also held by a connection
+to another node while it is sent, and the process itself needs some 30 MB."""
 SLACK_SHARE = 0.6
 """Share of the platform's slack that all nodes together may have saved."""
 RETRY_SLACK_DEFAULT = 47
@@ -73,7 +81,7 @@
     pool: ConnectionPool
     links: Links
     origin: Origin
-    store: RowStore
+    store: PlatformStore
     watch: StoreWatch
     own_row: OwnRow
     guard: CrashGuard
@@ -110,7 +118,9 @@
     def learn(self, told: TellFrame) -> None:
         """Take over what another node told."""
         if told.configuration:
-            offer_configuration(self.configuration, told.configuration)
+            offer_configuration(
+                self.configuration, told.configuration, decode_configuration
+            )
         for record in told.records:
             if record.node_id != self.settings.node_id:
                 self.directory.merge(record)
@@ -200,8 +210,10 @@
         HEADERS,
         rng,
     )
-    store = RowStore(to_address(settings.store_address))
-    watch = StoreWatch(store, configuration, directory, settings.node_id, rng)
+    store = PlatformStore(to_address(settings.store_address))
+    watch = StoreWatch(
+        store, configuration, directory, decode_configuration, settings.node_id, rng
+    )
     own_row = OwnRow(store, watch, lambda record: sidecar.spread(record), rng)
 
     def client_limits() -> ClientLimits:
@@ -223,7 +235,13 @@
         lambda: sidecar.is_ready and not sidecar.is_stopping
     )
     servers = {
-        "caller": HttpServer("caller", origin.handle, client_limits, Fiber),
+        "caller": HttpServer(
+            "caller",
+            origin.handle,
+            client_limits,
+            Fiber,
+            int(settings.memory_limit_mb * HELD_MEMORY_SHARE) << 20,
+        ),
         "readiness": HttpServer("readiness", readiness),
         "control": HttpServer("control", control),
     }
--- a/damaskproxy/sidecar/events.py
+++ b/damaskproxy/sidecar/events.py
@@ -5,6 +5,7 @@
 from damaskproxy.events import define
 
 __all__ = [
+    "OWN_ROW_UNREADABLE",
     "SETTINGS_KEPT",
     "SETTINGS_RELOADED",
     "SIDECAR_READY",
@@ -38,6 +39,12 @@
     logging.ERROR,
     "The settings file cannot be read; the settings in force stay.",
 )
+OWN_ROW_UNREADABLE = define(
+    12008,
+    "own-row-unreadable",
+    logging.WARNING,
+    "What this node stored before its restart cannot be read; it starts anew.",
+)
 TASK_ENDED = define(
     12007,
     "background-task-ended",
--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -11,10 +11,10 @@
 
 from damaskproxy.common import RefusalReason
 from damaskproxy.common.clock import boot_s
+from damaskproxy.directory import RecordError, decode_member
 from damaskproxy.events import log_event
 from damaskproxy.forwarding import AskFrame, TellFrame
 from damaskproxy.http1 import ConnectionPool, HttpError, Request
-from damaskproxy.platform import MessageError, decode_member, decode_value
 from damaskproxy.sidecar import events
 from damaskproxy.sidecar.compose import Sidecar, compose
 from damaskproxy.sidecar.settings import (
@@ -152,11 +152,12 @@
 def _restore(sidecar: Sidecar) -> None:
     """Take over what this node had stored before it was restarted."""
     row = sidecar.watch.own_row
-    if row is None or row.deleted:
+    if row is None or row.value is None:
         return
     try:
-        stored = decode_member(decode_value(row))
-    except MessageError:
+        stored = decode_member(row.value)
+    except RecordError as error:
+        log_event(logger, events.OWN_ROW_UNREADABLE, reason=str(error))
         return
     incarnation = max(sidecar.record.incarnation, stored.incarnation + 1)
     sidecar.record = msgspec.structs.replace(sidecar.record, incarnation=incarnation)
--- a/damaskproxy/sidecar/tests/test_mesh.py
+++ b/damaskproxy/sidecar/tests/test_mesh.py
@@ -8,6 +8,7 @@
 
 from nose2.tools import params
 
+from damaskproxy.directory import StoreError
 from damaskproxy.http1 import (
     ConnectFailed,
     ConnectionPool,
@@ -15,7 +16,6 @@
     Request,
     find_header,
 )
-from damaskproxy.platform import StoreError
 from damaskproxy.sidecar import lifecycle
 from damaskproxy.sidecar.lifecycle import drain
 from damaskproxy.sidecar.settings import to_address
