Do not resume a cancelled fiber with a result that was on its way

A future that is done and a cancellation in the same turn of the event loop resumed the fiber twice (test_cancellation_beside_a_result_ends_once failed before). A frame that was never written is a refusal, not an unknown result.

--- a/damaskproxy/common/fibers.py
+++ b/damaskproxy/common/fibers.py
@@ -154,8 +154,10 @@
             self._waits_for = awaited
             awaited.add_done_callback(self._future_done)
 
-    def _future_done(self, _: asyncio.Future) -> None:
-        self._step(None)
+    def _future_done(self, future: asyncio.Future) -> None:
+        # The call may be on its way already when the fiber is cancelled.
+        if self._waits_for is future:
+            self._step(None)
 
 
 class BackgroundTask:
--- a/damaskproxy/common/tests/test_fibers.py
+++ b/damaskproxy/common/tests/test_fibers.py
@@ -93,6 +93,25 @@
         await asyncio.sleep(0.01)
         self.assertEqual(self.log, ["cancelled", "end"])
 
+    async def test_cancellation_beside_a_result_ends_once(self):
+        future = asyncio.get_running_loop().create_future()
+        second = Waiter()
+
+        async def run():
+            try:
+                await future
+            except asyncio.CancelledError:
+                self.log.append("cancelled")
+                self.log.append(await second)
+
+        fiber = self.start(run())
+        future.set_result(1)
+        fiber.cancel()
+        await asyncio.sleep(0.01)
+        self.assertEqual((self.log, self.errors), (["cancelled"], []))
+        second.set_result(2)
+        self.assertEqual((self.log, fiber.is_done), (["cancelled", 2], True))
+
     async def test_fiber_that_cancels_itself_ends_at_its_next_wait(self):
         waiter = Waiter()
 
--- a/damaskproxy/forwarding/links.py
+++ b/damaskproxy/forwarding/links.py
@@ -166,10 +166,12 @@
             log_event(logger, events.LINK_LOST, peer=self.peer_id, reason=str(error))
             self._transport.abort()
 
-    def write(self, frame: Frame) -> None:
-        """Send a frame if the connection is open."""
-        if self.is_open and not self._transport.is_closing():
-            self._transport.write(encode_frame(frame))
+    def write(self, frame: Frame) -> bool:
+        """Send a frame, and tell whether the connection was open."""
+        if not self.is_open or self._transport.is_closing():
+            return False
+        self._transport.write(encode_frame(frame))
+        return True
 
     def close(self) -> None:
         """Close the connection after what was written."""
@@ -183,12 +185,11 @@
     async def run(self, call: Call) -> Result:
         """Run `call` at the peer; cancelling it cancels it there."""
         call_id = next(self._call_ids)
-        waiter = Waiter()
-        self._waiting[call_id] = waiter
         self.used_s = boot_s()
-        self.write(self._run_frame(call_id, call))
-        if not self.is_open:
+        if not self.write(self._run_frame(call_id, call)):
             return NotRun(NotRunReason.PEER_UNREACHABLE)
+        waiter = Waiter()
+        self._waiting[call_id] = waiter
         try:
             return await waiter
         except asyncio.CancelledError:
