--- a/damaskproxy/forwarding/links.py
+++ b/damaskproxy/forwarding/links.py
@@ -347,6 +347,11 @@
         links = [*self._incoming, *(link for _, link in self._outgoing.values())]
         return sum(link.running_count for link in links)
 
+    @property
+    def port(self) -> int:
+        """Port of the open listener."""
+        return self._server.sockets[0].getsockname()[1]
+
     async def listen(self, host: str, port: int) -> None:
         """Accept connections of other nodes."""
         loop = asyncio.get_running_loop()
--- /dev/null
+++ b/damaskproxy/forwarding/tests/test_links.py
@@ -0,0 +1,180 @@
+"""Connections between nodes that break, refuse, cross or carry late frames."""
+
+import asyncio
+import unittest
+
+import msgspec
+from nose2.tools import params
+
+from damaskproxy.common.fibers import Fiber, Waiter
+from damaskproxy.forwarding import AskFrame, LinkHandlers, Links, TellFrame
+from damaskproxy.forwarding.calls import (
+    Answer,
+    LoadReport,
+    NotRun,
+    NotRunReason,
+    Unknown,
+)
+from damaskproxy.forwarding.tests.builders import make_call, make_member
+
+LOAD = LoadReport(1, 2, 3, 4, 5)
+RESULTS = (
+    Answer(200, [(b"A", b"b"), (b"X-Stamp", b"s")], b"body", LOAD),
+    Answer(500, [], b""),
+    NotRun(NotRunReason.OVERLOAD, False, 250, LOAD),
+    NotRun(NotRunReason.BACKEND_REJECTED, True),
+    Unknown("lost", LOAD),
+)
+
+
+class Node:
+    """One end of links, whose runs are scripted."""
+
+    def __init__(self, name):
+        self.name = name
+        self.version = 1
+        self.ran = []
+        self.cancelled = 0
+        self.waiters = []
+        self.results = []
+        self.told = []
+        self.asked = []
+        handlers = LinkHandlers(
+            self.run, lambda: self.version, self.answer_ask, self.told.append
+        )
+        self.links = Links(name, handlers, frozenset({b"x-stamp"}))
+
+    async def run(self, call):
+        self.ran.append(call)
+        if self.results:
+            return self.results.pop(0)
+        waiter = Waiter()
+        self.waiters.append(waiter)
+        try:
+            return await waiter
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+    def answer_ask(self, ask):
+        self.asked.append(ask)
+        return TellFrame(b"configuration", [make_member()])
+
+
+class LinkTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against results that are mixed up, lost or promised wrongly."""
+
+    async def asyncSetUp(self):
+        self.one, self.two = Node("n1"), Node("n2")
+        await self.two.links.listen("127.0.0.1", 0)
+        port = self.two.links.port
+        self.member = make_member("n2", port=port)
+
+    async def asyncTearDown(self):
+        await self.one.links.close()
+        await self.two.links.close()
+
+    async def until(self, condition):
+        async with asyncio.timeout(5):
+            while not condition():  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+
+    @params(*RESULTS)
+    async def test_result_arrives_unchanged(self, result):
+        for _ in range(3):
+            self.two.results = [msgspec.structs.replace(result)]
+            found = await self.one.links.run(self.member, make_call())
+            self.assertEqual(found, result)
+
+    async def test_call_arrives_unchanged(self):
+        self.two.results = [RESULTS[0]] * 3
+        headers = [(b"Host", b"h"), (b"X-Stamp", b"v"), (b"Empty", b"")]
+        for number in range(3):
+            call = make_call(
+                headers=headers, body=b"b" * number, is_repeat=bool(number)
+            )
+            await self.one.links.run(self.member, call)
+            found = self.two.ran[-1]
+            self.assertLessEqual(found.deadline_ms, call.deadline_ms)
+            found.deadline_ms = call.deadline_ms
+            self.assertEqual(found, call)
+
+    async def test_results_in_another_order_reach_their_calls(self):
+        tasks = [
+            asyncio.create_task(
+                self.one.links.run(self.member, make_call(request_id=b"%d" % number))
+            )
+            for number in range(5)
+        ]
+        await self.until(lambda: len(self.two.waiters) == 5)
+        for call, waiter in reversed(list(zip(self.two.ran, self.two.waiters))):
+            waiter.set_result(Answer(200, [], call.request_id))
+        for number, task in enumerate(tasks):
+            self.assertEqual((await task).body, b"%d" % number)
+
+    @params("task", "fiber")
+    async def test_cancelled_call_is_cancelled_at_the_target(self, kind):
+        run = self.one.links.run(self.member, make_call())
+        start = {"task": asyncio.create_task, "fiber": lambda c: Fiber(c, self.fail)}
+        running = start[kind](run)
+        await self.until(lambda: self.two.waiters)
+        running.cancel()
+        await self.until(lambda: self.two.cancelled == 1)
+        self.two.waiters[0].set_result(RESULTS[0])
+        self.two.results = [RESULTS[0]]
+        self.assertEqual(await self.one.links.run(self.member, make_call()), RESULTS[0])
+
+    async def test_lost_connection_leaves_calls_unknown_and_ends_their_runs(self):
+        tasks = [
+            asyncio.create_task(self.one.links.run(self.member, make_call()))
+            for _ in range(3)
+        ]
+        await self.until(lambda: len(self.two.waiters) == 3)
+        for link in self.one.links.all_open():
+            link._transport.abort()
+        for task in tasks:
+            self.assertIsInstance(await task, Unknown)
+        await self.until(lambda: self.two.cancelled == 3)
+        self.two.results = [RESULTS[0]]
+        self.assertEqual(await self.one.links.run(self.member, make_call()), RESULTS[0])
+
+    async def test_node_that_accepts_nothing_ran_nothing(self):
+        await self.two.links.close()
+        result = await self.one.links.run(self.member, make_call())
+        self.assertEqual(result, NotRun(NotRunReason.PEER_UNREACHABLE))
+
+    async def test_earlier_incarnation_is_not_used(self):
+        self.two.results = [RESULTS[0], RESULTS[0]]
+        await self.one.links.run(self.member, make_call())
+        (first,) = self.one.links.all_open()
+        restarted = msgspec.structs.replace(self.member, incarnation=2)
+        await self.one.links.run(restarted, make_call())
+        await self.until(lambda: not first.is_open)
+
+    @params((5, 1), (1, 0), (0, 0))
+    async def test_newer_configuration_is_asked_for_once(self, version, asks):
+        self.one.version = version
+        self.two.results = [RESULTS[0]] * 3
+        for _ in range(3):
+            await self.one.links.run(self.member, make_call())
+        await asyncio.sleep(0.02)
+        self.assertEqual(self.one.asked, [AskFrame(1)] * asks)
+        self.assertEqual(len(self.two.told), asks)
+
+    async def test_error_of_the_target_is_an_unknown_result(self):
+        async def fail(call):
+            raise KeyError("expected by the test")
+
+        handlers = LinkHandlers(fail, lambda: 1, lambda ask: None, lambda told: None)
+        self.two.links._handlers = handlers
+        with self.assertLogs("damaskproxy.forwarding.links", "ERROR"):
+            result = await self.one.links.run(self.member, make_call())
+        self.assertIsInstance(result, Unknown)
+
+    async def test_damaged_stream_ends_the_connection_only(self):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.member.port)
+        writer.write(b"\xff\xff\xff\xff garbage")
+        self.assertEqual(await reader.read(), b"")
+        writer.close()
+        self.two.results = [RESULTS[0]]
+        self.assertEqual(await self.one.links.run(self.member, make_call()), RESULTS[0])
--- /dev/null
+++ b/damaskproxy/forwarding/tests/test_target.py
@@ -0,0 +1,191 @@
+"""The node beside a backend server: admission, classification, crashes, draining."""
+
+import asyncio
+import unittest
+
+from nose2.tools import params
+
+from damaskproxy.admission import AdmissionController
+from damaskproxy.admission.settings import AdmissionSettings
+from damaskproxy.common.clock import boot_s
+from damaskproxy.forwarding import Backend, CrashGuard, Lineage, Target
+from damaskproxy.forwarding.calls import Answer, NotRun, NotRunReason, Unknown
+from damaskproxy.forwarding.tests.builders import NAMES, make_call, make_report
+from damaskproxy.http1 import ConnectFailed, ExchangeLost, Response
+from damaskproxy.world import Address
+
+ID, STAMP = (b"X-Id", b"id-1"), (b"X-Stamp", b"s")
+NOT_RUN = (b"X-Not-Run", b"1")
+GZIP = (b"content-encoding", b"gzip")
+WORK_S = 0.02
+UNREACHABLE = Address("127.0.0.1", 1)
+
+
+class FakePool:
+    """Connections to a backend server with a number of slots."""
+
+    address = UNREACHABLE
+
+    def __init__(self):
+        self.outcome = Response(200, [ID, STAMP], b"ok")
+        self.requests = []
+        self.in_flight = self.most_in_flight = 0
+        self.work_s = 0.0
+
+    async def exchange(self, request, *, accept, idle_share):
+        self.requests.append((request, idle_share))
+        self.in_flight += 1
+        self.most_in_flight = max(self.most_in_flight, self.in_flight)
+        try:
+            await asyncio.sleep(self.work_s)
+        finally:
+            self.in_flight -= 1
+        if isinstance(self.outcome, Exception):
+            raise self.outcome
+        return self.outcome
+
+
+class TargetTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against false promises and against urgent work behind other work."""
+
+    def setUp(self):
+        self.pool = FakePool()
+        self.guard = CrashGuard(lambda: None)
+        self.backend = Backend(1000, lambda: self.target.follow_backend())
+        settings = AdmissionSettings(adaptive_limit=False, newest_first=False)
+        self.target = Target(
+            self.backend,
+            self.pool,
+            NAMES,
+            self.guard,
+            Lineage(),
+            lambda slots: AdmissionController(slots, now_s=boot_s, settings=settings),
+        )
+        self.backend.report(make_report(slots=2))
+
+    @params(
+        ("success", Response(200, [ID, STAMP], b"ok"), Answer),
+        ("own failure", Response(500, [ID, STAMP]), Answer),
+        ("failure without a MAC", Response(502, [ID]), Answer),
+        ("success without a MAC", Response(200, [ID]), Unknown),
+        (
+            "encoded",
+            Response(200, [ID, STAMP, (b"content-encoding", b"gzip")]),
+            Unknown,
+        ),
+        ("rejected", Response(503, [ID, NOT_RUN]), NotRun),
+        ("rejected without an id", Response(429, [NOT_RUN]), NotRun),
+        ("another lifetime", Response(421, []), NotRun),
+        ("cut", ExchangeLost("cut"), Unknown),
+        ("no connection", ConnectFailed("refused"), NotRun),
+    )
+    async def test_outcome_says_what_is_known(self, name, outcome, kind):
+        self.pool.outcome = outcome
+        result = await self.target.run(make_call())
+        self.assertIsInstance(result, kind, name)
+        self.assertIsNotNone(result.load, name)
+        if isinstance(result, NotRun):
+            reached = isinstance(outcome, Response)
+            self.assertEqual(result.reached_backend, reached, name)
+
+    async def test_internal_headers_do_not_go_back(self):
+        kept = (b"Content-Type", b"text/plain")
+        self.pool.outcome = Response(200, [ID, STAMP, kept, (b"Connection", b"close")])
+        result = await self.target.run(make_call())
+        self.assertEqual(result.headers, [STAMP, kept])
+
+    @params((True, 1.0), (False, 0.5))
+    async def test_orders_use_recent_connections_only(self, is_idempotent, idle_share):
+        await self.target.run(make_call(is_idempotent=is_idempotent))
+        self.assertEqual(self.pool.requests[0][1], idle_share)
+
+    @params(
+        ("no report", None, NotRunReason.NO_BACKEND),
+        ("another service", make_report(service="stores"), NotRunReason.OTHER_SERVICE),
+        ("draining", make_report(is_draining=True), NotRunReason.DRAINING),
+    )
+    async def test_server_that_must_not_run_it_gets_nothing(self, name, report, reason):
+        self.backend.record = None
+        if report is not None:
+            self.backend.report(report)
+        result = await self.target.run(make_call())
+        self.assertEqual((result.reason, result.reached_backend), (reason, False), name)
+        self.assertFalse(self.pool.requests)
+
+    async def test_stopping_node_takes_nothing(self):
+        self.target.is_stopping = True
+        result = await self.target.run(make_call())
+        self.assertIs(result.reason, NotRunReason.STOPPING)
+
+    async def test_no_more_calls_run_than_there_are_slots(self):
+        self.pool.work_s = WORK_S
+        results = await asyncio.gather(
+            *(self.target.run(make_call(request_id=b"%d" % n)) for n in range(6))
+        )
+        self.assertEqual(self.pool.most_in_flight, 2)
+        self.assertGreaterEqual(sum(isinstance(r, Answer) for r in results), 4)
+
+    async def test_urgent_calls_are_served_under_overload(self):
+        self.pool.work_s = WORK_S
+        served = {0: [], 3: []}
+
+        async def send(number, priority):
+            call = make_call(request_id=b"%d" % number, priority=priority)
+            result = await self.target.run(call)
+            served[priority].append(isinstance(result, Answer))
+
+        tasks = []
+        for number in range(150):
+            priority = 0 if number % 3 == 0 else 3
+            tasks.append(asyncio.create_task(send(number, priority)))
+            # Twice what two slots of 20 ms can run.
+            await asyncio.sleep(0.005)
+        await asyncio.gather(*tasks)
+        urgent = sum(served[0]) / len(served[0])
+        late = sum(served[3]) / len(served[3])
+        self.assertGreater(urgent, 0.8)
+        self.assertGreater(urgent, late + 0.2)
+
+    async def test_waiting_calls_are_refused_when_the_server_leaves(self):
+        self.pool.work_s = 0.1
+        tasks = [
+            asyncio.create_task(self.target.run(make_call(request_id=b"%d" % n)))
+            for n in range(5)
+        ]
+        await asyncio.sleep(0.02)
+        self.backend.report(make_report(is_draining=True, sequence=2))
+        results = await asyncio.gather(*tasks)
+        reasons = [r.reason for r in results if isinstance(r, NotRun)]
+        self.assertEqual(reasons, [NotRunReason.DRAINING] * 3)
+
+    async def test_call_whose_time_is_over_is_not_sent(self):
+        result = await self.target.run(make_call(deadline_ms=0))
+        self.assertIs(result.reason, NotRunReason.DEADLINE_PASSED)
+        self.assertFalse(self.pool.requests)
+
+    async def test_cancelled_calls_give_their_slots_back(self):
+        self.pool.work_s = 5.0
+        tasks = [
+            asyncio.create_task(self.target.run(make_call(request_id=b"%d" % n)))
+            for n in range(4)
+        ]
+        await asyncio.sleep(0.02)
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+        self.pool.work_s = 0.0
+        self.assertIsInstance(await self.target.run(make_call()), Answer)
+
+    async def test_crash_is_told_from_one_broken_response(self):
+        self.pool.outcome = ExchangeLost("reset")
+        server = await asyncio.start_server(lambda r, w: w.close(), "127.0.0.1", 0)
+        self.pool.address = Address(*server.sockets[0].getsockname()[:2])
+        await self.target.run(make_call())
+        await asyncio.sleep(0.1)
+        self.assertFalse(self.guard.own_crashes)
+        server.close()
+        await server.wait_closed()
+        await self.target.run(make_call())
+        await asyncio.sleep(0.1)
+        self.assertEqual(len(self.guard.own_crashes), 1)
+        self.assertFalse(self.backend.is_reachable)
