--- a/damaskproxy/events/logs.py
+++ b/damaskproxy/events/logs.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+import time
 from collections.abc import Callable
 from typing import TextIO
 
@@ -59,6 +60,37 @@
         return True
 
 
+class LineLimit:
+    """Limits the lines of a process, so that a failure of many requests stays cheap.
+
+    Parameters
+    ----------
+    lines_per_s : int
+        Lines that may be logged in a second.
+    now_s : callable
+        Monotonic clock.
+    """
+
+    def __init__(self, lines_per_s: int, now_s: Callable[[], float] = time.monotonic):
+        self._lines_per_s = lines_per_s
+        self._now_s = now_s
+        self._second = 0
+        self._lines = 0
+
+    def take(self) -> int | None:
+        """Return how many lines were dropped in the last busy second, None to drop."""
+        second = int(self._now_s())
+        dropped = 0
+        if second != self._second:
+            dropped = max(0, self._lines - self._lines_per_s)
+            self._second, self._lines = second, 0
+        self._lines += 1
+        return dropped if self._lines <= self._lines_per_s else None
+
+
+_line_limit: LineLimit | None = None
+
+
 def log_event(
     logger: logging.Logger,
     event: Event,
@@ -82,6 +114,12 @@
     """
     if not logger.isEnabledFor(event.level):
         return
+    if _line_limit is not None and event.level <= logging.INFO:
+        dropped = _line_limit.take()
+        if dropped is None:
+            return
+        if dropped:
+            fields["lines_dropped"] = dropped
     logger.log(
         event.level,
         "E%d %s",
@@ -98,6 +136,7 @@
     level: str = "INFO",
     stream: TextIO | None = None,
     node_id: str = "",
+    lines_per_s: int | None = None,
 ) -> None:
     """Send all records to `stream`.
 
@@ -111,7 +150,11 @@
         Standard error by default.
     node_id : str, optional
         Named in each JSON line.
+    lines_per_s : int, optional
+        Limit on events up to the level INFO; the next line tells how many were dropped.
     """
+    global _line_limit
+    _line_limit = None if lines_per_s is None else LineLimit(lines_per_s)
     handler = logging.StreamHandler(stream or sys.stderr)
     if style == "json":
         static = {"node": node_id} if node_id else {}
--- a/damaskproxy/events/tests/test_output.py
+++ b/damaskproxy/events/tests/test_output.py
@@ -6,10 +6,24 @@
 import unittest
 
 from damaskproxy.events import DroppingOutput
+from damaskproxy.events.logs import LineLimit
 
 LINE = "x" * 999 + "\n"
 
 
+class LineLimitTests(unittest.TestCase):
+    """Guards against a log that costs more than the work it tells of."""
+
+    def test_lines_beyond_the_limit_are_dropped_and_counted(self):
+        now_s = 10.0
+        limit = LineLimit(3, lambda: now_s)
+        self.assertEqual([limit.take() for _ in range(5)], [0, 0, 0, None, None])
+        now_s = 11.2
+        self.assertEqual([limit.take() for _ in range(4)], [2, 0, 0, None])
+        now_s = 15.0
+        self.assertEqual(limit.take(), 1)
+
+
 class DroppingOutputTests(unittest.TestCase):
     """Guards against a process that stands still because nobody reads its log."""
 
--- a/damaskproxy/sidecar/__main__.py
+++ b/damaskproxy/sidecar/__main__.py
@@ -26,6 +26,7 @@
         level=settings.log_level,
         stream=DroppingOutput(sys.stdout),
         node_id=settings.node_id,
+        lines_per_s=settings.log_lines_per_s,
     )
     uvloop.run(run_sidecar(settings, path))
     return 0
--- a/damaskproxy/sidecar/settings.py
+++ b/damaskproxy/sidecar/settings.py
@@ -66,6 +66,8 @@
         Memory above which the platform ends the process.
     log_level : str
         Lowest level that is logged.
+    log_lines_per_s : int
+        Lines a second up to the level INFO; the next line tells how many were dropped.
     """
 
     node_id: Annotated[str, msgspec.Meta(min_length=1, max_length=100)]
@@ -80,6 +82,7 @@
     bounds: dict[str, Any] = {}
     memory_limit_mb: Annotated[int, msgspec.Meta(ge=64)] = 300
     log_level: str = "INFO"
+    log_lines_per_s: Annotated[int, msgspec.Meta(ge=1)] = 100
 
     def bound(self, name: str, default: float) -> float:
         """Return a numeric bound of the platform, `default` without one."""
