--- a/damaskproxy/forwarding/choosing.py
+++ b/damaskproxy/forwarding/choosing.py
@@ -28,6 +28,8 @@
 BACKOFF_S = 0.25
 """First pause after a connection to a node failed; it doubles up to the longest."""
 BACKOFF_MAX_S = 4.0
+TIE_BREAK_COST = 0.02
+"""Spreads the calls of many origins over servers that look alike."""
 SLOW_COST = 0.1
 """Cost per multiple of the latency of the fastest server."""
 
@@ -96,21 +98,14 @@
     ) -> MemberRecord | None:
         """Return the member with the lowest expected cost, None without one."""
         now_s = boot_s()
+        candidates = [(member, self._peer(member.node_id)) for member in members]
+        times_s = [peer.latency_s for _, peer in candidates if peer.latency_s]
+        fastest_s = min(times_s) if times_s else 0.0
         best, best_cost = None, 0.0
-        fastest_s = min(
-            (
-                peer.latency_s
-                for member in members
-                if (peer := self._peers.get(member.node_id)) and peer.latency_s
-            ),
-            default=0.0,
-        )
-        for member in members:
-            if member.node_id in avoid:
-                continue
-            cost = self._cost(member, now_s, fastest_s)
-            if cost is None:
+        for member, peer in candidates:
+            if peer.retry_s > now_s or member.node_id in avoid:
                 continue
+            cost = self._cost(member, peer, now_s, fastest_s)
             if best is None or cost < best_cost:
                 best, best_cost = member, cost
         return best
@@ -177,12 +172,13 @@
             peer = self._peers[node_id] = _Peer()
         return peer
 
-    def _cost(self, member: MemberRecord, now_s: float, fastest_s) -> float | None:
-        peer = self._peer(member.node_id)
-        if peer.retry_s > now_s:
-            return None
+    def _cost(
+        self, member: MemberRecord, peer: _Peer, now_s: float, fastest_s: float
+    ) -> float:
         busy = peer.busy_share(member.backend.slots, now_s)
-        cost = busy + FAILURE_COST * peer.failures(now_s) + self._rng.random() * 0.02
+        cost = busy + self._rng.random() * TIE_BREAK_COST
+        if peer.failure_share:
+            cost += FAILURE_COST * peer.failures(now_s)
         if busy >= 1:
             cost += FULL_COST
         if fastest_s and peer.latency_s > fastest_s:
