--- a/damaskproxy/directory/configuration.py
+++ b/damaskproxy/directory/configuration.py
@@ -111,6 +111,11 @@
         """Version in force, 0 without one."""
         return self.current.version if self.current else 0
 
+    def max_connections(self, service: str) -> int | None:
+        """Return how many connections a server of `service` accepts, None if unknown."""
+        entry = self.current.services.get(service) if self.current else None
+        return entry.max_connections if entry else None
+
     async def known(self) -> None:
         """Wait until a configuration is in force."""
         await self._known.wait()
--- a/damaskproxy/forwarding/headers.py
+++ b/damaskproxy/forwarding/headers.py
@@ -23,8 +23,6 @@
         Set by a backend server that did not run the request.
     stamp : bytes
         MAC of the backend server over its response.
-    instance : bytes
-        Lifetime that answers.
     """
 
     request_id: bytes
@@ -33,7 +31,6 @@
     target_instance: bytes
     not_executed: bytes
     stamp: bytes
-    instance: bytes
 
     def lower(self, field: str) -> bytes:
         """Return a name in lower case, for comparison."""
--- a/damaskproxy/forwarding/target.py
+++ b/damaskproxy/forwarding/target.py
@@ -66,6 +66,9 @@
         Learns which requests run.
     make_admission : callable
         Returns an admission controller for a number of slots.
+    max_connections : callable
+        Returns how many connections the backend servers of a service accept, None
+        while that is not known. A call in flight takes one.
 
     Attributes
     ----------
@@ -83,6 +86,7 @@
         guard: CrashGuard,
         lineage: Lineage,
         make_admission: Callable[[int], AdmissionController],
+        max_connections: Callable[[str], int | None] = lambda service: None,
     ):
         self.in_flight = 0
         self.is_stopping = False
@@ -92,6 +96,7 @@
         self._guard = guard
         self._lineage = lineage
         self._make_admission = make_admission
+        self._max_connections = max_connections
         self._admission: AdmissionController | None = None
         self._lifetime: tuple = ()
         self._lost: list[Call] = []
@@ -154,16 +159,15 @@
         )
 
     def follow_backend(self) -> None:
-        """Follow a change of the backend server."""
+        """Follow a change of the backend server or of the configuration."""
         record = self._backend.record
         if record is None:
             return
-        lifetime = (record.instance_id, record.born_ms)
-        if lifetime != self._lifetime:
-            self._lifetime = lifetime
-            if self._admission is None:
-                self._admission = self._make_admission(record.slots)
-        self._admission.set_slots(record.slots)
+        self._lifetime = (record.instance_id, record.born_ms)
+        slots = min(record.slots, self._max_connections(record.service) or record.slots)
+        if self._admission is None:
+            self._admission = self._make_admission(slots)
+        self._admission.set_slots(slots)
         if not self._backend.is_serving:
             self.refuse_waiting(RefusalReason.LEAVING)
 
--- a/damaskproxy/forwarding/tests/builders.py
+++ b/damaskproxy/forwarding/tests/builders.py
@@ -15,7 +15,6 @@
     target_instance=b"X-Target",
     not_executed=b"X-Not-Run",
     stamp=b"X-Stamp",
-    instance=b"X-Instance",
 )
 
 
--- a/damaskproxy/forwarding/tests/test_target.py
+++ b/damaskproxy/forwarding/tests/test_target.py
@@ -50,6 +50,7 @@
 
     def setUp(self):
         self.pool = FakePool()
+        self.max_connections = None
         self.guard = CrashGuard(lambda: None)
         self.backend = Backend(1000, lambda: self.target.follow_backend())
         settings = AdmissionSettings(adaptive_limit=False, newest_first=False)
@@ -60,6 +61,7 @@
             self.guard,
             Lineage(),
             lambda slots: AdmissionController(slots, now_s=boot_s, settings=settings),
+            lambda service: self.max_connections,
         )
         self.backend.report(make_report(slots=2))
 
@@ -125,6 +127,16 @@
         self.assertEqual(self.pool.most_in_flight, 2)
         self.assertGreaterEqual(sum(isinstance(r, Answer) for r in results), 4)
 
+    @params((None, 2), (1, 1), (9, 2))
+    async def test_no_more_calls_run_than_connections_are_accepted(self, most, runs):
+        self.max_connections = most
+        self.target.follow_backend()
+        self.pool.work_s = WORK_S
+        await asyncio.gather(
+            *(self.target.run(make_call(request_id=b"%d" % n)) for n in range(6))
+        )
+        self.assertEqual(self.pool.most_in_flight, runs)
+
     async def test_urgent_calls_are_served_under_overload(self):
         self.pool.work_s = WORK_S
         served = {0: [], 3: []}
--- a/damaskproxy/platform/headers.py
+++ b/damaskproxy/platform/headers.py
@@ -11,7 +11,6 @@
     target_instance=b"X-Damaskproxy-Target-Instance",
     not_executed=b"X-Damaskproxy-Not-Executed",
     stamp=b"X-Damaskproxy-Server-Stamp",
-    instance=b"X-Damaskproxy-Instance-Id",
 )
 
 VOLATILE_HEADERS = frozenset(
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -185,7 +185,9 @@
         guard,
         lineage,
         lambda slots: AdmissionController(slots, now_s=boot_s, settings=ADMISSION),
+        configuration.max_connections,
     )
+    configuration.on_change(lambda _: target.follow_backend())
     links = Links(
         settings.node_id,
         LinkHandlers(
