--- a/damaskproxy/directory/configuration.py
+++ b/damaskproxy/directory/configuration.py
@@ -112,7 +112,7 @@
         return self.current.version if self.current else 0
 
     def max_connections(self, service: str) -> int | None:
-        """Return how many connections a server of `service` accepts, None if unknown."""
+        """Return the limit on connections to a server, None if it is unknown."""
         entry = self.current.services.get(service) if self.current else None
         return entry.max_connections if entry else None
 
--- a/damaskproxy/sidecar/tests/mesh.py
+++ b/damaskproxy/sidecar/tests/mesh.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import socket
 import tempfile
 from contextlib import AsyncExitStack
@@ -35,11 +36,26 @@
     return json.dumps(body).encode()
 
 
+LISTENER_PORTS = range(20_000, 32_000)
+"""Below the ports of outgoing connections: one of these took a port between its choice
+and its use."""
+_given_ports = set()
+
+
 def free_port():
-    """Return a port of the loopback that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a port of the loopback that is free and was not returned before."""
+    while True:
+        port = random.choice(LISTENER_PORTS)
+        if port in _given_ports:
+            continue
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return port
 
 
 class Member:
