--- a/benchmarks/sidecar_path.py
+++ b/benchmarks/sidecar_path.py
@@ -21,9 +21,10 @@
 from benchmarks.figures import percentile, send_at_rate
 from damaskproxy.http1 import ConnectionPool, HttpError, Request
 from damaskproxy.sidecar.settings import to_address
-from damaskproxy.sidecar.tests.mesh import configuration, free_port
+from damaskproxy.sidecar.tests.mesh import configuration
 from damaskproxy.standins.rows import RowStoreStandIn
 from damaskproxy.standins.stamped import StampedBackend
+from demo.processes import free_ports
 
 __all__ = ["measure"]
 
@@ -110,7 +111,10 @@
                 "region": "r",
                 "service": backend.service,
                 "backend_address": address,
-                "listeners": {n: f"127.0.0.1:{free_port()}" for n in LISTENERS},
+                "listeners": {
+                    n: f"127.0.0.1:{port}"
+                    for n, port in zip(LISTENERS, free_ports(len(LISTENERS)))
+                },
                 "store_address": store_address,
             }
             path = folder / f"{backend.instance_id}.json"
--- a/damaskproxy/sidecar/tests/mesh.py
+++ b/damaskproxy/sidecar/tests/mesh.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import json
-import random
-import socket
 import tempfile
 from contextlib import AsyncExitStack
 from pathlib import Path
@@ -14,8 +12,9 @@
 from damaskproxy.sidecar.settings import load_settings, to_address
 from damaskproxy.standins.rows import RowStoreStandIn
 from damaskproxy.standins.stamped import StampedBackend
+from demo.processes import free_ports
 
-__all__ = ["MeshTestCase", "configuration", "free_port"]
+__all__ = ["MeshTestCase", "configuration"]
 
 ROUTES = {
     "read": {"prefix": "/read/", "kind": "safe", "service": "orders"},
@@ -36,28 +35,6 @@
     return json.dumps(body).encode()
 
 
-LISTENER_PORTS = range(20_000, 32_000)
-"""Below the ports of outgoing connections: one of these took a port between its choice
-and its use."""
-_given_ports = set()
-
-
-def free_port():
-    """Return a port of the loopback that is free and was not returned before."""
-    while True:
-        port = random.choice(LISTENER_PORTS)
-        if port in _given_ports:
-            continue
-        with socket.socket() as sock:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        _given_ports.add(port)
-        return port
-
-
 class Member:
     """One sidecar and its backend server."""
 
@@ -140,7 +117,10 @@
             "region": "r",
             "service": service,
             "backend_address": address,
-            "listeners": {n: f"127.0.0.1:{free_port()}" for n in listeners},
+            "listeners": {
+                n: f"127.0.0.1:{port}"
+                for n, port in zip(listeners, free_ports(len(listeners)))
+            },
             "store_address": self.store_address,
             "bounds": {"graceS": 2},
             **settings,
