--- a/damaskproxy/forwarding/tests/test_origin.py
+++ b/damaskproxy/forwarding/tests/test_origin.py
@@ -28,7 +28,7 @@
     make_member,
     make_route,
 )
-from damaskproxy.http1 import ClientLimits, Request, find_header
+from damaskproxy.http1 import ClientLimits, Request
 from damaskproxy.retries import RetryRatio, RetrySettings
 
 ROUTES = (
@@ -109,8 +109,8 @@
         self.results = list(results)
         answer = await self.send(target)
         self.assertEqual((answer.status, len(self.sent)), (status, sent), name)
-        self.assertEqual(find_header(answer.headers, b"x-id"), b"1")
-        promised = find_header(answer.headers, b"retry-after")
+        self.assertEqual(answer.header(b"x-id"), b"1")
+        promised = answer.header(b"retry-after")
         self.assertEqual(promised is not None, status == 503, name)
 
     async def test_stuck_call_is_answered_at_the_timeout(self):
--- a/damaskproxy/http1/__init__.py
+++ b/damaskproxy/http1/__init__.py
@@ -7,7 +7,6 @@
     Request,
     Response,
     end_to_end,
-    find_header,
 )
 from damaskproxy.http1.server import ClientLimits, HttpServer
 
@@ -22,5 +21,4 @@
     "Request",
     "Response",
     "end_to_end",
-    "find_header",
 ]
--- a/damaskproxy/http1/messages.py
+++ b/damaskproxy/http1/messages.py
@@ -7,7 +7,6 @@
     "Request",
     "Response",
     "end_to_end",
-    "find_header",
     "format_request",
     "format_response",
 ]
@@ -51,8 +50,25 @@
 }
 
 
+class _Message:
+    """Reading of headers, for requests and responses."""
+
+    __slots__ = ()
+
+    def header(self, lower_name: bytes) -> bytes | None:
+        """Return the first value of a header, None without one.
+
+        Notes
+        -----
+        The headers must not change after the first call.
+        """
+        if self._index is None:
+            self._index = {name.lower(): v for name, v in reversed(self.headers)}
+        return self._index.get(lower_name)
+
+
 @dataclass(slots=True)
-class Request:
+class Request(_Message):
     """Request with its whole body.
 
     Parameters
@@ -71,15 +87,9 @@
     body: bytes = b""
     _index: dict[bytes, bytes] | None = field(default=None, repr=False, compare=False)
 
-    def header(self, lower_name: bytes) -> bytes | None:
-        """Return the first value of a header, None without one."""
-        if self._index is None:
-            self._index = _index(self.headers)
-        return self._index.get(lower_name)
-
 
 @dataclass(slots=True)
-class Response:
+class Response(_Message):
     """Response with its whole body."""
 
     status: int
@@ -87,30 +97,6 @@
     body: bytes = b""
     _index: dict[bytes, bytes] | None = field(default=None, repr=False, compare=False)
 
-    def header(self, lower_name: bytes) -> bytes | None:
-        """Return the first value of a header, None without one.
-
-        Notes
-        -----
-        The headers must not change after the first call.
-        """
-        if self._index is None:
-            self._index = _index(self.headers)
-        return self._index.get(lower_name)
-
-
-def _index(headers: Headers) -> dict[bytes, bytes]:
-    """Return the first value of each header by its lower-case name."""
-    return {name.lower(): value for name, value in reversed(headers)}
-
-
-def find_header(headers: Headers, lower_name: bytes) -> bytes | None:
-    """Return the first value of a header, None without one."""
-    for name, value in headers:
-        if name.lower() == lower_name:
-            return value
-    return None
-
 
 def end_to_end(headers: Headers, without: frozenset[bytes] = frozenset()) -> Headers:
     """Return the headers that are not about one connection.
--- a/damaskproxy/http1/tests/test_client.py
+++ b/damaskproxy/http1/tests/test_client.py
@@ -12,7 +12,6 @@
     ConnectionPool,
     ExchangeLost,
     Request,
-    find_header,
 )
 from damaskproxy.world import Address
 
@@ -81,9 +80,7 @@
         async with asyncio.timeout(5):
             return await self.pool.exchange(
                 request,
-                accept=lambda answer: (
-                    find_header(answer.headers, b"x-id") == request_id
-                ),
+                accept=lambda answer: answer.header(b"x-id") == request_id,
             )
 
     @params(
--- a/damaskproxy/sidecar/tests/test_mesh.py
+++ b/damaskproxy/sidecar/tests/test_mesh.py
@@ -14,7 +14,6 @@
     ConnectionPool,
     ExchangeLost,
     Request,
-    find_header,
 )
 from damaskproxy.sidecar import lifecycle
 from damaskproxy.sidecar.lifecycle import drain
@@ -40,8 +39,8 @@
             X_Damaskproxy_Deadline_Ms=b"500",
         )
         self.assertEqual((answer.status, answer.body), (200, b"from i-n2"))
-        self.assertEqual(find_header(answer.headers, STAMP), b"stamp-i-n2")
-        self.assertEqual(find_header(answer.headers, b"x-damaskproxy-request-id"), b"1")
+        self.assertEqual(answer.header(STAMP), b"stamp-i-n2")
+        self.assertEqual(answer.header(b"x-damaskproxy-request-id"), b"1")
         request = two.backend.requests[0]
         self.assertEqual(request.target, b"/read/../x?q=%41")
         headers = {n.lower(): v for n, v in request.headers}
@@ -62,7 +61,7 @@
         member = await self.start_unready("n1")
         answer = await member.call(b"/read/1")
         self.assertEqual(answer.status, 503)
-        self.assertIsNotNone(find_header(answer.headers, b"retry-after"))
+        self.assertIsNotNone(answer.header(b"retry-after"))
         self.assertEqual(await member.ready_status(), 503)
         self.rows.put("op", "config", configuration())
         await self.until(lambda: member.sidecar.is_ready)
@@ -363,9 +362,7 @@
         one.reload.set()
         await asyncio.sleep(0.05)
         self.assertEqual((await one.call(b"/read/1")).status, 200, name)
-        caller = find_header(
-            two.backend.requests[-1].headers, b"x-damaskproxy-caller-service"
-        )
+        caller = two.backend.requests[-1].header(b"x-damaskproxy-caller-service")
         self.assertEqual(caller, service.encode(), name)
 
 
--- a/damaskproxy/standins/stamped.py
+++ b/damaskproxy/standins/stamped.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import Counter
 
-from damaskproxy.http1 import HttpServer, Request, Response, find_header
+from damaskproxy.http1 import HttpServer, Request, Response
 
 __all__ = ["StampedBackend"]
 
@@ -50,9 +50,9 @@
         await self.server.close()
 
     async def _handle(self, request: Request) -> Response:
-        request_id = find_header(request.headers, b"x-damaskproxy-request-id")
+        request_id = request.header(b"x-damaskproxy-request-id")
         echo = (b"X-Damaskproxy-Request-Id", request_id)
-        target = find_header(request.headers, b"x-damaskproxy-target-instance")
+        target = request.header(b"x-damaskproxy-target-instance")
         fault = self.faults.get(request.target)
         if target != self.instance_id.encode():
             self.rejected += 1
