Share what the new path had written twice

RouteLevels serves origin and lineage, the breaker of a request is looked up once, one pause serves the feeds and the writer of the own row, the path of the state of a node is named once, and questions to the configuration are methods of its book.

--- a/damaskproxy/directory/configuration.py
+++ b/damaskproxy/directory/configuration.py
@@ -111,6 +111,19 @@
         """Version in force, 0 without one."""
         return self.current.version if self.current else 0
 
+    @property
+    def encoded(self) -> bytes:
+        """Configuration for other nodes, empty without one."""
+        return self.current.encoded if self.current else b""
+
+    def client_limits(self) -> ClientLimits:
+        """Return the bounds on clients, the usual ones without a configuration."""
+        return self.current.limits if self.current else ClientLimits()
+
+    def may_know_service(self, service: str) -> bool:
+        """Tell whether the configuration has `service`, or is not known yet."""
+        return self.current is None or service in self.current.services
+
     def max_connections(self, service: str) -> int | None:
         """Return the limit on connections to a server, None if it is unknown."""
         entry = self.current.services.get(service) if self.current else None
--- a/damaskproxy/directory/following.py
+++ b/damaskproxy/directory/following.py
@@ -63,6 +63,34 @@
         log_event(logger, events.CONFIGURATION_IN_FORCE, version=configuration.version)
 
 
+class _Pause:
+    """Growing pauses between calls to a store that does not answer.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Spreads the calls of many nodes.
+    """
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+        self.reset()
+
+    @property
+    def is_first(self) -> bool:
+        """Whether no pause was made since the store last answered."""
+        return self._pause_s == RETRY_MIN_S
+
+    def reset(self) -> None:
+        """Start with the shortest pause again: the store has answered."""
+        self._pause_s = RETRY_MIN_S
+
+    async def wait(self) -> None:
+        """Make the next pause."""
+        await asyncio.sleep(self._pause_s * (0.75 + 0.5 * self._rng.random()))
+        self._pause_s = min(2 * self._pause_s, RETRY_MAX_S)
+
+
 class StoreWatch:
     """Follows the configuration and the members in the store.
 
@@ -147,7 +175,7 @@
         keep: Callable[[set[str]], None],
     ) -> None:
         after: int | None = None
-        pause_s = RETRY_MIN_S
+        pause = _Pause(self._rng)
         while True:
             try:
                 body = await self._next(table, after, wait_ms)
@@ -157,10 +185,9 @@
                 continue
             except StoreError as error:
                 self._note_failure(table, error)
-                await asyncio.sleep(pause_s * (0.75 + 0.5 * self._rng.random()))
-                pause_s = min(2 * pause_s, RETRY_MAX_S)
+                await pause.wait()
                 continue
-            pause_s = RETRY_MIN_S
+            pause.reset()
             self._note_success(table)
             for row in body.rows:
                 apply(row)
@@ -257,7 +284,7 @@
 
     async def keep_written(self) -> None:
         """Write each published record, for ever."""
-        pause_s = RETRY_MIN_S
+        pause = _Pause(self._rng)
         while True:
             await self._changed.wait()
             self._changed.clear()
@@ -265,13 +292,12 @@
             try:
                 is_written = await self._write(record)
             except StoreError:
-                if pause_s == RETRY_MIN_S:
+                if pause.is_first:
                     self._spread(record)
                 self._changed.set()
-                await asyncio.sleep(pause_s * (0.75 + 0.5 * self._rng.random()))
-                pause_s = min(2 * pause_s, RETRY_MAX_S)
+                await pause.wait()
                 continue
-            pause_s = RETRY_MIN_S
+            pause.reset()
             if not is_written or record is not self._record:
                 self._changed.set()
             else:
--- a/damaskproxy/forwarding/__init__.py
+++ b/damaskproxy/forwarding/__init__.py
@@ -3,7 +3,7 @@
 from damaskproxy.forwarding.backend import Backend, StatusReport
 from damaskproxy.forwarding.choosing import Chooser
 from damaskproxy.forwarding.crash_guard import CrashGuard
-from damaskproxy.forwarding.frames import AskFrame, TellFrame
+from damaskproxy.forwarding.frames import STATE_PATH, AskFrame, TellFrame
 from damaskproxy.forwarding.headers import HeaderNames
 from damaskproxy.forwarding.lineage import Lineage
 from damaskproxy.forwarding.links import LinkHandlers, Links
@@ -11,6 +11,7 @@
 from damaskproxy.forwarding.target import Target
 
 __all__ = [
+    "STATE_PATH",
     "AskFrame",
     "Backend",
     "Chooser",
--- a/damaskproxy/forwarding/frames.py
+++ b/damaskproxy/forwarding/frames.py
@@ -12,6 +12,7 @@
 from damaskproxy.forwarding.calls import LoadReport, NotRunReason
 
 __all__ = [
+    "STATE_PATH",
     "AnswerFrame",
     "AskFrame",
     "CancelFrame",
@@ -27,6 +28,8 @@
     "encode_frame",
 ]
 
+STATE_PATH = b"/damask/state"
+"""Where a starting node reads the `TellFrame` of another one over HTTP."""
 LENGTH_BYTES = 4
 FRAME_MAX_BYTES = 80 << 20
 """Above the largest body that the limits of a configuration usually allow."""
--- a/damaskproxy/forwarding/lineage.py
+++ b/damaskproxy/forwarding/lineage.py
@@ -10,7 +10,7 @@
 from damaskproxy.common.clock import boot_s
 from damaskproxy.forwarding.calls import Call
 
-__all__ = ["Lineage", "Parent", "ReportedLevel", "root_of"]
+__all__ = ["Lineage", "Parent", "RouteLevels", "root_of"]
 
 SEPARATOR = b"."
 LEVEL_WEIGHT = 0.2
@@ -44,8 +44,8 @@
     is_repeat: bool
 
 
-class ReportedLevel:
-    """Admission level that results of a route report."""
+class _Level:
+    """Admission level that the results of one route report."""
 
     __slots__ = ("_at_s", "_value")
 
@@ -65,12 +65,31 @@
         self._at_s = boot_s()
 
 
+class RouteLevels:
+    """Admission levels that results report, by route."""
+
+    def __init__(self):
+        self._levels: dict[str, _Level] = {}
+
+    def report(self, route: str, level: int) -> None:
+        """Learn the level of a result of `route`."""
+        known = self._levels.get(route)
+        if known is None:
+            known = self._levels[route] = _Level()
+        known.report(level)
+
+    def now(self, route: str) -> int:
+        """Return the level of `route`; it is open until results report."""
+        known = self._levels.get(route)
+        return LEVEL_COUNT if known is None else known.now()
+
+
 class Lineage:
     """Requests in flight on the backend server and the load below their routes."""
 
     def __init__(self):
         self._parents: dict[bytes, Parent] = {}
-        self._below: dict[str, ReportedLevel] = {}
+        self._below = RouteLevels()
 
     def began(self, call: Call) -> None:
         """Note that `call` runs on the backend server."""
@@ -88,12 +107,8 @@
 
     def report(self, parent: Parent, level: int) -> None:
         """Learn the level with which a call of `parent` came back."""
-        below = self._below.get(parent.route)
-        if below is None:
-            below = self._below[parent.route] = ReportedLevel()
-        below.report(level)
+        self._below.report(parent.route, level)
 
     def level_below(self, route: str) -> int:
         """Return the level of the services that requests of `route` call."""
-        below = self._below.get(route)
-        return LEVEL_COUNT if below is None else below.now()
+        return self._below.now(route)
--- a/damaskproxy/forwarding/links.py
+++ b/damaskproxy/forwarding/links.py
@@ -178,10 +178,6 @@
         if self._transport is not None:
             self._transport.close()
 
-    def ask(self, frame: AskFrame) -> None:
-        """Ask the peer for news; the response goes to the handlers."""
-        self.write(frame)
-
     async def run(self, call: Call) -> Result:
         """Run `call` at the peer; cancelling it cancels it there."""
         call_id = next(self._call_ids)
--- a/damaskproxy/forwarding/origin.py
+++ b/damaskproxy/forwarding/origin.py
@@ -28,7 +28,7 @@
 from damaskproxy.forwarding.choosing import Chooser
 from damaskproxy.forwarding.crash_guard import CrashGuard
 from damaskproxy.forwarding.headers import HeaderNames
-from damaskproxy.forwarding.lineage import Lineage, Parent, ReportedLevel, root_of
+from damaskproxy.forwarding.lineage import Lineage, Parent, RouteLevels, root_of
 from damaskproxy.forwarding.splitting import Splitter
 from damaskproxy.http1 import Request, Response, end_to_end
 from damaskproxy.retries import RetryRatio
@@ -82,6 +82,7 @@
     end: str = ""
     last_refusal: NotRunReason = NotRunReason.NO_MEMBER
     parent: Parent | None = None
+    breaker: RouteBreaker | None = None
 
 
 class Origin:
@@ -140,7 +141,7 @@
         self._ratio = ratio
         self._guard = guard
         self._lineage = lineage
-        self._levels: dict[str, ReportedLevel] = {}
+        self._levels = RouteLevels()
         self._breakers: dict[str, RouteBreaker] = {}
         self._names = names
         self._request_id = names.lower("request_id")
@@ -191,15 +192,11 @@
             deadline.close()
         if response.status in (502, 503, 504):
             self._log_failure(attempts, response.status)
-        self._note_outcome(attempts, response.status)
+        if attempts.breaker is not None and attempts.tried:
+            attempts.breaker.ended(is_served=response.status < 500)
         response.headers.append((self._names.request_id, request_id))
         return response
 
-    def _note_outcome(self, attempts: _Attempts, status: int) -> None:
-        breaker = self._breaker(attempts)
-        if breaker is not None and attempts.tried:
-            breaker.ended(is_served=status < 500)
-
     def _budget_ms(self, request: Request, route: Route) -> int:
         text = request.header(self._deadline_ms)
         if text is None or not text.isdigit():
@@ -238,8 +235,8 @@
         if attempts.parent is None and self._is_above_level(call):
             attempts.last_refusal = NotRunReason.OVERLOAD_BELOW
             return self._give_up(attempts)
-        breaker = self._breaker(attempts)
-        if breaker is not None and not breaker.admits():
+        attempts.breaker = self._breaker(attempts)
+        if attempts.breaker is not None and not attempts.breaker.admits():
             attempts.last_refusal = NotRunReason.MOSTLY_FAILING
             return self._give_up(attempts)
         if self._guard.is_quarantined(call):
@@ -328,22 +325,17 @@
         A run whose calls are refused wastes the work of all servers above, so the
         request is refused before any of them starts.
         """
-        level = self._levels.get(call.route)
-        if level is None:
-            return False
         ordinal = ordinal_of(root_of(call.request_id))
-        return position_of(to_priority(call.priority), ordinal) >= level.now()
+        position = position_of(to_priority(call.priority), ordinal)
+        return position >= self._levels.now(call.route)
 
     def _note_level(self, attempts: _Attempts, result: Result | None) -> None:
         if result is None or result.load is None:
             return
         if attempts.parent is not None:
             self._lineage.report(attempts.parent, result.load.level)
-            return
-        level = self._levels.get(attempts.call.route)
-        if level is None:
-            level = self._levels[attempts.call.route] = ReportedLevel()
-        level.report(result.load.level)
+        else:
+            self._levels.report(attempts.call.route, result.load.level)
 
     def _note_refusal(
         self, attempts: _Attempts, member: MemberRecord, result: NotRun
--- a/damaskproxy/http1/client.py
+++ b/damaskproxy/http1/client.py
@@ -54,7 +54,8 @@
         self._accept: Accept = accept_any
         self._is_head = False
         self._has_eof = False
-        self._new_parser()
+        self._parser = httptools.HttpResponseParser(self)
+        self._reset_message()
 
     @property
     def is_open(self) -> bool:
@@ -186,10 +187,6 @@
         framing = (b"content-length", b"transfer-encoding")
         return not any(name.lower() in framing for name, _ in self._headers)
 
-    def _new_parser(self) -> None:
-        self._parser = httptools.HttpResponseParser(self)
-        self._reset_message()
-
     def _reset_message(self) -> None:
         self._headers = []
         self._body = []
--- a/damaskproxy/platform/control.py
+++ b/damaskproxy/platform/control.py
@@ -7,7 +7,7 @@
 
 from damaskproxy.directory import RecordError
 from damaskproxy.events import log_event
-from damaskproxy.forwarding import Backend
+from damaskproxy.forwarding import STATE_PATH, Backend
 from damaskproxy.http1 import Request, Response
 from damaskproxy.platform import events
 from damaskproxy.platform.messages import decode_born_ms, decode_report
@@ -17,8 +17,6 @@
 logger = logging.getLogger(__name__)
 
 INSTANCES_PATH = "/api/instances/"
-READINESS_PATH = "/api/readiness"
-STATE_PATH = "/damask/state"
 STORE_WAIT_S = 0.6
 """Longest wait of a leaving backend server for the store; it gives up after 1 s."""
 
@@ -47,9 +45,10 @@
     """
 
     async def handle(request: Request) -> Response:
-        path = request.target.decode("latin-1").partition("?")[0]
-        if path == STATE_PATH and request.method == b"GET":
+        target = request.target.partition(b"?")[0]
+        if target == STATE_PATH and request.method == b"GET":
             return Response(200, body=encoded_state())
+        path = target.decode("latin-1")
         if not path.startswith(INSTANCES_PATH):
             return Response(404)
         instance_id = unquote(path.removeprefix(INSTANCES_PATH))
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -30,7 +30,7 @@
     Target,
     TellFrame,
 )
-from damaskproxy.http1 import ClientLimits, ConnectionPool, HttpServer
+from damaskproxy.http1 import ConnectionPool, HttpServer
 from damaskproxy.platform import (
     HEADERS,
     VOLATILE_HEADERS,
@@ -106,10 +106,9 @@
 
     def answer_ask(self, ask: AskFrame) -> TellFrame | None:
         """Return what the asking node does not know."""
-        current = self.configuration.current
-        encoded = b""
-        if current is not None and current.version > ask.configuration_version:
-            encoded = current.encoded
+        configuration = self.configuration
+        is_newer = configuration.version > ask.configuration_version
+        encoded = configuration.encoded if is_newer else b""
         records = []
         if ask.directory_digest not in (None, self.directory.digest()):
             records = list(self.directory.records())
@@ -127,11 +126,8 @@
 
     def encoded_state(self) -> bytes:
         """Return configuration and members for a node that starts."""
-        current = self.configuration.current
-        encoded = current.encoded if current else b""
-        return msgspec.msgpack.encode(
-            TellFrame(encoded, list(self.directory.records()))
-        )
+        records = list(self.directory.records())
+        return msgspec.msgpack.encode(TellFrame(self.configuration.encoded, records))
 
 
 def compose(settings: SidecarSettings, *, seed: int | None = None) -> Sidecar:
@@ -218,18 +214,10 @@
     )
     own_row = OwnRow(store, watch, lambda record: sidecar.spread(record), rng)
 
-    def client_limits() -> ClientLimits:
-        current = configuration.current
-        return current.limits if current else ClientLimits()
-
-    def knows_service(service: str) -> bool:
-        current = configuration.current
-        return current is None or service in current.services
-
     control = make_control_handler(
         backend,
         settings.backend_address,
-        knows_service,
+        configuration.may_know_service,
         own_row.stored,
         lambda: sidecar.encoded_state(),
     )
@@ -240,7 +228,7 @@
         "caller": HttpServer(
             "caller",
             origin.handle,
-            client_limits,
+            configuration.client_limits,
             Fiber,
             int(settings.memory_limit_mb * HELD_MEMORY_SHARE) << 20,
         ),
--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -13,7 +13,7 @@
 from damaskproxy.common.clock import boot_s
 from damaskproxy.directory import RecordError, decode_member
 from damaskproxy.events import log_event
-from damaskproxy.forwarding import AskFrame, TellFrame
+from damaskproxy.forwarding import STATE_PATH, AskFrame, TellFrame
 from damaskproxy.http1 import ConnectionPool, HttpError, Request
 from damaskproxy.sidecar import events
 from damaskproxy.sidecar.compose import Sidecar, compose
@@ -184,7 +184,7 @@
 
 async def _ask_seed(sidecar: Sidecar, seed: str) -> bool:
     pool = ConnectionPool(to_address(seed), SEED_TIMEOUT_S)
-    request = Request(b"GET", b"/damask/state", [(b"Host", seed.encode())])
+    request = Request(b"GET", STATE_PATH, [(b"Host", seed.encode())])
     try:
         async with asyncio.timeout(SEED_TIMEOUT_S):
             response = await pool.exchange(request)
@@ -212,7 +212,7 @@
         link = await sidecar.links.open(member)
         if link is not None:
             digest = sidecar.directory.digest()
-            link.ask(AskFrame(sidecar.configuration.version, digest))
+            link.write(AskFrame(sidecar.configuration.version, digest))
 
 
 async def _upkeep(sidecar: Sidecar) -> None:
