--- /dev/null
+++ b/damaskproxy/platform/bounds.py
@@ -0,0 +1,50 @@
+"""Bounds that the platform states, under its names."""
+
+import logging
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from damaskproxy.events import log_event
+from damaskproxy.platform import events
+
+__all__ = ["Bounds", "decode_bounds"]
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Bounds that a node keeps; the defaults are those of the users' sites.
+
+    Parameters
+    ----------
+    retry_ratio : float
+        Repeats for each request to a service, over all nodes.
+    retry_slack : float
+        Repeats of a service beyond the ratio, over all nodes.
+    stop_grace_s : float
+        Time from SIGTERM until the platform kills the process.
+    """
+
+    retry_ratio: float = 0.2
+    retry_slack: float = 47
+    stop_grace_s: float = 6.0
+
+
+PLATFORM_NAMES = {
+    "retryBudgetRatio": "retry_ratio",
+    "budgetSlack": "retry_slack",
+    "graceS": "stop_grace_s",
+}
+
+
+def decode_bounds(stated: Mapping[str, object]) -> Bounds:
+    """Return the bounds in `stated`; one that is no number keeps its default."""
+    found = {}
+    for name, field in PLATFORM_NAMES.items():
+        value = stated.get(name)
+        if isinstance(value, (int, float)):
+            found[field] = value
+        else:
+            log_event(logger, events.BOUND_MISSING, name=name, value=value)
+    return Bounds(**found)
--- a/damaskproxy/platform/events.py
+++ b/damaskproxy/platform/events.py
@@ -4,8 +4,14 @@
 
 from damaskproxy.events import define
 
-__all__ = ["CONFIRMED_UNSTORED", "REPORT_IGNORED"]
+__all__ = ["BOUND_MISSING", "CONFIRMED_UNSTORED", "REPORT_IGNORED"]
 
+BOUND_MISSING = define(
+    11008,
+    "bound-missing",
+    logging.WARNING,
+    "The platform does not state a bound, or not as a number; the usual one is kept.",
+)
 REPORT_IGNORED = define(
     11005,
     "status-report-ignored",
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -35,6 +35,7 @@
     HEADERS,
     VOLATILE_HEADERS,
     PlatformStore,
+    decode_bounds,
     decode_configuration,
     make_control_handler,
     make_readiness_handler,
@@ -55,11 +56,9 @@
 to another node while it is sent, and the process itself needs some 30 MB."""
 SLACK_SHARE = 0.6
 """Share of the platform's slack that all nodes together may have saved."""
-RETRY_SLACK_DEFAULT = 47
 SAVED_RETRIES_MIN, SAVED_RETRIES_MAX = 1.0, 2.0
 """Repeats of one service that a node may have saved, depending on the number of
 nodes."""
-RETRY_RATIO_DEFAULT = 0.2
 
 ADMISSION = AdmissionSettings(
     adaptive_limit=False,
@@ -146,16 +145,18 @@
     guard = CrashGuard(
         on_crash=lambda: sidecar.update_record(crashes=guard.own_crashes)
     )
-    permitted = settings.bound("retryBudgetRatio", RETRY_RATIO_DEFAULT)
+    bounds = decode_bounds(settings.bounds)
     ratio = RetryRatio(
-        RetrySettings(ratio=permitted * OWN_RATIO_SHARE, saved_max=SAVED_RETRIES_MIN)
+        RetrySettings(
+            ratio=bounds.retry_ratio * OWN_RATIO_SHARE, saved_max=SAVED_RETRIES_MIN
+        )
     )
     chooser = Chooser(settings.data_centre, rng)
     lifetimes: dict[str, tuple] = {}
 
     def member_changed(record: MemberRecord) -> None:
         guard.learn(record)
-        saved = slack / max(len(directory), 1)
+        saved = bounds.retry_slack * SLACK_SHARE / max(len(directory), 1)
         ratio.limit_saved(min(max(saved, SAVED_RETRIES_MIN), SAVED_RETRIES_MAX))
         backend_id = record.backend.instance_id if record.backend else ""
         lifetime = (record.incarnation, backend_id)
@@ -165,7 +166,6 @@
             links.drop(record)
 
     directory = Directory(member_changed)
-    slack = settings.bound("budgetSlack", RETRY_SLACK_DEFAULT) * SLACK_SHARE
 
     def backend_changed() -> None:
         target.follow_backend()
--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -15,6 +15,7 @@
 from damaskproxy.events import log_event
 from damaskproxy.forwarding import STATE_PATH, AskFrame, TellFrame
 from damaskproxy.http1 import ConnectionPool, HttpError, Request
+from damaskproxy.platform import decode_bounds
 from damaskproxy.sidecar import events
 from damaskproxy.sidecar.compose import Sidecar, compose
 from damaskproxy.sidecar.settings import (
@@ -46,7 +47,6 @@
 before the platform kills the process."""
 STOP_MARGIN_S = 0.3
 """The node ends itself so long before it would be killed."""
-GRACE_DEFAULT_S = 6.0
 GC_THRESHOLD = 20_000
 """Objects between collections. A request leaves no cycles, so the usual 700 would cost
 several collections per hundred requests for nothing."""
@@ -257,7 +257,6 @@
 async def drain(sidecar: Sidecar) -> None:
     """Leave gracefully: announce, serve what comes and what runs, then end."""
     began_s = boot_s()
-    grace_s = sidecar.settings.bound("graceS", GRACE_DEFAULT_S)
     log_event(logger, events.SIDECAR_STOPPING, in_flight=sidecar.target.in_flight)
     sidecar.is_stopping = True
     sidecar.target.is_stopping = True
@@ -265,7 +264,8 @@
     sidecar.update_record(state=MemberState.STOPPED)
     sidecar.spread(sidecar.record)
     sidecar.servers["caller"].is_closing = True
-    last_s = began_s + grace_s - STOP_MARGIN_S
+    bounds = decode_bounds(sidecar.settings.bounds)
+    last_s = began_s + bounds.stop_grace_s - STOP_MARGIN_S
     while boot_s() < last_s:
         await asyncio.sleep(0.05)
         if boot_s() - began_s < STOP_SERVE_S:
--- a/damaskproxy/sidecar/settings.py
+++ b/damaskproxy/sidecar/settings.py
@@ -84,11 +84,6 @@
     log_level: str = "INFO"
     log_lines_per_s: Annotated[int, msgspec.Meta(ge=1)] = 100
 
-    def bound(self, name: str, default: float) -> float:
-        """Return a numeric bound of the platform, `default` without one."""
-        value = self.bounds.get(name, default)
-        return value if isinstance(value, (int, float)) else default
-
 
 def to_address(text: str) -> Address:
     """Return the address in ``host:port``."""
