Keep the stand-ins of the platform in its folder and share their messages

Tests and the benchmark of the sidecars built status reports, health checks and configurations each for themselves, outside the folder that translates.

--- a/benchmarks/sidecar_path.py
+++ b/benchmarks/sidecar_path.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 import json
 import random
 import subprocess
@@ -20,10 +21,15 @@
 from benchmarks.cpu import process_cpu_s
 from benchmarks.figures import percentile, send_at_rate
 from damaskproxy.http1 import ConnectionPool, HttpError, Request
+from damaskproxy.platform import HEADERS
+from damaskproxy.platform.standins import (
+    RowStoreStandIn,
+    StampedBackend,
+    encode_configuration,
+    readiness_request,
+    report_request,
+)
 from damaskproxy.sidecar.settings import to_address
-from damaskproxy.sidecar.tests.mesh import configuration
-from damaskproxy.standins.rows import RowStoreStandIn
-from damaskproxy.standins.stamped import StampedBackend
 from demo.processes import free_ports
 
 __all__ = ["measure"]
@@ -39,18 +45,16 @@
 
 async def _report(control: str, backend: StampedBackend, address: str) -> None:
     """Send status reports for ever."""
-    sequence = 0
     pool = ConnectionPool(to_address(control))
-    path = f"/api/instances/{backend.instance_id}".encode()
-    while True:
-        sequence += 1
-        body = {
-            "address": address,
-            "born": 1,
-            "info": {"service": backend.service, "slots": 64},
-            "status": {"state": "ready", "sequence": sequence},
-        }
-        request = Request(b"PUT", path, [(b"Host", b"c")], json.dumps(body).encode())
+    for sequence in itertools.count(1):
+        request = report_request(
+            backend.instance_id,
+            address,
+            backend.service,
+            slots=64,
+            born_ms=1,
+            sequence=sequence,
+        )
         try:
             await pool.exchange(request)
         except HttpError as error:
@@ -60,12 +64,11 @@
 
 async def _ready(readiness: str) -> None:
     """Wait until a sidecar is ready."""
-    request = Request(b"GET", b"/api/readiness", [(b"Host", b"r")])
     async with asyncio.timeout(START_TIMEOUT_S):
         while True:
             pool = ConnectionPool(to_address(readiness))
             try:
-                if (await pool.exchange(request)).status == 200:
+                if (await pool.exchange(readiness_request())).status == 200:
                     return
             except HttpError:
                 pass
@@ -75,14 +78,14 @@
 
 
 def _make_call(pool: ConnectionPool, backend: StampedBackend, *, is_direct: bool):
-    numbers = iter(range(1 << 40))
+    numbers = itertools.count()
 
     async def call() -> None:
         request_id = b"%016x" % next(numbers)
-        headers = [(b"Host", b"shop"), (b"X-Damaskproxy-Request-Id", request_id)]
+        headers = [(b"Host", b"shop"), (HEADERS.request_id, request_id)]
         if is_direct:
             target = backend.instance_id.encode()
-            headers.append((b"X-Damaskproxy-Target-Instance", target))
+            headers.append((HEADERS.target_instance, target))
         response = await pool.exchange(Request(b"GET", b"/read/1", headers))
         backend.requests.clear()
         backend.runs.clear()
@@ -98,7 +101,7 @@
         rows = RowStoreStandIn()
         store_address = await rows.open()
         stack.push_async_callback(rows.close)
-        rows.put("op", "config", configuration())
+        rows.put("op", "config", encode_configuration())
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         processes, settings = [], []
         backends = [StampedBackend("i-1", "stores"), StampedBackend("i-2", "orders")]
--- a/damaskproxy/directory/tests/test_following.py
+++ b/damaskproxy/directory/tests/test_following.py
@@ -24,8 +24,8 @@
     decode_configuration,
     store as store_module,
 )
+from damaskproxy.platform.standins import RowStoreStandIn
 from damaskproxy.sidecar.settings import to_address
-from damaskproxy.standins.rows import RowStoreStandIn
 
 
 def configuration(version):
--- /dev/null
+++ b/damaskproxy/platform/standins/requests.py
@@ -0,0 +1,64 @@
+"""What the operator, the platform and a backend server send to a node."""
+
+import json
+
+from damaskproxy.http1 import Request
+
+__all__ = ["encode_configuration", "readiness_request", "report_request"]
+
+ROUTES = {
+    "read": {"prefix": "/read/", "kind": "safe", "service": "orders"},
+    "write": {"prefix": "/write/", "kind": "unsafe", "service": "orders"},
+}
+
+
+def encode_configuration(version: int = 1, routes: dict | None = None) -> bytes:
+    """Return a configuration as the operator writes it; two routes by default."""
+    common = {"host": "shop", "timeoutMs": 800, "maxAttempts": 2, "priority": 1}
+    body = {
+        "version": version,
+        "routes": {
+            name: {**common, **route} for name, route in (routes or ROUTES).items()
+        },
+        "services": {"orders": {}, "stores": {}},
+    }
+    return json.dumps(body).encode()
+
+
+def readiness_request() -> Request:
+    """Return the health check of the platform."""
+    return Request(b"GET", b"/api/readiness", [(b"Host", b"r")])
+
+
+def report_request(
+    instance_id: str,
+    address: str,
+    service: str,
+    *,
+    slots: int,
+    born_ms: int,
+    sequence: int,
+    state: str = "ready",
+    **status: object,
+) -> Request:
+    """Return a status report of a backend server.
+
+    Parameters
+    ----------
+    instance_id, address, service : str
+        Lifetime, address and service of the backend server.
+    slots, born_ms, sequence : int
+        Requests at once, Unix time of its start, and number of the report.
+    state : str
+        ``ready`` or ``draining``.
+    **status
+        Further fields of the status.
+    """
+    body = {
+        "address": address,
+        "born": born_ms,
+        "info": {"service": service, "slots": slots},
+        "status": {"state": state, "sequence": sequence, **status},
+    }
+    path = f"/api/instances/{instance_id}".encode()
+    return Request(b"PUT", path, [(b"Host", b"c")], json.dumps(body).encode())
--- a/damaskproxy/sidecar/tests/mesh.py
+++ b/damaskproxy/sidecar/tests/mesh.py
@@ -7,32 +7,19 @@
 from pathlib import Path
 
 from damaskproxy.http1 import ConnectionPool, Request
+from damaskproxy.platform.standins import (
+    RowStoreStandIn,
+    StampedBackend,
+    encode_configuration,
+    readiness_request,
+    report_request,
+)
 from damaskproxy.sidecar.compose import compose
 from damaskproxy.sidecar.lifecycle import start, stop
 from damaskproxy.sidecar.settings import load_settings, to_address
-from damaskproxy.standins.rows import RowStoreStandIn
-from damaskproxy.standins.stamped import StampedBackend
 from demo.processes import free_ports
 
-__all__ = ["MeshTestCase", "configuration"]
-
-ROUTES = {
-    "read": {"prefix": "/read/", "kind": "safe", "service": "orders"},
-    "write": {"prefix": "/write/", "kind": "unsafe", "service": "orders"},
-}
-
-
-def configuration(version=1, routes=None):
-    """Return an encoded configuration of two routes to one service."""
-    common = {"host": "shop", "timeoutMs": 800, "maxAttempts": 2, "priority": 1}
-    body = {
-        "version": version,
-        "routes": {
-            name: {**common, **route} for name, route in (routes or ROUTES).items()
-        },
-        "services": {"orders": {}, "stores": {}},
-    }
-    return json.dumps(body).encode()
+__all__ = ["MeshTestCase"]
 
 
 class Member:
@@ -50,39 +37,37 @@
         """Send one request as a client of this machine."""
         fields = [(b"Host", b"shop"), (b"X-Damaskproxy-Request-Id", request_id)]
         fields += [(k.replace("_", "-").encode(), v) for k, v in headers.items()]
-        pool = ConnectionPool(to_address(self.sidecar.settings.listeners.caller))
-        try:
-            return await pool.exchange(Request(method, target, fields, b""))
-        finally:
-            pool.close()
+        return await self._exchange("caller", Request(method, target, fields))
 
-    async def control(self, method, path, body=b""):
+    async def control(self, request):
         """Call the control address as the backend server does."""
-        pool = ConnectionPool(to_address(self.sidecar.settings.listeners.control))
-        try:
-            return await pool.exchange(Request(method, path, [(b"Host", b"c")], body))
-        finally:
-            pool.close()
+        return await self._exchange("control", request)
 
-    async def report(self, state="ready", **changes):
+    async def report(self, state="ready", **status):
         """Send a status report and return the status of the answer."""
         self.sequence += 1
-        body = {
-            "address": self.sidecar.settings.backend_address,
-            "born": self.born,
-            "info": {"service": self.backend.service, "slots": 4, "zone": "a"},
-            "status": {"state": state, "sequence": self.sequence, **changes},
-        }
-        path = f"/api/instances/{self.backend.instance_id}".encode()
-        answer = await self.control(b"PUT", path, json.dumps(body).encode())
-        return answer.status
+        request = report_request(
+            self.backend.instance_id,
+            self.sidecar.settings.backend_address,
+            self.backend.service,
+            slots=4,
+            born_ms=self.born,
+            sequence=self.sequence,
+            state=state,
+            **status,
+        )
+        return (await self.control(request)).status
 
     async def ready_status(self):
         """Return the status of the health check."""
-        pool = ConnectionPool(to_address(self.sidecar.settings.listeners.readiness))
-        request = Request(b"GET", b"/api/readiness", [(b"Host", b"r")])
+        return (await self._exchange("readiness", readiness_request())).status
+
+    async def _exchange(self, listener, request):
+        """Send one request to a listener of this machine on a new connection."""
+        address = getattr(self.sidecar.settings.listeners, listener)
+        pool = ConnectionPool(to_address(address))
         try:
-            return (await pool.exchange(request)).status
+            return await pool.exchange(request)
         finally:
             pool.close()
 
@@ -94,7 +79,7 @@
         self.stack = AsyncExitStack()
         self.rows = RowStoreStandIn()
         self.store_address = await self.rows.open()
-        self.rows.put("op", "config", configuration())
+        self.rows.put("op", "config", encode_configuration())
         folder = self.stack.enter_context(tempfile.TemporaryDirectory())
         self.folder = Path(folder)
         self.members = []
--- a/damaskproxy/sidecar/tests/test_mesh.py
+++ b/damaskproxy/sidecar/tests/test_mesh.py
@@ -15,13 +15,15 @@
     ExchangeLost,
     Request,
 )
+from damaskproxy.platform.standins import encode_configuration
 from damaskproxy.sidecar import lifecycle
 from damaskproxy.sidecar.lifecycle import drain
 from damaskproxy.sidecar.settings import to_address
-from damaskproxy.sidecar.tests.mesh import MeshTestCase, configuration
+from damaskproxy.sidecar.tests.mesh import MeshTestCase
 from damaskproxy.world import MemberState
 
 STAMP = b"x-damaskproxy-server-stamp"
+HOST = [(b"Host", b"c")]
 
 
 class PathTests(MeshTestCase, unittest.IsolatedAsyncioTestCase):
@@ -63,7 +65,7 @@
         self.assertEqual(answer.status, 503)
         self.assertIsNotNone(answer.header(b"retry-after"))
         self.assertEqual(await member.ready_status(), 503)
-        self.rows.put("op", "config", configuration())
+        self.rows.put("op", "config", encode_configuration())
         await self.until(lambda: member.sidecar.is_ready)
         self.assertEqual(await member.ready_status(), 200)
 
@@ -167,7 +169,9 @@
     async def test_leave_without_a_drain_is_kept(self):
         two = await self.start("n2")
         path = f"/api/instances/{two.backend.instance_id}".encode()
-        self.assertEqual((await two.control(b"DELETE", path)).status, 200)
+        self.assertEqual(
+            (await two.control(Request(b"DELETE", path, HOST))).status, 200
+        )
         await two.report("ready")
         self.assertEqual((await two.call(b"/read/1")).status, 503)
 
@@ -212,7 +216,7 @@
         dark._call = refuse
         dark.close()
         await self.until(lambda: one.sidecar.watch.is_dark)
-        self.rows.put("op", "config", configuration(5))
+        self.rows.put("op", "config", encode_configuration(5))
         await self.until(lambda: two.sidecar.configuration.version == 5)
         await self.until(lambda: one.sidecar.configuration.version == 5)
         await two.report("draining")
@@ -231,7 +235,7 @@
         two = await self.start("n2")
         await self.until_known(1)
         one.tasks[0].cancel()
-        self.rows.put("op", "config", configuration(9))
+        self.rows.put("op", "config", encode_configuration(9))
         await self.until(lambda: two.sidecar.configuration.version == 9)
         await one.call(b"/read/1")
         await self.until(lambda: one.sidecar.configuration.version == 9)
@@ -255,7 +259,9 @@
     async def test_status_report_of_another_writer_changes_nothing(self, body):
         two = await self.start("n2")
         path = f"/api/instances/{two.backend.instance_id}".encode()
-        self.assertEqual((await two.control(b"PUT", path, body)).status, 400)
+        self.assertEqual(
+            (await two.control(Request(b"PUT", path, HOST, body))).status, 400
+        )
         self.assertEqual((await two.call(b"/read/1")).status, 200)
 
 
