--- a/damaskproxy/forwarding/__init__.py
+++ b/damaskproxy/forwarding/__init__.py
@@ -6,7 +6,8 @@
 from damaskproxy.forwarding.frames import STATE_PATH, AskFrame, TellFrame
 from damaskproxy.forwarding.headers import HeaderNames
 from damaskproxy.forwarding.lineage import Lineage
-from damaskproxy.forwarding.links import LinkHandlers, Links
+from damaskproxy.forwarding.link import LinkHandlers
+from damaskproxy.forwarding.links import Links
 from damaskproxy.forwarding.origin import Origin
 from damaskproxy.forwarding.target import Target
 
--- a/damaskproxy/forwarding/origin.py
+++ b/damaskproxy/forwarding/origin.py
@@ -4,7 +4,6 @@
 import logging
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 
 import msgspec
 
@@ -15,6 +14,7 @@
 from damaskproxy.directory import ConfigurationBook, Directory, MemberRecord, Route
 from damaskproxy.events import log_event
 from damaskproxy.forwarding import events
+from damaskproxy.forwarding.attempts import Attempts
 from damaskproxy.forwarding.breaker import RouteBreaker
 from damaskproxy.forwarding.calls import (
     Answer,
@@ -22,7 +22,6 @@
     NotRun,
     NotRunReason,
     Result,
-    Unknown,
     to_priority,
 )
 from damaskproxy.forwarding.choosing import Chooser
@@ -66,25 +65,6 @@
 """Reasons for which a member refuses all calls for a while."""
 
 
-@dataclass(slots=True)
-class _Attempts:
-    """A request on its way, over all its attempts."""
-
-    call: Call
-    route: Route
-    deadline_s: float
-    tried: set[str] = field(default_factory=set)
-    reached: int = 0
-    refusals: int = 0
-    may_have_run: bool = False
-    failure: Answer | None = None
-    history: list[tuple[str, Result | None]] = field(default_factory=list)
-    end: str = ""
-    last_refusal: NotRunReason = NotRunReason.NO_MEMBER
-    parent: Parent | None = None
-    breaker: RouteBreaker | None = None
-
-
 class Origin:
     """Routes requests, chooses members for them and repeats what may be repeated.
 
@@ -172,7 +152,7 @@
         if budget_ms <= 0:
             return self._refuse(request_id, NotRunReason.DEADLINE_PASSED, 0.0)
         parent = self._lineage.parent_of(request_id)
-        attempts = _Attempts(
+        attempts = Attempts(
             self._make_call(request, request_id, route, budget_ms, parent),
             route,
             boot_s() + budget_ms / MS_PER_S,
@@ -226,7 +206,7 @@
             parent is not None and parent.is_repeat,
         )
 
-    async def _attempt_all(self, attempts: _Attempts) -> Response:
+    async def _attempt_all(self, attempts: Attempts) -> Response:
         call = attempts.call
         if call.is_repeat:
             self._ratio.charge(call.service)
@@ -260,7 +240,7 @@
                     break
         return self._give_up(attempts)
 
-    def _next_member(self, attempts: _Attempts) -> MemberRecord | None:
+    def _next_member(self, attempts: Attempts) -> MemberRecord | None:
         """Return the member of the next attempt, None when there is none left."""
         service = attempts.call.service
         if attempts.reached >= attempts.route.max_attempts:
@@ -284,7 +264,7 @@
         reserve = 0.0 if is_urgent else URGENT_RESERVE
         return self._ratio.allow(call.service, reserve=reserve)
 
-    async def _send(self, member: MemberRecord, attempts: _Attempts) -> Result:
+    async def _send(self, member: MemberRecord, attempts: Attempts) -> Result:
         """Run one attempt and tell the chooser how it went."""
         attempts.tried.add(member.node_id)
         remaining_ms = int((attempts.deadline_s - boot_s()) * MS_PER_S)
@@ -307,7 +287,7 @@
             attempts.history.append((member.node_id, result))
         return result
 
-    def _breaker(self, attempts: _Attempts) -> RouteBreaker | None:
+    def _breaker(self, attempts: Attempts) -> RouteBreaker | None:
         """Return the breaker of a root request that is not urgent."""
         call = attempts.call
         if attempts.parent is not None or to_priority(call.priority) < Priority.NORMAL:
@@ -329,7 +309,7 @@
         position = position_of(to_priority(call.priority), ordinal)
         return position >= self._levels.now(call.route)
 
-    def _note_level(self, attempts: _Attempts, result: Result | None) -> None:
+    def _note_level(self, attempts: Attempts, result: Result | None) -> None:
         if result is None or result.load is None:
             return
         if attempts.parent is not None:
@@ -338,7 +318,7 @@
             self._levels.report(attempts.call.route, result.load.level)
 
     def _note_refusal(
-        self, attempts: _Attempts, member: MemberRecord, result: NotRun
+        self, attempts: Attempts, member: MemberRecord, result: NotRun
     ) -> None:
         attempts.last_refusal = result.reason
         if result.reached_backend:
@@ -350,7 +330,7 @@
         if result.reason in UNAVAILABLE_REASONS:
             self._chooser.unavailable(member)
 
-    def _give_up(self, attempts: _Attempts) -> Response:
+    def _give_up(self, attempts: Attempts) -> Response:
         failure = attempts.failure
         if failure is not None:
             return _to_response(failure)
@@ -377,7 +357,7 @@
         headers = [(b"Retry-After", b"%.2f" % wait_s)] if wait_s > 0 else []
         return Response(503, headers)
 
-    def _log_failure(self, attempts: _Attempts, status: int) -> None:
+    def _log_failure(self, attempts: Attempts, status: int) -> None:
         log_event(
             logger,
             events.REQUEST_NOT_SERVED,
@@ -386,10 +366,7 @@
             service=attempts.call.service,
             status=status,
             reason=attempts.last_refusal,
-            attempts=[
-                f"{node_id}: {_describe(result)}"
-                for node_id, result in attempts.history
-            ],
+            attempts=attempts.described(),
             end=attempts.end,
             budget_ms=attempts.call.deadline_ms,
             configuration_version=self._configuration.version,
@@ -407,13 +384,3 @@
 
 def _to_response(answer: Answer) -> Response:
     return Response(answer.status, list(answer.headers), answer.body)
-
-
-def _describe(result: Result | None) -> str:
-    if isinstance(result, Answer):
-        return f"status {result.status}"
-    if isinstance(result, NotRun):
-        return f"not run, {result.reason}"
-    if isinstance(result, Unknown):
-        return f"unknown, {result.detail}"
-    return "given up"
--- a/damaskproxy/forwarding/tests/test_decisions.py
+++ b/damaskproxy/forwarding/tests/test_decisions.py
@@ -17,7 +17,7 @@
 )
 from damaskproxy.forwarding.crash_guard import digest_of
 from damaskproxy.forwarding.frames import FrameDecoder, FrameError, TextTable
-from damaskproxy.forwarding.links import DelayMeter
+from damaskproxy.forwarding.link import DelayMeter
 from damaskproxy.forwarding.splitting import Splitter
 from damaskproxy.forwarding.tests.builders import make_call, make_member, make_route
 
@@ -210,7 +210,7 @@
             sent_ms = 1_000_000 + number * 100
             arrived_s = (sent_ms + 4_000_000 + way_ms) / 1000
             with mock.patch(
-                "damaskproxy.forwarding.links.boot_s", lambda s=arrived_s: s
+                "damaskproxy.forwarding.link.boot_s", lambda s=arrived_s: s
             ):
                 found.append(meter.delay_ms(sent_ms))
         self.assertEqual(found, delays_ms, name)
--- a/damaskproxy/forwarding/tests/test_links.py
+++ b/damaskproxy/forwarding/tests/test_links.py
@@ -167,7 +167,7 @@
 
         handlers = LinkHandlers(fail, lambda: 1, lambda ask: None, lambda told: None)
         self.two.links._handlers = handlers
-        with self.assertLogs("damaskproxy.forwarding.links", "ERROR"):
+        with self.assertLogs("damaskproxy.forwarding.link", "ERROR"):
             result = await self.one.links.run(self.member, make_call())
         self.assertIsInstance(result, Unknown)
 
