--- a/tools/tests/test_pages.py
+++ b/tools/tests/test_pages.py
@@ -26,7 +26,7 @@
         ("Reasons of the sidecar", NotRunReason),
     )
     def test_operations_page_lists_every_reason(self, heading, reasons):
-        page = (DOCS / "operations.md").read_text(encoding="utf-8")
+        page = (DOCS / "OPERATIONS.md").read_text(encoding="utf-8")
         self.assertEqual(sorted(first_column(page, heading)), sorted(map(str, reasons)))
 
     def test_interface_page_gives_the_status_of_every_reason(self):
