Count calls that run out of time against the member that held them

Change: a call that ends with its time counts as a failure of the member. The unused constant COLD_COST is removed. Test: test_member_that_lets_calls_run_out_is_avoided.

--- a/damaskproxy/forwarding/choosing.py
+++ b/damaskproxy/forwarding/choosing.py
@@ -23,8 +23,6 @@
 """Failures are forgotten so fast that a server is tried again after some seconds."""
 REPORT_HALF_LIFE_S = 0.5
 """A load report says little after a few usual call times."""
-COLD_COST = 0.3
-"""A server that has just started runs at about half its speed."""
 BACKOFF_S = 0.25
 """First pause after a connection to a node failed; it doubles up to the longest."""
 BACKOFF_MAX_S = 4.0
@@ -117,7 +115,12 @@
         peer.sent_since_load += 1
 
     def finished(
-        self, member: MemberRecord, result: Result | None, elapsed_s: float
+        self,
+        member: MemberRecord,
+        result: Result | None,
+        elapsed_s: float,
+        *,
+        is_timed_out: bool = False,
     ) -> None:
         """Learn from the end of a call.
 
@@ -129,11 +132,15 @@
             None when the caller gave up.
         elapsed_s : float
             Time since `started`.
+        is_timed_out : bool
+            Whether the time of the call was over.
         """
         now_s = boot_s()
         peer = self._peer(member.node_id)
         peer.out -= 1
         if result is None:
+            if is_timed_out:
+                self._note_outcome(peer, now_s, is_failure=True)
             return
         if result.load is not None:
             peer.load, peer.load_s = result.load, now_s
@@ -147,9 +154,7 @@
         if isinstance(result, NotRun):
             # The node's own refusals show in its load; the server's do not.
             is_failure = result.reached_backend
-        failures = peer.failures(now_s)
-        peer.failure_share = failures + (is_failure - failures) * FAILURE_WEIGHT
-        peer.failure_s = now_s
+        self._note_outcome(peer, now_s, is_failure=is_failure)
 
     def unavailable(self, member: MemberRecord) -> None:
         """Leave out a member that cannot take calls now, for a growing time."""
@@ -172,6 +177,11 @@
             peer = self._peers[node_id] = _Peer()
         return peer
 
+    def _note_outcome(self, peer: _Peer, now_s: float, *, is_failure: bool) -> None:
+        failures = peer.failures(now_s)
+        peer.failure_share = failures + (is_failure - failures) * FAILURE_WEIGHT
+        peer.failure_s = now_s
+
     def _cost(
         self, member: MemberRecord, peer: _Peer, now_s: float, fastest_s: float
     ) -> float:
--- a/damaskproxy/forwarding/origin.py
+++ b/damaskproxy/forwarding/origin.py
@@ -282,7 +282,13 @@
             else:
                 result = await self._run_there(member, call)
         finally:
-            self._chooser.finished(member, result, boot_s() - started_s)
+            ended_s = boot_s()
+            self._chooser.finished(
+                member,
+                result,
+                ended_s - started_s,
+                is_timed_out=attempts.deadline_s - ended_s < RETRY_MIN_S,
+            )
             self._note_level(attempts, result)
             attempts.history.append((member.node_id, result))
         return result
--- a/damaskproxy/forwarding/tests/test_decisions.py
+++ b/damaskproxy/forwarding/tests/test_decisions.py
@@ -62,6 +62,13 @@
         self.finish(NEAR, result, times)
         self.assertEqual(self.choose(), chosen, name)
 
+    @params((True, "far"), (False, "near"))
+    def test_member_that_lets_calls_run_out_is_avoided(self, is_timed_out, chosen):
+        for _ in range(3):
+            self.chooser.started(NEAR)
+            self.chooser.finished(NEAR, None, 0.01, is_timed_out=is_timed_out)
+        self.assertEqual(self.choose(), chosen)
+
     def test_calls_on_their_way_count(self):
         for _ in range(3):
             self.chooser.started(NEAR)
