Close only connections to an earlier process when a record of a restart arrives

Cause: after everything lost power, nodes open connections with the members' rows of before. The record of the restarted member comes later, and the connection was closed because it had been opened under the earlier incarnation, although the new process is at its end. Change: both sides of a connection name their incarnation first, and only what the peer said decides. Test: test_late_record_of_a_restart_ends_only_old_connections (2 of 3 rows fail before). The test of a damaged stream now expects the first frame and the end of the stream; before, the end alone.

--- a/damaskproxy/forwarding/__init__.py
+++ b/damaskproxy/forwarding/__init__.py
@@ -3,7 +3,12 @@
 from damaskproxy.forwarding.backend import Backend, StatusReport
 from damaskproxy.forwarding.choosing import Chooser
 from damaskproxy.forwarding.crash_guard import CrashGuard
-from damaskproxy.forwarding.frames import STATE_PATH, AskFrame, TellFrame
+from damaskproxy.forwarding.frames import (
+    STATE_PATH,
+    AskFrame,
+    HelloFrame,
+    TellFrame,
+)
 from damaskproxy.forwarding.headers import HeaderNames
 from damaskproxy.forwarding.lineage import Lineage
 from damaskproxy.forwarding.link import LinkHandlers
@@ -18,6 +23,7 @@
     "Chooser",
     "CrashGuard",
     "HeaderNames",
+    "HelloFrame",
     "Lineage",
     "LinkHandlers",
     "Links",
--- a/damaskproxy/forwarding/frames.py
+++ b/damaskproxy/forwarding/frames.py
@@ -46,9 +46,18 @@
 
 
 class HelloFrame(msgspec.Struct, array_like=True, tag=0):
-    """First frame of the side that opened the connection."""
+    """First frame of each side of a connection.
+
+    Parameters
+    ----------
+    node_id : str
+        Name of the sender.
+    incarnation : int
+        Start of its process.
+    """
 
     node_id: str
+    incarnation: int
 
 
 class RunFrame(msgspec.Struct, array_like=True, tag=1):
--- a/damaskproxy/forwarding/link.py
+++ b/damaskproxy/forwarding/link.py
@@ -98,19 +98,25 @@
         Of this node.
     volatile : frozenset of bytes
         Lower-case names of headers whose values do not repeat.
-    hello : HelloFrame, optional
-        Sent first by the side that opens the connection.
+    hello : HelloFrame
+        Sent first.
+
+    Attributes
+    ----------
+    peer_incarnation : int or None
+        Start of the peer's process, None until its first frame has come.
     """
 
     def __init__(
         self,
         handlers: LinkHandlers,
         volatile: frozenset[bytes],
-        hello: HelloFrame | None = None,
+        hello: HelloFrame,
         on_open: Callable[["Link"], None] = lambda link: None,
         on_lost: Callable[["Link"], None] = lambda link: None,
     ):
         self.peer_id = ""
+        self.peer_incarnation: int | None = None
         self.used_s = boot_s()
         self.is_open = False
         self._handlers = handlers
@@ -136,8 +142,7 @@
         self._transport = transport
         self.is_open = True
         detect_silence(transport)
-        if self._hello is not None:
-            self.write(self._hello)
+        self.write(self._hello)
         self._on_open(self)
 
     def connection_lost(self, exc):
@@ -162,6 +167,11 @@
             log_event(logger, events.LINK_LOST, peer=self.peer_id, reason=str(error))
             self._transport.abort()
 
+    def is_to_earlier(self, incarnation: int) -> bool:
+        """Tell whether the peer is known to have started before `incarnation`."""
+        known = self.peer_incarnation
+        return known is not None and known < incarnation
+
     def write(self, frame: Frame) -> bool:
         """Send a frame, and tell whether the connection was open."""
         if not self.is_open or self._transport.is_closing():
@@ -227,6 +237,7 @@
             self._handlers.learn(frame)
         else:
             self.peer_id = frame.node_id
+            self.peer_incarnation = frame.incarnation
 
     def _start(self, frame: RunFrame) -> None:
         self.used_s = boot_s()
--- a/damaskproxy/forwarding/links.py
+++ b/damaskproxy/forwarding/links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from damaskproxy.common.clock import boot_s
 from damaskproxy.directory import MemberRecord
@@ -25,8 +26,8 @@
 
     Parameters
     ----------
-    node_id : str
-        Of this node.
+    hello : callable
+        Returns the first frame of this node on a connection.
     handlers : LinkHandlers
         Of this node.
     volatile : frozenset of bytes
@@ -34,12 +35,15 @@
     """
 
     def __init__(
-        self, node_id: str, handlers: LinkHandlers, volatile: frozenset[bytes]
+        self,
+        hello: Callable[[], HelloFrame],
+        handlers: LinkHandlers,
+        volatile: frozenset[bytes],
     ):
-        self._node_id = node_id
+        self._hello = hello
         self._handlers = handlers
         self._volatile = volatile
-        self._outgoing: dict[str, tuple[int, Link]] = {}
+        self._outgoing: dict[str, Link] = {}
         self._incoming: set[Link] = set()
         self._opening: dict[str, asyncio.Task] = {}
         self._server: asyncio.Server | None = None
@@ -47,7 +51,7 @@
     @property
     def running_count(self) -> int:
         """Calls of other nodes that run here."""
-        links = [*self._incoming, *(link for _, link in self._outgoing.values())]
+        links = [*self._incoming, *self._outgoing.values()]
         return sum(link.running_count for link in links)
 
     @property
@@ -62,6 +66,7 @@
             lambda: Link(
                 self._handlers,
                 self._volatile,
+                self._hello(),
                 on_open=self._incoming.add,
                 on_lost=self._incoming.discard,
             ),
@@ -80,10 +85,10 @@
     async def open(self, member: MemberRecord) -> Link | None:
         """Return the connection to `member`, None if it cannot be reached."""
         known = self._outgoing.get(member.node_id)
-        if known is not None and known[1].is_open:
-            if known[0] == member.incarnation:
-                return known[1]
-            known[1].close()
+        if known is not None and known.is_open:
+            if not known.is_to_earlier(member.incarnation):
+                return known
+            known.close()
         task = self._opening.get(member.node_id)
         if task is None:
             task = asyncio.create_task(self._open(member))
@@ -92,20 +97,26 @@
         return await asyncio.shield(task)
 
     def drop(self, member: MemberRecord) -> None:
-        """Close the connection to an earlier incarnation of `member`."""
+        """Close the connection to an earlier incarnation of `member`.
+
+        Notes
+        -----
+        A record may arrive long after the node has started, so only what the peer said
+        of itself tells that a connection is an old one.
+        """
         known = self._outgoing.get(member.node_id)
-        if known is not None and known[0] != member.incarnation:
-            known[1].close()
+        if known is not None and known.is_to_earlier(member.incarnation):
+            known.close()
 
     def all_open(self) -> list[Link]:
         """Return the open connections."""
-        outgoing = [link for _, link in self._outgoing.values()]
-        return [link for link in (*outgoing, *self._incoming) if link.is_open]
+        links = (*self._outgoing.values(), *self._incoming)
+        return [link for link in links if link.is_open]
 
     def close_idle(self) -> None:
         """Close connections that carry no calls."""
         oldest_s = boot_s() - IDLE_CLOSE_S
-        for _, link in list(self._outgoing.values()):
+        for link in self._outgoing.values():
             if link.used_s < oldest_s and not link.running_count:
                 link.close()
 
@@ -121,9 +132,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, link = await loop.create_connection(
-                    lambda: Link(
-                        self._handlers, self._volatile, HelloFrame(self._node_id)
-                    ),
+                    lambda: Link(self._handlers, self._volatile, self._hello()),
                     member.host,
                     member.port,
                 )
@@ -136,6 +145,6 @@
             )
             return None
         link.peer_id = member.node_id
-        self._outgoing[member.node_id] = (member.incarnation, link)
+        self._outgoing[member.node_id] = link
         log_event(logger, events.LINK_OPENED, peer=member.node_id)
         return link
--- a/damaskproxy/forwarding/tests/test_links.py
+++ b/damaskproxy/forwarding/tests/test_links.py
@@ -7,7 +7,7 @@
 from nose2.tools import params
 
 from damaskproxy.common.fibers import Fiber, Waiter
-from damaskproxy.forwarding import AskFrame, LinkHandlers, Links, TellFrame
+from damaskproxy.forwarding import AskFrame, HelloFrame, LinkHandlers, Links, TellFrame
 from damaskproxy.forwarding.calls import (
     Answer,
     LoadReport,
@@ -15,6 +15,7 @@
     NotRunReason,
     Unknown,
 )
+from damaskproxy.forwarding.frames import encode_frame
 from damaskproxy.forwarding.tests.builders import make_call, make_member
 
 LOAD = LoadReport(1, 2, 3, 4, 5)
@@ -42,7 +43,12 @@
         handlers = LinkHandlers(
             self.run, lambda: self.version, self.answer_ask, self.told.append
         )
-        self.links = Links(name, handlers, frozenset({b"x-stamp"}))
+        self.incarnation = 1
+        self.links = Links(
+            lambda: HelloFrame(name, self.incarnation),
+            handlers,
+            frozenset({b"x-stamp"}),
+        )
 
     async def run(self, call):
         self.ran.append(call)
@@ -151,6 +157,20 @@
         await self.one.links.run(restarted, make_call())
         await self.until(lambda: not first.is_open)
 
+    @params((1, 2, Unknown), (2, 2, Answer), (3, 2, Answer))
+    async def test_late_record_of_a_restart_ends_only_old_connections(
+        self, peer_incarnation, record_incarnation, kind
+    ):
+        self.two.incarnation = peer_incarnation
+        running = asyncio.ensure_future(self.one.links.run(self.member, make_call()))
+        await self.until(lambda: self.two.waiters)
+        self.one.links.drop(
+            msgspec.structs.replace(self.member, incarnation=record_incarnation)
+        )
+        await asyncio.sleep(0.02)
+        self.two.waiters[0].set_result(RESULTS[0])
+        self.assertIsInstance(await running, kind)
+
     @params((5, 1), (1, 0), (0, 0))
     async def test_newer_configuration_is_asked_for_once(self, version, asks):
         self.one.version = version
@@ -174,7 +194,8 @@
     async def test_damaged_stream_ends_the_connection_only(self):
         reader, writer = await asyncio.open_connection("127.0.0.1", self.member.port)
         writer.write(b"\xff\xff\xff\xff garbage")
-        self.assertEqual(await reader.read(), b"")
+        # The stream ends, with nothing in it but the first frame.
+        self.assertEqual(await reader.read(), encode_frame(HelloFrame("n2", 1)))
         writer.close()
         self.two.results = [RESULTS[0]]
         self.assertEqual(await self.one.links.run(self.member, make_call()), RESULTS[0])
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -23,6 +23,7 @@
     Backend,
     Chooser,
     CrashGuard,
+    HelloFrame,
     Lineage,
     LinkHandlers,
     Links,
@@ -185,7 +186,7 @@
     )
     configuration.on_change(lambda _: target.follow_backend())
     links = Links(
-        settings.node_id,
+        lambda: HelloFrame(settings.node_id, sidecar.record.incarnation),
         LinkHandlers(
             target.run,
             lambda: configuration.version,
