Ask silent peers for a sign of life and run their calls elsewhere

Cause: a machine without power closes nothing, and the kernel gives a connection up only after 3 s without an acknowledgement. Until then idempotent calls sent there ended with their deadlines, and each new connection to it made its callers wait 0.3 s. Change: a peer with calls in flight that sent nothing for 0.15 s is pinged; without any bytes for a further 0.25 s its idempotent calls end as unknown, so that the retry budget may run them elsewhere, and no more are sent. Calls that are not idempotent wait on. Nobody waits for a new connection to such a node; the node is used as soon as one was opened. Tests: test_links.py, five tests of silent and unreachable nodes.

--- a/damaskproxy/forwarding/choosing.py
+++ b/damaskproxy/forwarding/choosing.py
@@ -164,6 +164,10 @@
             peer.retry_s = now_s + peer.backoff_s
             peer.backoff_s = min(peer.backoff_s * 2, BACKOFF_MAX_S)
 
+    def reachable(self, node_id: str) -> None:
+        """Use a member again at once: a connection to its node was opened."""
+        self._peer(node_id).retry_s = 0.0
+
     def forget(self, node_id: str) -> None:
         """Start anew with a member whose node or backend server started anew."""
         peer = self._peers.pop(node_id, None)
--- a/damaskproxy/forwarding/events.py
+++ b/damaskproxy/forwarding/events.py
@@ -11,6 +11,7 @@
     "LINK_LOST",
     "LINK_OPENED",
     "LINK_REFUSED",
+    "LINK_SILENT",
     "REQUEST_NOT_SERVED",
 ]
 
@@ -32,6 +33,12 @@
 LINK_REFUSED = define(
     10104, "link-refused", logging.INFO, "Another node could not be reached."
 )
+LINK_SILENT = define(
+    10108,
+    "link-silent",
+    logging.INFO,
+    "Another node does not react on an open connection; its calls run elsewhere.",
+)
 REQUEST_NOT_SERVED = define(
     10105,
     "request-not-served",
--- a/damaskproxy/forwarding/frames.py
+++ b/damaskproxy/forwarding/frames.py
@@ -21,6 +21,8 @@
     "FrameError",
     "HelloFrame",
     "NotRunFrame",
+    "PingFrame",
+    "PongFrame",
     "RunFrame",
     "TellFrame",
     "TextTable",
@@ -148,6 +150,14 @@
     records: list[MemberRecord]
 
 
+class PingFrame(msgspec.Struct, array_like=True, tag=8):
+    """Ask the peer for a sign of life."""
+
+
+class PongFrame(msgspec.Struct, array_like=True, tag=9):
+    """Answer a ping."""
+
+
 Frame = (
     HelloFrame
     | RunFrame
@@ -157,6 +167,8 @@
     | CancelFrame
     | AskFrame
     | TellFrame
+    | PingFrame
+    | PongFrame
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/damaskproxy/forwarding/link.py
+++ b/damaskproxy/forwarding/link.py
@@ -27,6 +27,8 @@
     FrameError,
     HelloFrame,
     NotRunFrame,
+    PingFrame,
+    PongFrame,
     RunFrame,
     TellFrame,
     TextTable,
@@ -43,6 +45,12 @@
 DELAY_WINDOW_S = 10.0
 """Time after which the shortest delay seen is measured anew."""
 SENT_MS_MASK = 0x7FFFFFFF
+PING_AFTER_S = 0.15
+"""Silence of a peer with calls in flight before it is asked for a sign of life. Most
+calls take less, so that a peer that works is rarely asked."""
+PONG_TIMEOUT_S = 0.25
+"""Several round trips between regions and the delay of a busy event loop; with the
+silence before it, a call of usual length has time left to run elsewhere."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +113,8 @@
     ----------
     peer_incarnation : int or None
         Start of the peer's process, None until its first frame has come.
+    is_silent : bool
+        Whether the peer owes results and did not answer a ping.
     """
 
     def __init__(
@@ -112,13 +122,14 @@
         handlers: LinkHandlers,
         volatile: frozenset[bytes],
         hello: HelloFrame,
-        on_open: Callable[["Link"], None] = lambda link: None,
-        on_lost: Callable[["Link"], None] = lambda link: None,
+        on_open: Callable[["Link"], None],
+        on_lost: Callable[["Link"], None],
     ):
         self.peer_id = ""
         self.peer_incarnation: int | None = None
         self.used_s = boot_s()
         self.is_open = False
+        self.is_silent = False
         self._handlers = handlers
         self._hello = hello
         self._on_open = on_open
@@ -129,9 +140,17 @@
         self._delays = DelayMeter()
         self._call_ids = itertools.count()
         self._waiting: dict[int, Waiter] = {}
+        self._repeatable: set[int] = set()
+        self._heard_s = 0.0
+        self._pinged_s: float | None = None
         self._running: dict[int, Fiber] = {}
         self._asked_version = 0
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether calls are in flight at the peer."""
+        return bool(self._waiting)
+
     @property
     def running_count(self) -> int:
         """Calls of the peer that run here."""
@@ -160,6 +179,9 @@
 
     def data_received(self, data):
         """Handle the frames of the peer."""
+        self.is_silent = False
+        self._heard_s = boot_s()
+        self._pinged_s = None
         try:
             for frame in self._decoder.feed(data):
                 self._handle(frame)
@@ -191,7 +213,11 @@
         if not self.write(self._run_frame(call_id, call)):
             return NotRun(NotRunReason.PEER_UNREACHABLE)
         waiter = Waiter()
+        if not self._waiting:
+            self._heard_s = self.used_s
         self._waiting[call_id] = waiter
+        if call.is_idempotent:
+            self._repeatable.add(call_id)
         try:
             return await waiter
         except asyncio.CancelledError:
@@ -199,6 +225,36 @@
             raise
         finally:
             self._waiting.pop(call_id, None)
+            self._repeatable.discard(call_id)
+
+    def check_silence(self, now_s: float) -> None:
+        """Ask a peer that owes results for a sign of life, and note that none came.
+
+        Notes
+        -----
+        A machine without power closes no connection, and the kernel finds that out
+        after seconds. Until then all calls sent there would end with their deadline.
+        Calls that are not idempotent wait on: they may be running.
+        """
+        if not self._waiting or self.is_silent:
+            return
+        if self._pinged_s is None:
+            if now_s - self._heard_s >= PING_AFTER_S:
+                self._pinged_s = now_s
+                self.write(PingFrame())
+        elif now_s - self._pinged_s >= PONG_TIMEOUT_S:
+            self.is_silent = True
+            log_event(
+                logger,
+                events.LINK_SILENT,
+                peer=self.peer_id,
+                in_flight=len(self._waiting),
+            )
+            for call_id in list(self._repeatable):
+                self.write(CancelFrame(call_id))
+                self._waiting[call_id].set_result(
+                    Unknown("the node does not react on an open connection")
+                )
 
     def _run_frame(self, call_id: int, call: Call) -> RunFrame:
         pack = self._sent.pack
@@ -235,6 +291,11 @@
                 self.write(told)
         elif isinstance(frame, TellFrame):
             self._handlers.learn(frame)
+        elif isinstance(frame, PingFrame):
+            self.write(PongFrame())
+        elif isinstance(frame, PongFrame):
+            # Any bytes of the peer are a sign of life.
+            pass
         else:
             self.peer_id = frame.node_id
             self.peer_incarnation = frame.incarnation
--- a/damaskproxy/forwarding/links.py
+++ b/damaskproxy/forwarding/links.py
@@ -19,6 +19,8 @@
 CONNECT_TIMEOUT_S = 0.3
 """Several round trips between regions; a member that needs longer is left out."""
 IDLE_CLOSE_S = 120.0
+SILENCE_CHECK_S = 0.1
+"""A third of the time after which a peer counts as silent; each check is a wake-up."""
 
 
 class Links:
@@ -32,6 +34,8 @@
         Of this node.
     volatile : frozenset of bytes
         Lower-case names of headers whose values do not repeat.
+    on_open : callable
+        Called with the name of a node to which a connection was opened.
     """
 
     def __init__(
@@ -39,20 +43,23 @@
         hello: Callable[[], HelloFrame],
         handlers: LinkHandlers,
         volatile: frozenset[bytes],
+        on_open: Callable[[str], None] = lambda node_id: None,
     ):
+        self._on_open = on_open
         self._hello = hello
         self._handlers = handlers
         self._volatile = volatile
         self._outgoing: dict[str, Link] = {}
-        self._incoming: set[Link] = set()
+        self._links: set[Link] = set()
         self._opening: dict[str, asyncio.Task] = {}
+        self._unreachable: set[str] = set()
         self._server: asyncio.Server | None = None
+        self._silence_timer: asyncio.TimerHandle | None = None
 
     @property
     def running_count(self) -> int:
         """Calls of other nodes that run here."""
-        links = [*self._incoming, *self._outgoing.values()]
-        return sum(link.running_count for link in links)
+        return sum(link.running_count for link in self._links)
 
     @property
     def port(self) -> int:
@@ -63,16 +70,7 @@
         """Accept connections of other nodes."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: Link(
-                self._handlers,
-                self._volatile,
-                self._hello(),
-                on_open=self._incoming.add,
-                on_lost=self._incoming.discard,
-            ),
-            host,
-            port,
-            backlog=1024,
+            self._make_link, host, port, backlog=1024
         )
 
     async def run(self, member: MemberRecord, call: Call) -> Result:
@@ -80,20 +78,32 @@
         link = await self.open(member)
         if link is None:
             return NotRun(NotRunReason.PEER_UNREACHABLE)
+        if self._silence_timer is None:
+            self._schedule_check()
         return await link.run(call)
 
     async def open(self, member: MemberRecord) -> Link | None:
-        """Return the connection to `member`, None if it cannot be reached."""
+        """Return the connection to `member`, None if it cannot be reached.
+
+        Notes
+        -----
+        Nobody waits for a new connection to a node that did not react just now: the
+        call runs elsewhere and the connection serves later ones.
+        """
         known = self._outgoing.get(member.node_id)
         if known is not None and known.is_open:
-            if not known.is_to_earlier(member.incarnation):
+            if known.is_to_earlier(member.incarnation):
+                known.close()
+            elif not known.is_silent:
                 return known
-            known.close()
+        is_silent = known is not None and known.is_silent
         task = self._opening.get(member.node_id)
         if task is None:
             task = asyncio.create_task(self._open(member))
             self._opening[member.node_id] = task
             task.add_done_callback(lambda _: self._opening.pop(member.node_id, None))
+        if is_silent or member.node_id in self._unreachable:
+            return None
         return await asyncio.shield(task)
 
     def drop(self, member: MemberRecord) -> None:
@@ -104,14 +114,14 @@
         A record may arrive long after the node has started, so only what the peer said
         of itself tells that a connection is an old one.
         """
+        self._unreachable.discard(member.node_id)
         known = self._outgoing.get(member.node_id)
         if known is not None and known.is_to_earlier(member.incarnation):
             known.close()
 
     def all_open(self) -> list[Link]:
         """Return the open connections."""
-        links = (*self._outgoing.values(), *self._incoming)
-        return [link for link in links if link.is_open]
+        return [link for link in self._links if link.is_open]
 
     def close_idle(self) -> None:
         """Close connections that carry no calls."""
@@ -124,17 +134,40 @@
         """Close all connections."""
         if self._server is not None:
             self._server.close()
+        if self._silence_timer is not None:
+            self._silence_timer.cancel()
         for link in self.all_open():
             link.close()
 
+    def _make_link(self) -> Link:
+        return Link(
+            self._handlers,
+            self._volatile,
+            self._hello(),
+            on_open=self._links.add,
+            on_lost=self._links.discard,
+        )
+
+    def _schedule_check(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._silence_timer = loop.call_later(SILENCE_CHECK_S, self._check_silence)
+
+    def _check_silence(self) -> None:
+        """Look for silent peers, as long as calls are in flight."""
+        self._silence_timer = None
+        now_s = boot_s()
+        waiting = [link for link in self._outgoing.values() if link.is_waiting]
+        for link in waiting:
+            link.check_silence(now_s)
+        if waiting:
+            self._schedule_check()
+
     async def _open(self, member: MemberRecord) -> Link | None:
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, link = await loop.create_connection(
-                    lambda: Link(self._handlers, self._volatile, self._hello()),
-                    member.host,
-                    member.port,
+                    self._make_link, member.host, member.port
                 )
         except (OSError, TimeoutError) as error:
             log_event(
@@ -143,8 +176,11 @@
                 peer=member.node_id,
                 reason=str(error) or "no answer in time",
             )
+            self._unreachable.add(member.node_id)
             return None
+        self._unreachable.discard(member.node_id)
         link.peer_id = member.node_id
         self._outgoing[member.node_id] = link
+        self._on_open(member.node_id)
         log_event(logger, events.LINK_OPENED, peer=member.node_id)
         return link
--- a/damaskproxy/forwarding/tests/test_decisions.py
+++ b/damaskproxy/forwarding/tests/test_decisions.py
@@ -78,6 +78,12 @@
         self.assertEqual(self.choose({"near"}), "far")
         self.assertIsNone(self.choose({"near", "far"}))
 
+    def test_member_is_used_as_soon_as_a_connection_was_opened(self):
+        self.chooser.unavailable(NEAR)
+        self.assertEqual(self.choose(), "far")
+        self.chooser.reachable("near")
+        self.assertEqual(self.choose(), "near")
+
     def test_unreachable_member_is_tried_again_after_growing_pauses(self):
         pauses = []
         for _ in range(4):
--- a/damaskproxy/forwarding/tests/test_links.py
+++ b/damaskproxy/forwarding/tests/test_links.py
@@ -1,6 +1,7 @@
 """Connections between nodes that break, refuse, cross or carry late frames."""
 
 import asyncio
+import socket
 import unittest
 
 import msgspec
@@ -16,6 +17,8 @@
     Unknown,
 )
 from damaskproxy.forwarding.frames import encode_frame
+from damaskproxy.forwarding.link import PING_AFTER_S, PONG_TIMEOUT_S
+from damaskproxy.forwarding.links import CONNECT_TIMEOUT_S
 from damaskproxy.forwarding.tests.builders import make_call, make_member
 
 LOAD = LoadReport(1, 2, 3, 4, 5)
@@ -40,6 +43,7 @@
         self.results = []
         self.told = []
         self.asked = []
+        self.opened = []
         handlers = LinkHandlers(
             self.run, lambda: self.version, self.answer_ask, self.told.append
         )
@@ -48,6 +52,7 @@
             lambda: HelloFrame(name, self.incarnation),
             handlers,
             frozenset({b"x-stamp"}),
+            self.opened.append,
         )
 
     async def run(self, call):
@@ -171,6 +176,76 @@
         self.two.waiters[0].set_result(RESULTS[0])
         self.assertIsInstance(await running, kind)
 
+    async def start_calls(self):
+        """Start an order and a read, and return their tasks."""
+        calls = [make_call(request_id=b"%d" % n, is_idempotent=n > 0) for n in range(2)]
+        tasks = [
+            asyncio.ensure_future(self.one.links.run(self.member, call))
+            for call in calls
+        ]
+        await self.until(lambda: len(self.two.waiters) == 2)
+        return tasks
+
+    async def test_calls_at_a_silent_node_end_before_their_deadline(self):
+        order, read = await self.start_calls()
+        # As of a machine without power: nothing is read and nothing is closed.
+        (link,) = self.two.links.all_open()
+        link._transport.pause_reading()
+        self.two.links._server.close()
+        async with asyncio.timeout(3 * PING_AFTER_S + PONG_TIMEOUT_S):
+            self.assertIsInstance(await read, Unknown)
+        self.assertFalse(order.done())
+        late = await self.one.links.run(self.member, make_call())
+        self.assertEqual(late, NotRun(NotRunReason.PEER_UNREACHABLE))
+        link._transport.resume_reading()
+        await self.until(lambda: self.two.cancelled == 1)
+        self.two.waiters[0].set_result(RESULTS[0])
+        self.assertEqual(await order, RESULTS[0])
+        self.two.results = [RESULTS[0]]
+        self.assertEqual(await self.one.links.run(self.member, make_call()), RESULTS[0])
+
+    async def test_silent_connection_to_a_live_node_is_replaced(self):
+        order, read = await self.start_calls()
+        (link,) = self.two.links.all_open()
+        link._transport.pause_reading()
+        await read
+        await self.one.links.run(self.member, make_call())
+        await self.until(lambda: self.one.opened == ["n2", "n2"])
+        self.two.results = [RESULTS[0]]
+        self.assertEqual(await self.one.links.run(self.member, make_call()), RESULTS[0])
+        link._transport.resume_reading()
+        self.two.waiters[0].set_result(RESULTS[0])
+        self.assertEqual(await order, RESULTS[0])
+
+    async def test_nobody_waits_for_a_node_that_could_not_be_reached(self):
+        with socket.socket() as listener, socket.socket() as filler:
+            listener.bind(("127.0.0.1", 0))
+            # The kernel drops the opening packets beyond the queue.
+            listener.listen(0)
+            filler.connect(listener.getsockname())
+            hanging = make_member("n2", port=listener.getsockname()[1])
+            for limit_s in (2 * CONNECT_TIMEOUT_S, CONNECT_TIMEOUT_S / 2):
+                async with asyncio.timeout(limit_s):
+                    result = await self.one.links.run(hanging, make_call())
+                self.assertEqual(result, NotRun(NotRunReason.PEER_UNREACHABLE))
+
+    async def test_node_that_can_be_reached_again_is_used(self):
+        port = self.member.port
+        await self.two.links.close()
+        await self.one.links.run(self.member, make_call())
+        await self.two.links.listen("127.0.0.1", port)
+        await self.one.links.run(self.member, make_call())
+        await self.until(lambda: self.one.opened == ["n2"])
+        self.two.results = [RESULTS[0]]
+        self.assertEqual(await self.one.links.run(self.member, make_call()), RESULTS[0])
+
+    async def test_node_that_reacts_may_take_its_time(self):
+        tasks = await self.start_calls()
+        await asyncio.sleep(2 * (PING_AFTER_S + PONG_TIMEOUT_S))
+        for waiter in self.two.waiters:
+            waiter.set_result(RESULTS[0])
+        self.assertEqual(await asyncio.gather(*tasks), [RESULTS[0]] * 2)
+
     @params((5, 1), (1, 0), (0, 0))
     async def test_newer_configuration_is_asked_for_once(self, version, asks):
         self.one.version = version
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -194,6 +194,7 @@
             lambda told: sidecar.learn(told),
         ),
         VOLATILE_HEADERS,
+        chooser.reachable,
     )
     origin = Origin(
         settings.node_id,
