Find connections to the store that went silent within 2 s

The feed noticed after up to 4 s plus its grace of 1.5 s, the kernel after 4 s, but the change must be in force 3 s after the connections went silent.

--- a/damaskproxy/http1/__init__.py
+++ b/damaskproxy/http1/__init__.py
@@ -9,6 +9,7 @@
     end_to_end,
 )
 from damaskproxy.http1.server import ClientLimits, HttpServer
+from damaskproxy.http1.sockets import SilenceLimits
 
 __all__ = [
     "ClientLimits",
@@ -20,5 +21,6 @@
     "HttpServer",
     "Request",
     "Response",
+    "SilenceLimits",
     "end_to_end",
 ]
--- a/damaskproxy/http1/client.py
+++ b/damaskproxy/http1/client.py
@@ -14,7 +14,7 @@
     Response,
     format_request,
 )
-from damaskproxy.http1.sockets import detect_silence
+from damaskproxy.http1.sockets import SilenceLimits, detect_silence
 from damaskproxy.world import Address
 
 __all__ = ["ConnectionPool"]
@@ -44,7 +44,8 @@
     delivered them is closed.
     """
 
-    def __init__(self):
+    def __init__(self, silence: SilenceLimits):
+        self._silence = silence
         self.transport: asyncio.Transport | None = None
         self.idle_since_s = boot_s()
         self.idle_max_s = IDLE_DEFAULT_S
@@ -65,7 +66,7 @@
     def connection_made(self, transport):
         """Take over the connection."""
         self.transport = transport
-        detect_silence(transport)
+        detect_silence(transport, self._silence)
 
     def connection_lost(self, exc):
         """Fail the exchange in progress."""
@@ -202,6 +203,8 @@
         Of the server.
     connect_timeout_s : float
         Longest wait for a connection.
+    silence : SilenceLimits, optional
+        When a connection counts as dead.
 
     Attributes
     ----------
@@ -209,7 +212,13 @@
         Connections opened so far.
     """
 
-    def __init__(self, address: Address, connect_timeout_s: float = CONNECT_TIMEOUT_S):
+    def __init__(
+        self,
+        address: Address,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        silence: SilenceLimits | None = None,
+    ):
+        self._silence = silence or SilenceLimits()
         self.address = address
         self.opened_count = 0
         self._connect_timeout_s = connect_timeout_s
@@ -289,7 +298,7 @@
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 _, connection = await loop.create_connection(
-                    ClientConnection, host, port
+                    lambda: ClientConnection(self._silence), host, port
                 )
         except (OSError, TimeoutError) as error:
             raise ConnectFailed(f"cannot connect to {self.address}: {error}") from error
--- a/damaskproxy/http1/sockets.py
+++ b/damaskproxy/http1/sockets.py
@@ -2,26 +2,53 @@
 
 import asyncio
 import socket
+from dataclasses import dataclass
 
-__all__ = ["detect_silence"]
+__all__ = ["SilenceLimits", "detect_silence"]
 
-KEEPALIVE_IDLE_S = 2
-"""Idle time before the first probe; a silent peer is found within about 4 s."""
 KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
-UNACKNOWLEDGED_MAX_MS = 3000
-"""Longest time that sent bytes may stay unacknowledged: two lost round trips of the
-platform's slowest link with their retransmissions take under 2 s."""
+"""Shortest interval between probes that the kernel knows."""
 
 
-def detect_silence(transport: asyncio.BaseTransport) -> None:
+@dataclass(frozen=True, slots=True)
+class SilenceLimits:
+    """When the kernel closes a connection whose peer no longer acknowledges.
+
+    Parameters
+    ----------
+    probe_after_s : int
+        Idle time before the first probe.
+    probes : int
+        Probes that may stay unanswered.
+    unacknowledged_max_ms : int
+        Longest time that sent bytes may stay unacknowledged. By default two lost round
+        trips of the slowest link with their retransmissions, which take under 2 s.
+    """
+
+    probe_after_s: int = 2
+    probes: int = 2
+    unacknowledged_max_ms: int = 3000
+
+    @property
+    def found_within_s(self) -> float:
+        """Longest time from the end of acknowledgements to the end of a connection."""
+        idle_s = self.probe_after_s + self.probes * KEEPALIVE_INTERVAL_S
+        return max(idle_s, self.unacknowledged_max_ms / 1000)
+
+
+def detect_silence(
+    transport: asyncio.BaseTransport, limits: SilenceLimits | None = None
+) -> None:
     """Make the kernel close a connection whose peer no longer acknowledges."""
     sock = transport.get_extra_info("socket")
     if sock is None:
         return
+    limits = limits or SilenceLimits()
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, limits.probe_after_s)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MAX_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, limits.probes)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limits.unacknowledged_max_ms
+    )
--- a/damaskproxy/platform/store.py
+++ b/damaskproxy/platform/store.py
@@ -10,7 +10,13 @@
     StoreError,
     WriteOutcome,
 )
-from damaskproxy.http1 import ConnectionPool, HttpError, Request, Response
+from damaskproxy.http1 import (
+    ConnectionPool,
+    HttpError,
+    Request,
+    Response,
+    SilenceLimits,
+)
 from damaskproxy.platform.messages import (
     FeedBody,
     decode_feed,
@@ -28,6 +34,10 @@
 FEED_GRACE_S = 1.5
 """Time beyond the asked wait until a silent feed is given up."""
 
+SILENCE = SilenceLimits(probe_after_s=1, probes=1, unacknowledged_max_ms=1500)
+"""A change must be in force 3 s after connections went silent. A connection that a lost
+packet ends too soon costs one more read."""
+
 
 class PlatformStore:
     """Rows of the store with an empty part.
@@ -40,7 +50,7 @@
 
     def __init__(self, address: Address):
         self._host = str(address).encode()
-        self._pool = ConnectionPool(address)
+        self._pool = ConnectionPool(address, silence=SILENCE)
 
     async def read(self, table: str) -> Rows:
         """Return all rows of a table and their version.
