Serve metrics and the state of a sidecar, and print it with damask-node top

Counts are plain integers on the path of a request; prometheus_client is imported at the first scrape, since the memory of each machine is charged. Tests: sidecar/tests/test_metrics.py.

--- a/damaskproxy/forwarding/__init__.py
+++ b/damaskproxy/forwarding/__init__.py
@@ -14,9 +14,11 @@
 from damaskproxy.forwarding.link import LinkHandlers
 from damaskproxy.forwarding.links import Links
 from damaskproxy.forwarding.origin import Origin
+from damaskproxy.forwarding.stats import LATENCY_BUCKETS_S, RequestStats
 from damaskproxy.forwarding.target import Target
 
 __all__ = [
+    "LATENCY_BUCKETS_S",
     "STATE_PATH",
     "AskFrame",
     "Backend",
@@ -28,6 +30,7 @@
     "LinkHandlers",
     "Links",
     "Origin",
+    "RequestStats",
     "StatusReport",
     "Target",
     "TellFrame",
--- a/damaskproxy/forwarding/origin.py
+++ b/damaskproxy/forwarding/origin.py
@@ -29,6 +29,7 @@
 from damaskproxy.forwarding.headers import HeaderNames
 from damaskproxy.forwarding.lineage import Lineage, Parent, RouteLevels, root_of
 from damaskproxy.forwarding.splitting import Splitter
+from damaskproxy.forwarding.stats import RequestStats
 from damaskproxy.http1 import Request, Response, end_to_end
 from damaskproxy.retries import RetryRatio
 
@@ -92,6 +93,8 @@
         Knows the requests of whose runs calls are a part.
     names : HeaderNames
         Header names of the platform.
+    stats : RequestStats
+        Counts what becomes of requests.
     rng : random.Random
         Spreads the times of resends.
     """
@@ -109,6 +112,7 @@
         guard: CrashGuard,
         lineage: Lineage,
         names: HeaderNames,
+        stats: RequestStats,
         rng: random.Random,
     ):
         self._node_id = node_id
@@ -124,6 +128,7 @@
         self._levels = RouteLevels()
         self._breakers: dict[str, RouteBreaker] = {}
         self._names = names
+        self._stats = stats
         self._request_id = names.lower("request_id")
         self._deadline_ms = names.lower("deadline_ms")
         self._rng = rng
@@ -170,6 +175,9 @@
             response = Response(504)
         finally:
             deadline.close()
+        elapsed_s = budget_ms / MS_PER_S - (attempts.deadline_s - boot_s())
+        service = attempts.call.service
+        self._stats.request_ended(service, response.status, elapsed_s)
         if response.status in (502, 503, 504):
             self._log_failure(attempts, response.status)
         if attempts.breaker is not None and attempts.tried:
@@ -223,6 +231,8 @@
             attempts.last_refusal = NotRunReason.QUARANTINED
             return self._give_up(attempts)
         while (member := self._next_member(attempts)) is not None:
+            if attempts.history:
+                self._stats.repeated(attempts.history[-1][1])
             result = await self._send(member, attempts)
             if isinstance(result, Answer):
                 if result.status < 500 or not call.is_idempotent:
@@ -342,6 +352,7 @@
             return _to_response(failure)
         if attempts.may_have_run:
             return Response(502)
+        self._stats.request_refused(attempts.last_refusal)
         remaining_s = attempts.deadline_s - boot_s()
         longest_s = max(remaining_s * RETRY_AFTER_SHARE, 0.0)
         wait_s = min(longest_s, RETRY_AFTER_MIN_S * (1 + self._rng.random()))
@@ -350,6 +361,7 @@
     def _refuse(
         self, request_id: bytes, reason: NotRunReason, wait_s: float
     ) -> Response:
+        self._stats.request_refused(reason)
         log_event(
             logger,
             events.REQUEST_NOT_SERVED,
--- a/damaskproxy/forwarding/target.py
+++ b/damaskproxy/forwarding/target.py
@@ -25,6 +25,7 @@
 from damaskproxy.forwarding.crash_guard import CrashGuard, digest_of
 from damaskproxy.forwarding.headers import HeaderNames
 from damaskproxy.forwarding.lineage import Lineage, root_of
+from damaskproxy.forwarding.stats import RequestStats
 from damaskproxy.http1 import (
     ConnectFailed,
     ConnectionPool,
@@ -33,6 +34,7 @@
     Response,
     end_to_end,
 )
+from damaskproxy.wire import Load
 
 __all__ = ["Target"]
 
@@ -66,6 +68,8 @@
         Learns which requests run.
     make_admission : callable
         Returns an admission controller for a number of slots.
+    stats : RequestStats
+        Counts the calls that were not run.
     max_connections : callable
         Returns how many connections the backend servers of a service accept, None
         while that is not known. A call in flight takes one.
@@ -86,6 +90,7 @@
         guard: CrashGuard,
         lineage: Lineage,
         make_admission: Callable[[int], AdmissionController],
+        stats: RequestStats,
         max_connections: Callable[[str], int | None] = lambda service: None,
     ):
         self.in_flight = 0
@@ -96,6 +101,7 @@
         self._guard = guard
         self._lineage = lineage
         self._make_admission = make_admission
+        self._stats = stats
         self._max_connections = max_connections
         self._admission: AdmissionController | None = None
         self._lifetime: tuple = ()
@@ -145,11 +151,15 @@
         result.load = self._load(call.route)
         return result
 
+    def load(self) -> Load | None:
+        """Return the load of the backend server, None before it has reported."""
+        return None if self._admission is None else self._admission.load()
+
     def _load(self, route: str) -> LoadReport | None:
         """Return the load that goes back with a result."""
-        if self._admission is None:
+        load = self.load()
+        if load is None:
             return None
-        load = self._admission.load()
         return LoadReport(
             load.in_flight,
             load.queued,
@@ -256,6 +266,8 @@
 
     def _log_failure(self, call: Call, result: NotRun | Unknown) -> None:
         is_refusal = isinstance(result, NotRun)
+        if is_refusal:
+            self._stats.call_refused(result.reason)
         log_event(
             logger,
             events.CALL_NOT_ANSWERED,
--- a/damaskproxy/forwarding/tests/test_origin.py
+++ b/damaskproxy/forwarding/tests/test_origin.py
@@ -13,6 +13,7 @@
     CrashGuard,
     Lineage,
     Origin,
+    RequestStats,
     lineage as lineage_module,
 )
 from damaskproxy.forwarding.calls import (
@@ -63,6 +64,7 @@
             directory.merge(make_member(f"n{number}"))
         rng = random.Random(1)
         self.ratio = RetryRatio(RetrySettings(ratio=0.1, saved_max=2))
+        self.stats = RequestStats()
         self.origin = Origin(
             "here",
             lambda: "stores",
@@ -75,6 +77,7 @@
             CrashGuard(lambda: None),
             self.lineage,
             NAMES,
+            self.stats,
             rng,
         )
 
--- a/damaskproxy/forwarding/tests/test_target.py
+++ b/damaskproxy/forwarding/tests/test_target.py
@@ -8,7 +8,13 @@
 from damaskproxy.admission import AdmissionController
 from damaskproxy.admission.settings import AdmissionSettings
 from damaskproxy.common.clock import boot_s
-from damaskproxy.forwarding import Backend, CrashGuard, Lineage, Target
+from damaskproxy.forwarding import (
+    Backend,
+    CrashGuard,
+    Lineage,
+    RequestStats,
+    Target,
+)
 from damaskproxy.forwarding.calls import Answer, NotRun, NotRunReason, Unknown
 from damaskproxy.forwarding.tests.builders import NAMES, make_call, make_report
 from damaskproxy.http1 import ConnectFailed, ExchangeLost, Response
@@ -61,6 +67,7 @@
             self.guard,
             Lineage(),
             lambda slots: AdmissionController(slots, now_s=boot_s, settings=settings),
+            RequestStats(),
             lambda service: self.max_connections,
         )
         self.backend.report(make_report(slots=2))
--- a/damaskproxy/node/cli.py
+++ b/damaskproxy/node/cli.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 import sys
+import time
 import urllib.error
 import urllib.request
 from pathlib import Path
@@ -22,6 +23,7 @@
 from damaskproxy.node.status import format_status
 from damaskproxy.sidecar import (
     SidecarSettingsError,
+    format_top,
     load_settings as load_sidecar_settings,
 )
 
@@ -101,13 +103,47 @@
     ] = False,
 ) -> None:
     """Print what a running node knows."""
-    url = f"http://{admin}/status"
+    known = _read_status(admin)
+    print(json.dumps(known, indent=2) if as_json else format_status(known))
+
+
+def _read_status(address: str) -> dict:
+    url = f"http://{address}/status"
     try:
         with urllib.request.urlopen(url, timeout=STATUS_TIMEOUT_S) as response:
-            known = json.load(response)
+            return json.load(response)
     except (urllib.error.URLError, OSError, ValueError) as error:
-        raise _fail(f"no status from {admin}: {error}", EXIT_UNREACHABLE) from error
-    print(json.dumps(known, indent=2) if as_json else format_status(known))
+        raise _fail(f"no status from {address}: {error}", EXIT_UNREACHABLE) from error
+
+
+@app.command()
+def top(
+    metrics: Annotated[
+        str, typer.Argument(help="Address of the metrics listener, IP:PORT.")
+    ],
+    interval_s: Annotated[
+        float, typer.Option(min=0.1, help="Pause between prints.")
+    ] = 1.0,
+    count: Annotated[
+        int, typer.Option(min=0, help="Prints before the end, 0 for no end.")
+    ] = 0,
+    as_json: Annotated[
+        bool, typer.Option("--json", help="Print one JSON object a line.")
+    ] = False,
+) -> None:
+    """Print load, counts and members of a sidecar, again and again."""
+    before = None
+    prints = 0
+    while True:
+        now = _read_status(metrics)
+        print(json.dumps(now) if as_json else format_top(now, before), flush=True)
+        before = now
+        prints += 1
+        if prints == count:
+            return
+        if not as_json:
+            print()
+        time.sleep(interval_s)
 
 
 @app.command()
--- a/damaskproxy/node/tests/test_cli.py
+++ b/damaskproxy/node/tests/test_cli.py
@@ -52,7 +52,7 @@
     def test_version(self):
         self.assertEqual(run("--version").stdout, f"damask-node {__version__}\n")
 
-    @params("", "run", "check", "status")
+    @params("", "run", "check", "status", "top", "explain")
     def test_help(self, command):
         done = run(*command.split(), "--help")
         self.assertEqual(done.returncode, 0)
--- a/damaskproxy/sidecar/__init__.py
+++ b/damaskproxy/sidecar/__init__.py
@@ -5,5 +5,6 @@
     SidecarSettingsError,
     load_settings,
 )
+from damaskproxy.sidecar.top import format_top
 
-__all__ = ["SidecarSettings", "SidecarSettingsError", "load_settings"]
+__all__ = ["SidecarSettings", "SidecarSettingsError", "format_top", "load_settings"]
--- a/damaskproxy/sidecar/__main__.py
+++ b/damaskproxy/sidecar/__main__.py
@@ -22,13 +22,14 @@
     except SidecarSettingsError as error:
         print(f"damaskproxy: {error}", file=sys.stderr)
         return EXIT_SETTINGS
+    output = DroppingOutput(sys.stdout)
     configure_logging(
         level=settings.log_level,
-        stream=DroppingOutput(sys.stdout),
+        stream=output,
         node_id=settings.node_id,
         lines_per_s=settings.log_lines_per_s,
     )
-    uvloop.run(run_sidecar(settings, path))
+    uvloop.run(run_sidecar(settings, path, lambda: output.dropped_count))
     return 0
 
 
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -28,6 +29,7 @@
     LinkHandlers,
     Links,
     Origin,
+    RequestStats,
     Target,
     TellFrame,
 )
@@ -42,6 +44,7 @@
     make_readiness_handler,
 )
 from damaskproxy.retries import RetryRatio, RetrySettings
+from damaskproxy.sidecar.metrics import make_metrics_handler
 from damaskproxy.sidecar.settings import SidecarSettings, to_address
 from damaskproxy.world import MemberState
 
@@ -88,6 +91,9 @@
     servers: dict[str, HttpServer]
     record: MemberRecord
     rng: random.Random
+    stats: RequestStats
+    started_s: float
+    dropped_log_lines: Callable[[], int]
     is_ready: bool = False
     is_stopping: bool = False
 
@@ -130,7 +136,12 @@
         return msgspec.msgpack.encode(TellFrame(self.configuration.encoded, records))
 
 
-def compose(settings: SidecarSettings, *, seed: int | None = None) -> Sidecar:
+def compose(
+    settings: SidecarSettings,
+    *,
+    seed: int | None = None,
+    dropped_log_lines: Callable[[], int] = lambda: 0,
+) -> Sidecar:
     """Build a node; nothing is started.
 
     Parameters
@@ -139,6 +150,8 @@
         Checked settings.
     seed : int, optional
         Seed of all random choices; from the operating system by default.
+    dropped_log_lines : callable
+        Returns how many lines of the log a slow reader has cost.
     """
     rng = random.Random(seed)
     sidecar: Sidecar
@@ -175,6 +188,7 @@
     backend = Backend(settings.heartbeat_interval_ms, backend_changed)
     pool = ConnectionPool(to_address(settings.backend_address))
     lineage = Lineage()
+    stats = RequestStats()
     target = Target(
         backend,
         pool,
@@ -182,6 +196,7 @@
         guard,
         lineage,
         lambda slots: AdmissionController(slots, now_s=boot_s, settings=ADMISSION),
+        stats,
         configuration.max_connections,
     )
     configuration.on_change(lambda _: target.follow_backend())
@@ -208,6 +223,7 @@
         guard,
         lineage,
         HEADERS,
+        stats,
         rng,
     )
     store = PlatformStore(to_address(settings.store_address))
@@ -262,5 +278,10 @@
             MemberState.SERVING,
         ),
         rng=rng,
+        stats=stats,
+        started_s=boot_s(),
+        dropped_log_lines=dropped_log_lines,
     )
+    if settings.listeners.metrics is not None:
+        servers["metrics"] = HttpServer("metrics", make_metrics_handler(sidecar))
     return sidecar
--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -52,7 +52,11 @@
 several collections per hundred requests for nothing."""
 
 
-async def run_sidecar(settings: SidecarSettings, path: str) -> None:
+async def run_sidecar(
+    settings: SidecarSettings,
+    path: str,
+    dropped_log_lines: Callable[[], int] = lambda: 0,
+) -> None:
     """Run a node until SIGTERM and the end of its requests.
 
     Parameters
@@ -61,8 +65,10 @@
         Checked settings.
     path : str
         Of the settings file, which is read again when it changes.
+    dropped_log_lines : callable
+        Returns how many lines of the log a slow reader has cost.
     """
-    sidecar = compose(settings)
+    sidecar = compose(settings, dropped_log_lines=dropped_log_lines)
     stopping = asyncio.Event()
     reload = asyncio.Event()
     loop = asyncio.get_running_loop()
--- /dev/null
+++ b/damaskproxy/sidecar/metrics.py
@@ -0,0 +1,147 @@
+"""What a running node shows of itself: Prometheus text and a status object."""
+
+from collections.abc import Iterator
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from damaskproxy.common.clock import boot_s
+from damaskproxy.forwarding import LATENCY_BUCKETS_S
+from damaskproxy.http1 import Request, Response
+
+if TYPE_CHECKING:
+    from damaskproxy.sidecar.compose import Sidecar
+
+__all__ = ["describe", "make_metrics_handler", "render_metrics"]
+
+METRICS_PATH = b"/metrics"
+STATUS_PATH = b"/status"
+BUCKET_LABELS = (*(str(bound_s) for bound_s in LATENCY_BUCKETS_S), "+Inf")
+
+
+def describe(sidecar: "Sidecar") -> dict[str, Any]:
+    """Return the state of a node as ``damask-node top`` prints it."""
+    record = sidecar.backend.announced()
+    load = sidecar.target.load()
+    return {
+        "node_id": sidecar.settings.node_id,
+        "data_centre": sidecar.settings.data_centre,
+        "uptime_s": round(boot_s() - sidecar.started_s, 1),
+        "is_ready": sidecar.is_ready,
+        "is_stopping": sidecar.is_stopping,
+        "is_store_dark": sidecar.watch.is_dark,
+        "configuration_version": sidecar.configuration.version,
+        "backend": None if record is None else msgspec.to_builtins(record),
+        "load": None if load is None else msgspec.structs.asdict(load),
+        "in_flight": sidecar.target.in_flight,
+        "held_bytes": sidecar.servers["caller"].held_bytes,
+        "connections": len(sidecar.servers["caller"].connections),
+        "links": len(sidecar.links.all_open()),
+        "members": [_member(record) for record in sidecar.directory.records()],
+        "requests": {
+            f"{service} {status}": count
+            for (service, status), count in sidecar.stats.requests.items()
+        },
+        "refusals": dict(sidecar.stats.refusals),
+        "repeats": dict(sidecar.stats.repeats),
+        "calls_refused": dict(sidecar.stats.calls_refused),
+    }
+
+
+def _member(record) -> dict[str, str]:
+    backend = record.backend
+    return {
+        "node_id": record.node_id,
+        "data_centre": record.data_centre,
+        "service": backend.service if backend else "",
+        "state": str(backend.state if backend else record.state),
+    }
+
+
+class _Collector:
+    """Reads the counts of a node when they are asked for."""
+
+    def __init__(self, sidecar: "Sidecar"):
+        self._sidecar = sidecar
+
+    def collect(self) -> Iterator:
+        """Return all metrics."""
+        # Imported here: the memory of a node that nobody asks is charged as well.
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
+        )
+
+        stats = self._sidecar.stats
+        requests = CounterMetricFamily(
+            "damask_requests", "Requests that ended", labels=["service", "status"]
+        )
+        for (service, status), count in stats.requests.items():
+            requests.add_metric([service, str(status)], count)
+        yield requests
+        for name, text, counts in (
+            ("damask_refusals", "Requests answered as not run", stats.refusals),
+            ("damask_retries", "Further attempts", stats.repeats),
+            ("damask_calls_refused", "Calls not run here", stats.calls_refused),
+        ):
+            family = CounterMetricFamily(name, text, labels=["reason"])
+            for reason, count in counts.items():
+                family.add_metric([str(reason)], count)
+            yield family
+        seconds = HistogramMetricFamily(
+            "damask_request_seconds", "Time of a request", labels=["service"]
+        )
+        for service, latency in stats.latencies.items():
+            total, buckets = 0, []
+            for label, count in zip(BUCKET_LABELS, latency.counts):
+                total += count
+                buckets.append((label, total))
+            seconds.add_metric([service], buckets, latency.sum_s)
+        yield seconds
+        for name, value in self._gauges().items():
+            family = GaugeMetricFamily(name, name.replace("_", " "))
+            family.add_metric([], value)
+            yield family
+
+    def _gauges(self) -> dict[str, float]:
+        sidecar = self._sidecar
+        load = sidecar.target.load()
+        return {
+            "damask_ready": float(sidecar.is_ready and not sidecar.is_stopping),
+            "damask_store_dark": float(sidecar.watch.is_dark),
+            "damask_configuration_version": sidecar.configuration.version,
+            "damask_members": len(sidecar.directory),
+            "damask_in_flight": sidecar.target.in_flight,
+            "damask_queued": load.queued if load else 0,
+            "damask_concurrency_limit": load.limit if load else 0,
+            "damask_admission_level": load.level if load else 0,
+            "damask_held_bytes": sidecar.servers["caller"].held_bytes,
+            "damask_links": len(sidecar.links.all_open()),
+            "damask_log_lines_dropped": sidecar.dropped_log_lines(),
+        }
+
+
+def render_metrics(sidecar: "Sidecar") -> bytes:
+    """Return the metrics as Prometheus text."""
+    from prometheus_client import CollectorRegistry, generate_latest
+
+    registry = CollectorRegistry()
+    registry.register(_Collector(sidecar))
+    return generate_latest(registry)
+
+
+def make_metrics_handler(sidecar: "Sidecar"):
+    """Return the handler of the metrics listener."""
+
+    async def handle(request: Request) -> Response:
+        path = request.target.partition(b"?")[0]
+        if request.method != b"GET" or path not in (METRICS_PATH, STATUS_PATH):
+            return Response(404)
+        if path == STATUS_PATH:
+            body = msgspec.json.encode(describe(sidecar))
+            return Response(200, [(b"Content-Type", b"application/json")], body)
+        content_type = b"text/plain; version=0.0.4; charset=utf-8"
+        return Response(200, [(b"Content-Type", content_type)], render_metrics(sidecar))
+
+    return handle
--- a/damaskproxy/sidecar/settings.py
+++ b/damaskproxy/sidecar/settings.py
@@ -31,12 +31,15 @@
         For the health check of the platform.
     control : str
         For status reports of the backend server and for starting nodes.
+    metrics : str or None
+        For monitoring and ``damask-node top``; not opened without it.
     """
 
     caller: AddressText
     peer: AddressText
     readiness: AddressText
     control: AddressText
+    metrics: AddressText | None = None
 
 
 class SidecarSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/damaskproxy/sidecar/tests/mesh.py
+++ b/damaskproxy/sidecar/tests/mesh.py
@@ -91,7 +91,9 @@
         await self.rows.close()
         await self.stack.aclose()
 
-    async def start(self, name, service="orders", data_centre="a", **settings):
+    async def start(
+        self, name, service="orders", data_centre="a", metrics=None, **settings
+    ):
         """Start a sidecar beside a new backend server that has reported."""
         member = Member(name, service)
         address = await member.backend.open()
@@ -110,6 +112,8 @@
             "bounds": {"graceS": 2},
             **settings,
         }
+        if metrics is not None:
+            body["listeners"]["metrics"] = metrics
         member.path = self.folder / f"{name}.json"
         member.path.write_text(json.dumps(body), encoding="utf-8")
         self.members.append(member)
--- /dev/null
+++ b/damaskproxy/sidecar/tests/test_metrics.py
@@ -0,0 +1,138 @@
+"""What a running node shows of itself."""
+
+import asyncio
+import json
+import sys
+import unittest
+
+from nose2.tools import params
+from prometheus_client.parser import text_string_to_metric_families
+
+from damaskproxy.forwarding import LATENCY_BUCKETS_S, RequestStats
+from damaskproxy.forwarding.calls import Answer, NotRun, NotRunReason, Unknown
+from damaskproxy.http1 import ConnectionPool, Request
+from damaskproxy.sidecar import format_top
+from damaskproxy.sidecar.settings import to_address
+from damaskproxy.sidecar.tests.mesh import MeshTestCase
+from demo.processes import free_ports
+
+
+class StatsTests(unittest.TestCase):
+    """Guards against counts that are lost or grow without a bound."""
+
+    def test_times_are_counted_in_their_buckets(self):
+        stats = RequestStats()
+        for elapsed_s in (0.0, LATENCY_BUCKETS_S[0], 0.3, 100.0):
+            stats.request_ended("orders", 200, elapsed_s)
+        counts = stats.latencies["orders"].counts
+        self.assertEqual((counts[0], counts[6], counts[-1]), (2, 1, 1))
+        self.assertEqual(sum(counts), stats.requests["orders", 200])
+
+    @params(
+        (NotRun(NotRunReason.OVERLOAD), "overload"),
+        (Answer(500, [], b""), "backend-error"),
+        (Unknown("lost"), "unknown"),
+    )
+    def test_repeat_has_the_reason_of_the_attempt_before(self, earlier, reason):
+        stats = RequestStats()
+        stats.repeated(earlier)
+        self.assertEqual(dict(stats.repeats), {reason: 1})
+
+    def test_number_of_services_is_bounded(self):
+        stats = RequestStats()
+        for number in range(2000):
+            stats.request_ended(f"s{number}", 200, 0.1)
+        self.assertLessEqual(len(stats.latencies), 1001)
+        self.assertEqual(sum(stats.requests.values()), 2000)
+
+
+class MetricsTests(MeshTestCase, unittest.IsolatedAsyncioTestCase):
+    """Guards against a node whose decisions cannot be seen from outside."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        (port,) = free_ports(1)
+        self.address = f"127.0.0.1:{port}"
+        self.member = await self.start("n1", metrics=self.address)
+        await self.until_known(1)
+
+    async def fetch(self, target, method=b"GET"):
+        """Return the response of the metrics listener."""
+        pool = ConnectionPool(to_address(self.address))
+        self.addCleanup(pool.close)
+        return await pool.exchange(Request(method, target, [(b"Host", b"m")]))
+
+    async def samples(self):
+        """Return the values of all samples by name and labels."""
+        text = (await self.fetch(b"/metrics")).body.decode()
+        return {
+            (sample.name, *sample.labels.values()): sample.value
+            for family in text_string_to_metric_families(text)
+            for sample in family.samples
+        }
+
+    @params(
+        (b"/metrics", b"GET", 200), (b"/x", b"GET", 404), (b"/status", b"POST", 404)
+    )
+    async def test_only_its_paths_are_served(self, target, method, status):
+        self.assertEqual((await self.fetch(target, method)).status, status)
+
+    async def test_requests_and_refusals_are_counted(self):
+        await self.member.call(b"/read/1", request_id=b"a")
+        await self.member.report(state="draining")
+        await self.member.call(b"/read/1", request_id=b"b")
+        samples = await self.samples()
+        self.assertEqual(samples["damask_requests_total", "orders", "200"], 1)
+        self.assertEqual(samples["damask_requests_total", "orders", "503"], 1)
+        self.assertEqual(samples["damask_refusals_total", "no-member"], 1)
+        self.assertEqual(samples["damask_request_seconds_count", "orders"], 2)
+        self.assertEqual(samples["damask_ready",], 1)
+        self.assertEqual(samples["damask_members",], 1)
+
+    async def test_node_without_a_report_shows_itself_too(self):
+        self.member.sidecar.target._admission = None
+        self.member.sidecar.backend.record = None
+        samples = await self.samples()
+        self.assertEqual(samples["damask_concurrency_limit",], 0)
+        status = json.loads((await self.fetch(b"/status")).body)
+        self.assertIn("none has reported", format_top(status))
+
+    async def test_top_prints_counts_and_rates(self):
+        await self.member.call(b"/read/1", request_id=b"a")
+        before = json.loads((await self.fetch(b"/status")).body)
+        await self.member.call(b"/read/1", request_id=b"b")
+        now = json.loads((await self.fetch(b"/status")).body)
+        now["uptime_s"] = before["uptime_s"] + 2.0
+        lines = format_top(now, before).splitlines()
+        self.assertIn("requests  orders 200: 2 (0.5/s)", lines)
+        self.assertIn("members   1 known; serving: orders 1", lines)
+        self.assertTrue(any("orders i-n1, 4 slots, serving" in line for line in lines))
+
+    @params(
+        (["--count", "2", "--interval-s", "0.1"], 0, "node      n1"),
+        (["--count", "1", "--json"], 0, '"node_id": "n1"'),
+    )
+    async def test_command_reads_a_running_node(self, options, code, text):
+        done_code, output, _ = await self.run_top(self.address, *options)
+        self.assertEqual(done_code, code)
+        self.assertIn(text, output)
+
+    async def test_command_without_a_node_fails_in_one_line(self):
+        code, _, errors = await self.run_top("127.0.0.1:1")
+        self.assertEqual(code, 3)
+        self.assertRegex(errors, r"\Adamask-node: no status from 127.0.0.1:1: .*\n\Z")
+
+    async def run_top(self, *arguments):
+        """Run the command and return its code, output and errors."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "damaskproxy.node.cli",
+            "top",
+            *arguments,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        async with asyncio.timeout(30):
+            output, errors = await process.communicate()
+        return process.returncode, output.decode(), errors.decode()
--- /dev/null
+++ b/damaskproxy/sidecar/top.py
@@ -0,0 +1,87 @@
+"""What ``damask-node top`` prints about a running node."""
+
+from typing import Any
+
+__all__ = ["format_top"]
+
+REASONS_SHOWN = 6
+
+
+def format_top(now: dict[str, Any], before: dict[str, Any] | None = None) -> str:
+    """Return the status object of a node as text for a person.
+
+    Parameters
+    ----------
+    now : dict
+        Newest status object.
+    before : dict, optional
+        Status object of a moment earlier, for rates.
+    """
+    lines = [
+        f"node      {now['node_id']} in {now['data_centre']},"
+        f" up {now['uptime_s']:.0f} s, {_state(now)}",
+        f"config    version {now['configuration_version']}"
+        + (", store not answering" if now["is_store_dark"] else ""),
+        f"backend   {_backend(now['backend'])}",
+        f"load      {_load(now)}",
+        f"held      {now['held_bytes']} bytes, {now['connections']} connections,"
+        f" {now['links']} links",
+        f"members   {_members(now['members'])}",
+    ]
+    for title, name in (
+        ("requests", "requests"),
+        ("refused", "refusals"),
+        ("repeated", "repeats"),
+        ("not run", "calls_refused"),
+    ):
+        lines.append(f"{title:<9} {_counts(now, before, name)}")
+    return "\n".join(lines)
+
+
+def _state(now: dict[str, Any]) -> str:
+    if now["is_stopping"]:
+        return "stopping"
+    return "ready" if now["is_ready"] else "not ready"
+
+
+def _backend(backend: dict[str, Any] | None) -> str:
+    if backend is None:
+        return "none has reported"
+    state = backend.get("state", "serving")
+    service, slots = backend["service"], backend["slots"]
+    return f"{service} {backend['instance_id']}, {slots} slots, {state}"
+
+
+def _load(now: dict[str, Any]) -> str:
+    load = now["load"]
+    if load is None:
+        return "-"
+    return (
+        f"{load['in_flight']} in flight, {load['queued']} queued,"
+        f" limit {load['limit']:.0f}, level {load['level']},"
+        f" usual time {load['latency_ms']:.0f} ms"
+    )
+
+
+def _members(members: list[dict[str, str]]) -> str:
+    counts: dict[str, int] = {}
+    for member in members:
+        if member["state"] == "serving":
+            counts[member["service"]] = counts.get(member["service"], 0) + 1
+    parts = [f"{service} {count}" for service, count in sorted(counts.items())]
+    return f"{len(members)} known; serving: {', '.join(parts) or 'none'}"
+
+
+def _counts(now: dict[str, Any], before: dict[str, Any] | None, name: str) -> str:
+    """Return the largest counts, with rates when there is an earlier object."""
+    span_s = now["uptime_s"] - before["uptime_s"] if before else 0.0
+    counts = sorted(now[name].items(), key=lambda item: (-item[1], item[0]))
+    parts = []
+    for key, count in counts[:REASONS_SHOWN]:
+        text = f"{key}: {count}"
+        if span_s > 0:
+            text += f" ({(count - before[name].get(key, 0)) / span_s:.1f}/s)"
+        parts.append(text)
+    if len(counts) > REASONS_SHOWN:
+        parts.append(f"and {len(counts) - REASONS_SHOWN} more")
+    return ", ".join(parts) or "none"
