Ask peers for a sign of life only beyond the usual call time, and believe it before reuse

The kernel of a stopped process accepts connections, so a silent node was used again until the next ping ran out. A call that is given up may end another one, which then was missing in the table (KeyError). Changes: the silence must exceed 1.5 usual call times as well; a new connection to a suspect counts only after the peer's first frame; calls that have ended meanwhile are left out. Tests: test_suspect_that_accepts_and_says_nothing_is_not_used, test_given_up_call_may_end_another_one (both fail before).

--- a/damaskproxy/forwarding/link.py
+++ b/damaskproxy/forwarding/link.py
@@ -46,7 +46,10 @@
 """Time after which the shortest delay seen is measured anew."""
 SENT_MS_MASK = 0x7FFFFFFF
 PING_AFTER_S = 0.15
-"""Silence of a peer with calls in flight before it is asked for a sign of life. Most
+"""Shortest silence of a peer with calls in flight before it is asked for a sign of
+life."""
+PING_USUAL_CALLS = 1.5
+"""Usual call times of the backend server that the silence must exceed as well. Most
 calls take less, so that a peer that works is rarely asked."""
 PONG_TIMEOUT_S = 0.25
 """Several round trips between regions and the delay of a busy event loop; with the
@@ -113,6 +116,8 @@
     ----------
     peer_incarnation : int or None
         Start of the peer's process, None until its first frame has come.
+    greeted : asyncio.Event
+        Set when the peer's first frame has come.
     is_silent : bool
         Whether the peer owes results and did not answer a ping.
     """
@@ -127,6 +132,7 @@
     ):
         self.peer_id = ""
         self.peer_incarnation: int | None = None
+        self.greeted = asyncio.Event()
         self.used_s = boot_s()
         self.is_open = False
         self.is_silent = False
@@ -143,6 +149,7 @@
         self._repeatable: set[int] = set()
         self._heard_s = 0.0
         self._pinged_s: float | None = None
+        self._usual_call_s = 0.0
         self._running: dict[int, Fiber] = {}
         self._asked_version = 0
 
@@ -239,7 +246,8 @@
         if not self._waiting or self.is_silent:
             return
         if self._pinged_s is None:
-            if now_s - self._heard_s >= PING_AFTER_S:
+            limit_s = max(PING_AFTER_S, PING_USUAL_CALLS * self._usual_call_s)
+            if now_s - self._heard_s >= limit_s:
                 self._pinged_s = now_s
                 self.write(PingFrame())
         elif now_s - self._pinged_s >= PONG_TIMEOUT_S:
@@ -251,8 +259,12 @@
                 in_flight=len(self._waiting),
             )
             for call_id in list(self._repeatable):
+                waiter = self._waiting.get(call_id)
+                if waiter is None:
+                    # Ended together with one that was given up before it.
+                    continue
                 self.write(CancelFrame(call_id))
-                self._waiting[call_id].set_result(
+                waiter.set_result(
                     Unknown("the node does not react on an open connection")
                 )
 
@@ -299,6 +311,7 @@
         else:
             self.peer_id = frame.node_id
             self.peer_incarnation = frame.incarnation
+            self.greeted.set()
 
     def _start(self, frame: RunFrame) -> None:
         self.used_s = boot_s()
@@ -369,6 +382,8 @@
             self._note_version(frame.configuration_version)
         else:
             result = Unknown(frame.detail, frame.load)
+        if frame.load is not None:
+            self._usual_call_s = frame.load.latency_ms / MS_PER_S
         waiter = self._waiting.get(frame.call_id)
         if waiter is not None:
             waiter.set_result(result)
--- a/damaskproxy/forwarding/links.py
+++ b/damaskproxy/forwarding/links.py
@@ -96,13 +96,15 @@
                 known.close()
             elif not known.is_silent:
                 return known
-        is_silent = known is not None and known.is_silent
+        is_suspect = member.node_id in self._unreachable or (
+            known is not None and known.is_silent
+        )
         task = self._opening.get(member.node_id)
         if task is None:
-            task = asyncio.create_task(self._open(member))
+            task = asyncio.create_task(self._open(member, must_greet=is_suspect))
             self._opening[member.node_id] = task
             task.add_done_callback(lambda _: self._opening.pop(member.node_id, None))
-        if is_silent or member.node_id in self._unreachable:
+        if is_suspect:
             return None
         return await asyncio.shield(task)
 
@@ -162,14 +164,29 @@
         if waiting:
             self._schedule_check()
 
-    async def _open(self, member: MemberRecord) -> Link | None:
+    async def _open(self, member: MemberRecord, *, must_greet: bool) -> Link | None:
+        """Open a connection.
+
+        Parameters
+        ----------
+        member : MemberRecord
+            Its node.
+        must_greet : bool
+            Whether the peer has to send its first frame in time. The kernel of a
+            stopped process accepts connections as well.
+        """
         loop = asyncio.get_running_loop()
+        link: Link | None = None
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, link = await loop.create_connection(
                     self._make_link, member.host, member.port
                 )
+                if must_greet:
+                    await link.greeted.wait()
         except (OSError, TimeoutError) as error:
+            if link is not None:
+                link.close()
             log_event(
                 logger,
                 events.LINK_REFUSED,
--- a/damaskproxy/forwarding/tests/test_links.py
+++ b/damaskproxy/forwarding/tests/test_links.py
@@ -229,6 +229,36 @@
                     result = await self.one.links.run(hanging, make_call())
                 self.assertEqual(result, NotRun(NotRunReason.PEER_UNREACHABLE))
 
+    async def test_suspect_that_accepts_and_says_nothing_is_not_used(self):
+        port = self.member.port
+        await self.two.links.close()
+        await self.one.links.run(self.member, make_call())
+        # As of a stopped process, whose kernel accepts connections.
+        stopped = await asyncio.start_server(lambda r, w: None, "127.0.0.1", port)
+        for _ in range(2):
+            result = await self.one.links.run(self.member, make_call())
+            self.assertEqual(result, NotRun(NotRunReason.PEER_UNREACHABLE))
+            await asyncio.sleep(1.5 * CONNECT_TIMEOUT_S)
+        self.assertEqual(self.one.opened, [])
+        stopped.close()
+
+    async def test_given_up_call_may_end_another_one(self):
+        fibers = []
+        results = []
+
+        async def run(number):
+            call = make_call(request_id=b"%d" % number)
+            results.append(await self.one.links.run(self.member, call))
+            fibers[1 - number].cancel()
+
+        fibers += [Fiber(run(number), self.fail) for number in range(2)]
+        await self.until(lambda: len(self.two.waiters) == 2)
+        (link,) = self.one.links.all_open()
+        link._pinged_s = 0.0
+        link.check_silence(PONG_TIMEOUT_S)
+        self.assertEqual([type(result) for result in results], [Unknown])
+        self.assertTrue(all(fiber.is_done for fiber in fibers))
+
     async def test_node_that_can_be_reached_again_is_used(self):
         port = self.member.port
         await self.two.links.close()
