Recall a leave that was confirmed while the store was dark

Cause: a node confirms a leave after 0.6 s also when the store does not take it, and tells its peers. Killed before the store returned, it restored the row of before and ran requests on the backend server again; a DELETE is not repeated, so nothing corrected it. Change: the records of peers keep the leave of a lifetime, whatever a later record of its node says. Tests: test_leave_confirmed_without_the_store_survives_a_restart (both rows fail without the question to peers), LeaveTests.

--- a/damaskproxy/directory/members.py
+++ b/damaskproxy/directory/members.py
@@ -50,6 +50,16 @@
     sequence: int = 0
     warm_at_ms: int = 0
 
+    @property
+    def lifetime(self) -> tuple[str, int]:
+        """Identity of this start of the backend server."""
+        return (self.instance_id, self.born_ms)
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it has said that it leaves; a lifetime never takes that back."""
+        return self.state in (MemberState.DRAINING, MemberState.STOPPED)
+
 
 class MemberRecord(msgspec.Struct, frozen=True, omit_defaults=True):
     """Record of one node as every node knows it.
@@ -119,6 +129,23 @@
     return msgspec.json.encode(record)
 
 
+def _keep_leaving(known: MemberRecord, record: MemberRecord) -> MemberRecord:
+    """Return `record` with the leave of its backend server that `known` has.
+
+    Notes
+    -----
+    A node that confirmed a leave while the store was dark, and then started anew, reads
+    the row of before. The nodes that it had told remember.
+    """
+    old, new = known.backend, record.backend
+    if old is None or new is None or not old.is_leaving or new.is_leaving:
+        return record
+    if old.lifetime != new.lifetime:
+        return record
+    left = msgspec.structs.replace(new, state=old.state)
+    return msgspec.structs.replace(record, backend=left)
+
+
 class Directory:
     """Newest record of each node.
 
@@ -153,6 +180,8 @@
             return False
         if record.order <= self._removed.get(record.node_id, (-1, -1)):
             return False
+        if known is not None:
+            record = _keep_leaving(known, record)
         self._records[record.node_id] = record
         self._forget_derived()
         self._on_change(record)
--- a/damaskproxy/directory/tests/test_directory.py
+++ b/damaskproxy/directory/tests/test_directory.py
@@ -36,6 +36,37 @@
     return msgspec.structs.replace(record, **changes)
 
 
+def backend(instance_id="i-1", state=MemberState.SERVING, born_ms=0):
+    """Return a backend server."""
+    return BackendRecord(instance_id, "orders", 4, state, born_ms)
+
+
+class LeaveTests(unittest.TestCase):
+    """Guards against work for a backend server whose leave its node has forgotten."""
+
+    @params(
+        (backend(state=MemberState.DRAINING), backend(), MemberState.DRAINING),
+        (backend(state=MemberState.STOPPED), backend(), MemberState.STOPPED),
+        (backend(state=MemberState.STARTING), backend(), MemberState.SERVING),
+        (backend(state=MemberState.STOPPED), backend("i-2"), MemberState.SERVING),
+        (
+            backend(state=MemberState.STOPPED),
+            backend(born_ms=1),
+            MemberState.SERVING,
+        ),
+        (
+            backend(state=MemberState.DRAINING),
+            backend(state=MemberState.STOPPED),
+            MemberState.STOPPED,
+        ),
+    )
+    def test_lifetime_that_leaves_never_returns(self, known, told, state):
+        directory = Directory()
+        directory.merge(member(backend=known))
+        directory.merge(member(incarnation=2, backend=told))
+        self.assertIs(directory.get("n1").backend.state, state)
+
+
 class ConfigurationTests(unittest.TestCase):
     """Guards against a wrong route and against a version that goes back."""
 
--- a/damaskproxy/forwarding/backend.py
+++ b/damaskproxy/forwarding/backend.py
@@ -74,6 +74,7 @@
         self._reported_s = boot_s()
         self._is_missing = False
         self._unreachable_until_s = 0.0
+        self._left: BackendRecord | None = None
 
     @property
     def is_serving(self) -> bool:
@@ -92,10 +93,19 @@
     def restore(self, record: BackendRecord) -> None:
         """Take over what this node stored before its restart."""
         if self.record is None:
-            self.record = record
+            self.record = self._with_leave(record)
             self._reported_s = boot_s()
             self._on_change()
 
+    def recall_leave(self, record: BackendRecord) -> None:
+        """Take over a leave that this node had confirmed and only told its peers."""
+        if not record.is_leaving:
+            return
+        self._left = record
+        known = self.record
+        if known is not None and self._with_leave(known) is not known:
+            self._apply(self._with_leave(known), force=True)
+
     def report(self, report: StatusReport) -> bool:
         """Apply a status report; False if a newer one was applied before."""
         known = self.record
@@ -112,18 +122,16 @@
         warm_at_ms = int(time.time() * MS_PER_S) + report.cold_ms
         if is_same_lifetime and known.instance_id == report.instance_id:
             warm_at_ms = known.warm_at_ms
-        self._apply(
-            BackendRecord(
-                report.instance_id,
-                report.service,
-                report.slots,
-                state,
-                report.born_ms,
-                report.sequence,
-                warm_at_ms if report.cold_ms else 0,
-            ),
-            force=was_missing,
+        record = BackendRecord(
+            report.instance_id,
+            report.service,
+            report.slots,
+            state,
+            report.born_ms,
+            report.sequence,
+            warm_at_ms if report.cold_ms else 0,
         )
+        self._apply(self._with_leave(record), force=was_missing)
         return True
 
     def leave(self, instance_id: str, born_ms: int | None = None) -> None:
@@ -154,6 +162,12 @@
             return _with_state(self.record, MemberState.STARTING)
         return self.record
 
+    def _with_leave(self, record: BackendRecord) -> BackendRecord:
+        left = self._left
+        if left is None or record.is_leaving or left.lifetime != record.lifetime:
+            return record
+        return _with_state(record, left.state)
+
     def _apply(self, record: BackendRecord, *, force: bool) -> None:
         known, self.record = self.record, record
         if force or known is None or _announced_part(known) != _announced_part(record):
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -94,6 +94,7 @@
     stats: RequestStats
     started_s: float
     dropped_log_lines: Callable[[], int]
+    on_told: Callable[[], None] | None = None
     is_ready: bool = False
     is_stopping: bool = False
 
@@ -129,6 +130,10 @@
         for record in told.records:
             if record.node_id != self.settings.node_id:
                 self.directory.merge(record)
+            elif record.backend is not None and record.host == self.record.host:
+                self.backend.recall_leave(record.backend)
+        if self.on_told is not None:
+            self.on_told()
 
     def encoded_state(self) -> bytes:
         """Return configuration and members for a node that starts."""
--- a/damaskproxy/sidecar/events.py
+++ b/damaskproxy/sidecar/events.py
@@ -5,6 +5,7 @@
 from damaskproxy.events import define
 
 __all__ = [
+    "NO_PEER_ANSWERED",
     "OWN_ROW_UNREADABLE",
     "SETTINGS_KEPT",
     "SETTINGS_RELOADED",
@@ -51,3 +52,10 @@
     logging.ERROR,
     "A background task raised an unexpected error and is started again.",
 )
+NO_PEER_ANSWERED = define(
+    12009,
+    "no-peer-answered",
+    logging.INFO,
+    "A restarted node asked peers for leaves that it had confirmed; none answered in "
+    "time.",
+)
--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -11,7 +11,7 @@
 
 from damaskproxy.common import RefusalReason
 from damaskproxy.common.clock import boot_s
-from damaskproxy.directory import RecordError, decode_member
+from damaskproxy.directory import MemberRecord, RecordError, decode_member
 from damaskproxy.events import log_event
 from damaskproxy.forwarding import STATE_PATH, AskFrame, TellFrame
 from damaskproxy.http1 import ConnectionPool, HttpError, Request
@@ -40,6 +40,12 @@
 """Share of the questions that stay in the data centre, whose bytes are not charged; the
 others reach nodes that a whole data centre without the store does not have."""
 SEED_TIMEOUT_S = 0.5
+RECALL_PEERS = 3
+"""Peers that a restarted node asks for what it had confirmed; one may be gone."""
+RECALL_TIMEOUT_S = 0.1
+"""Two round trips between regions. When all nodes start at once, none remembers."""
+UNKNOWN_DIGEST = -1
+"""Equal to that of no directory, so that a peer sends all its records."""
 RESTART_PAUSE_S = 0.2
 STOP_SERVE_S = 2.7
 """Time after SIGTERM in which clients may still come: the platform takes a node out
@@ -143,6 +149,7 @@
 async def _become_ready(sidecar: Sidecar) -> None:
     """Announce the node once it knows the mesh, from the store or from a peer."""
     await sidecar.watch.members_read()
+    await _recall_from_peers(sidecar)
     _restore(sidecar)
     sidecar.update_record()
     await sidecar.configuration.known()
@@ -155,6 +162,49 @@
     )
 
 
+async def _recall_from_peers(sidecar: Sidecar) -> None:
+    """Ask peers for a leave that this node confirmed while the store was dark.
+
+    Notes
+    -----
+    Calls are refused until the backend server's record is restored, so a restarted
+    node that had a serving backend server waits for an answer, but not for long.
+    """
+    row = sidecar.watch.own_row
+    if row is None or row.value is None:
+        return
+    peers = _others(sidecar)
+    sidecar.rng.shuffle(peers)
+    answered = asyncio.Event()
+    sidecar.on_told = answered.set
+    tasks = [
+        asyncio.create_task(_ask(sidecar, member, UNKNOWN_DIGEST))
+        for member in peers[:RECALL_PEERS]
+    ]
+    try:
+        async with asyncio.timeout(RECALL_TIMEOUT_S):
+            await answered.wait()
+    except TimeoutError:
+        log_event(logger, events.NO_PEER_ANSWERED, peers=len(peers))
+    finally:
+        sidecar.on_told = None
+        for task in tasks:
+            task.cancel()
+
+
+async def _ask(sidecar: Sidecar, member: MemberRecord, digest: int) -> None:
+    """Ask a peer for a newer configuration and what a directory lacks."""
+    link = await sidecar.links.open(member)
+    if link is not None:
+        link.write(AskFrame(sidecar.configuration.version, digest))
+
+
+def _others(sidecar: Sidecar) -> list[MemberRecord]:
+    """Return the records of the other nodes that run."""
+    own_id = sidecar.settings.node_id
+    return [r for r in sidecar.directory.records() if r.node_id != own_id]
+
+
 def _restore(sidecar: Sidecar) -> None:
     """Take over what this node had stored before it was restarted."""
     row = sidecar.watch.own_row
@@ -208,17 +258,13 @@
         await asyncio.sleep(ASK_PEER_S)
         if not sidecar.watch.is_dark:
             continue
-        own_id = sidecar.settings.node_id
-        others = [r for r in sidecar.directory.records() if r.node_id != own_id]
+        others = _others(sidecar)
         near = [r for r in others if r.data_centre == sidecar.settings.data_centre]
         if not others:
             continue
         is_near = bool(near) and sidecar.rng.random() < NEAR_SHARE
         member = sidecar.rng.choice(near if is_near else others)
-        link = await sidecar.links.open(member)
-        if link is not None:
-            digest = sidecar.directory.digest()
-            link.write(AskFrame(sidecar.configuration.version, digest))
+        await _ask(sidecar, member, sidecar.directory.digest())
 
 
 async def _upkeep(sidecar: Sidecar) -> None:
--- a/damaskproxy/sidecar/tests/test_mesh.py
+++ b/damaskproxy/sidecar/tests/test_mesh.py
@@ -175,6 +175,34 @@
         await two.report("ready")
         self.assertEqual((await two.call(b"/read/1")).status, 503)
 
+    @params("report", "delete")
+    async def test_leave_confirmed_without_the_store_survives_a_restart(self, kind):
+        one = await self.start("n1", "stores")
+        two = await self.start("n2")
+        await self.until_known(1)
+        await one.call(b"/read/1")
+        two.backend.runs.clear()
+        self.rows.status = 503
+        path = f"/api/instances/{two.backend.instance_id}".encode()
+        if kind == "report":
+            self.assertEqual(await two.report("draining"), 200)
+        else:
+            answer = await two.control(Request(b"DELETE", path, HOST))
+            self.assertEqual(answer.status, 200)
+        await self.until(lambda: not one.sidecar.directory.serving("orders"))
+        await self.kill(two)
+        self.rows.status = 200
+        await self.restart(two, report=False)
+        await self.until(lambda: two.sidecar.is_ready)
+        two.sequence = 0
+        for number in range(5):
+            await two.report("ready")
+            for member in (one, two):
+                answer = await member.call(b"/read/1", request_id=b"%d" % number)
+                self.assertEqual(answer.status, 503)
+            await asyncio.sleep(0.05)
+        self.assertFalse(two.backend.runs)
+
     async def test_drain_is_confirmed_while_the_store_is_dark(self):
         two = await self.start("n2")
         self.rows.status = 0
