Earn repeats only with requests that reached a backend server

While clients press, most requests to etalase are refused before they reach it; they earned repeats nevertheless, but bring no calls to kasir, whose budget the repeated runs then exceed. Change: a request earns when its first attempt has reached a backend server. Test: test_requests_that_reach_no_server_earn_no_repeats (fails before).

--- a/damaskproxy/forwarding/attempts.py
+++ b/damaskproxy/forwarding/attempts.py
@@ -27,6 +27,7 @@
     tried: set[str] = field(default_factory=set)
     reached: int = 0
     refusals: int = 0
+    has_earned: bool = False
     may_have_run: bool = False
     failure: Answer | None = None
     history: list[tuple[str, Result | None]] = field(default_factory=list)
--- a/damaskproxy/forwarding/origin.py
+++ b/damaskproxy/forwarding/origin.py
@@ -218,8 +218,6 @@
         call = attempts.call
         if call.is_repeat:
             self._ratio.charge(call.service)
-        else:
-            self._ratio.first_attempt(call.service)
         if attempts.parent is None and self._is_above_level(call):
             attempts.last_refusal = NotRunReason.OVERLOAD_BELOW
             return self._give_up(attempts)
@@ -234,6 +232,7 @@
             if attempts.history:
                 self._stats.repeated(attempts.history[-1][1])
             result = await self._send(member, attempts)
+            self._earn_repeat(attempts, result)
             if isinstance(result, Answer):
                 if result.status < 500 or not call.is_idempotent:
                     return _to_response(result)
@@ -250,6 +249,21 @@
                     break
         return self._give_up(attempts)
 
+    def _earn_repeat(self, attempts: Attempts, result: Result) -> None:
+        """Earn a part of a repeat when the first attempt has reached a server.
+
+        Notes
+        -----
+        Each repeated run repeats its calls at the services below, which only get calls
+        of requests that ran. Under overload most requests of a route may be refused; if
+        those earned repeats as well, the repeated calls would exceed the budget there.
+        """
+        if isinstance(result, NotRun) and not result.reached_backend:
+            return
+        if not attempts.has_earned and not attempts.call.is_repeat:
+            attempts.has_earned = True
+            self._ratio.first_attempt(attempts.call.service)
+
     def _next_member(self, attempts: Attempts) -> MemberRecord | None:
         """Return the member of the next attempt, None when there is none left."""
         service = attempts.call.service
--- a/damaskproxy/forwarding/tests/test_origin.py
+++ b/damaskproxy/forwarding/tests/test_origin.py
@@ -133,6 +133,19 @@
         self.assertLessEqual(first, 600)
         self.assertLessEqual(second, first - 95)
 
+    async def test_requests_that_reach_no_server_earn_no_repeats(self):
+        failing = 30
+        for number in range(failing):
+            for refused in range(9):
+                self.results = [OVERLOAD] * 3
+                await self.send(request_id=b"%d-%d" % (number, refused))
+            self.results = [FAILED, DONE]
+            await self.send(request_id=b"%d" % number)
+        repeats = sum(call.is_repeat for call in self.sent)
+        # What was saved at first, and a tenth of the requests that ran.
+        self.assertLessEqual(repeats, 2 + 0.1 * failing)
+        self.assertGreater(repeats, 2)
+
     async def test_repeats_stay_within_the_ratio(self):
         for number in range(100):
             self.results = [LOST, DONE]
