Keep the rule that a leave binds its lifetime in one place

The directory and the state of the backend server each had a copy of the check: same lifetime, known as leaving, not told as leaving. Both now call BackendRecord.with_leave_of.

--- a/damaskproxy/directory/members.py
+++ b/damaskproxy/directory/members.py
@@ -60,6 +60,20 @@
         """Whether it has said that it leaves; a lifetime never takes that back."""
         return self.state in (MemberState.DRAINING, MemberState.STOPPED)
 
+    def with_leave_of(self, earlier: "BackendRecord | None") -> "BackendRecord":
+        """Return this record, leaving if `earlier` says so of the same lifetime.
+
+        Notes
+        -----
+        A node that confirmed a leave while the store was dark, and then started anew,
+        reads the row of before. The nodes that it had told remember.
+        """
+        if earlier is None or not earlier.is_leaving or self.is_leaving:
+            return self
+        if earlier.lifetime != self.lifetime:
+            return self
+        return msgspec.structs.replace(self, state=earlier.state)
+
 
 class MemberRecord(msgspec.Struct, frozen=True, omit_defaults=True):
     """Record of one node as every node knows it.
@@ -129,23 +143,6 @@
     return msgspec.json.encode(record)
 
 
-def _keep_leaving(known: MemberRecord, record: MemberRecord) -> MemberRecord:
-    """Return `record` with the leave of its backend server that `known` has.
-
-    Notes
-    -----
-    A node that confirmed a leave while the store was dark, and then started anew, reads
-    the row of before. The nodes that it had told remember.
-    """
-    old, new = known.backend, record.backend
-    if old is None or new is None or not old.is_leaving or new.is_leaving:
-        return record
-    if old.lifetime != new.lifetime:
-        return record
-    left = msgspec.structs.replace(new, state=old.state)
-    return msgspec.structs.replace(record, backend=left)
-
-
 class Directory:
     """Newest record of each node.
 
@@ -180,8 +177,10 @@
             return False
         if record.order <= self._removed.get(record.node_id, (-1, -1)):
             return False
-        if known is not None:
-            record = _keep_leaving(known, record)
+        if known is not None and record.backend is not None:
+            backend = record.backend.with_leave_of(known.backend)
+            if backend is not record.backend:
+                record = msgspec.structs.replace(record, backend=backend)
         self._records[record.node_id] = record
         self._forget_derived()
         self._on_change(record)
--- a/damaskproxy/forwarding/backend.py
+++ b/damaskproxy/forwarding/backend.py
@@ -93,7 +93,7 @@
     def restore(self, record: BackendRecord) -> None:
         """Take over what this node stored before its restart."""
         if self.record is None:
-            self.record = self._with_leave(record)
+            self.record = record.with_leave_of(self._left)
             self._reported_s = boot_s()
             self._on_change()
 
@@ -103,8 +103,8 @@
             return
         self._left = record
         known = self.record
-        if known is not None and self._with_leave(known) is not known:
-            self._apply(self._with_leave(known), force=True)
+        if known is not None and (left := known.with_leave_of(record)) is not known:
+            self._apply(left, force=True)
 
     def report(self, report: StatusReport) -> bool:
         """Apply a status report; False if a newer one was applied before."""
@@ -131,7 +131,7 @@
             report.sequence,
             warm_at_ms if report.cold_ms else 0,
         )
-        self._apply(self._with_leave(record), force=was_missing)
+        self._apply(record.with_leave_of(self._left), force=was_missing)
         return True
 
     def leave(self, instance_id: str, born_ms: int | None = None) -> None:
@@ -162,12 +162,6 @@
             return _with_state(self.record, MemberState.STARTING)
         return self.record
 
-    def _with_leave(self, record: BackendRecord) -> BackendRecord:
-        left = self._left
-        if left is None or record.is_leaving or left.lifetime != record.lifetime:
-            return record
-        return _with_state(record, left.state)
-
     def _apply(self, record: BackendRecord, *, force: bool) -> None:
         known, self.record = self.record, record
         if force or known is None or _announced_part(known) != _announced_part(record):
