Count a crash of the own backend server once

A node merges its own member record like those of other nodes, and the detector of poison requests kept its own crashes under another key, so one crash counted as two. Every request in flight at a crash of the local backend server was then refused by that node for two minutes. test_own_crash_counts_once_when_the_own_record_is_merged fails before this change.

This was also the first cause of the time-out of test_poison_request_is_refused_at_ every_node: when the first victim was the node of the caller, the second request was refused as quarantined and never ran. Second cause: the retry of the cancelled first request passed for the second request; the test now waits for its end.

test_cancelled_exchange_closes_its_connection waits until the server has taken the empty script, which the second request got when the event loop stalled.

--- a/damaskproxy/forwarding/poison_requests.py
+++ b/damaskproxy/forwarding/poison_requests.py
@@ -38,6 +38,8 @@
 
     Parameters
     ----------
+    node_id : str
+        Id of this node, whose own record is merged like that of any other.
     on_crash : callable
         Called after a crash of the local backend server was recorded.
     wall_s : callable
@@ -45,8 +47,12 @@
     """
 
     def __init__(
-        self, on_crash: Callable[[], None], wall_s: Callable[[], float] = time.time
+        self,
+        node_id: str,
+        on_crash: Callable[[], None],
+        wall_s: Callable[[], float] = time.time,
     ):
+        self._node_id = node_id
         self._on_crash = on_crash
         self._wall_s = wall_s
         self._own: Crashes = ()
@@ -63,7 +69,7 @@
         now_ms = int(self._wall_s() * MS_PER_S)
         crash = (now_ms, tuple(digests[:SUSPECTS_MAX]))
         self._own = (*self._own, crash)[-CRASHES_KEPT:]
-        self._by_node[""] = self._own
+        self._by_node[self._node_id] = self._own
         self._count()
         self._on_crash()
 
--- a/damaskproxy/forwarding/tests/test_decisions.py
+++ b/damaskproxy/forwarding/tests/test_decisions.py
@@ -140,7 +140,7 @@
     def setUp(self):
         self.now_s = 1000.0
         self.announced = 0
-        self.detector = PoisonRequestDetector(self.announce, lambda: self.now_s)
+        self.detector = PoisonRequestDetector("n1", self.announce, lambda: self.now_s)
 
     def announce(self):
         self.announced += 1
@@ -171,6 +171,13 @@
         call = msgspec.structs.replace(self.POISON, **changes)
         self.assertEqual(self.detector.is_quarantined(call), is_same)
 
+    def test_own_crash_counts_once_when_the_own_record_is_merged(self):
+        self.crash(self.POISON, make_call())
+        own = make_member("n1", crashes=self.detector.local_crashes)
+        self.detector.merge_crashes(own)
+        self.assertFalse(self.detector.is_quarantined(self.POISON))
+        self.assertFalse(self.detector.is_quarantined(make_call()))
+
     def test_crashes_of_other_nodes_count(self):
         self.crash(self.POISON)
         crash = (int(self.now_s * 1000), (digest_of(self.POISON),))
--- a/damaskproxy/forwarding/tests/test_origin.py
+++ b/damaskproxy/forwarding/tests/test_origin.py
@@ -74,7 +74,7 @@
             self.run_call,
             lambda member, call: self.run_call(call),
             self.retry_budget,
-            PoisonRequestDetector(lambda: None),
+            PoisonRequestDetector("n1", lambda: None),
             self.parent_requests,
             NAMES,
             self.stats,
--- a/damaskproxy/forwarding/tests/test_target.py
+++ b/damaskproxy/forwarding/tests/test_target.py
@@ -57,7 +57,7 @@
     def setUp(self):
         self.pool = FakePool()
         self.max_connections = None
-        self.poison_requests = PoisonRequestDetector(lambda: None)
+        self.poison_requests = PoisonRequestDetector("n1", lambda: None)
         self.backend = Backend(1000, lambda: self.target.apply_backend_state())
         settings = AdmissionSettings(adaptive_limit=False, newest_first=False)
         self.target = Target(
--- a/damaskproxy/http1/tests/test_client.py
+++ b/damaskproxy/http1/tests/test_client.py
@@ -184,9 +184,14 @@
         self.assertTrue(self.received[1].startswith(b"GET "))
 
     async def test_cancelled_exchange_closes_its_connection(self):
-        with self.assertRaises(TimeoutError):
-            async with asyncio.timeout(0.05):
-                await self.exchange(b"1")
+        task = asyncio.create_task(self.exchange(b"1"))
+        # The server must have taken the empty script, or the next request would get it.
+        async with asyncio.timeout(5):
+            while not self.received:  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
         await self.exchange(b"2", response(b"2"))
         self.assertEqual(self.connections, 2)
 
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -163,7 +163,8 @@
     sidecar: Sidecar
     configuration = CurrentConfiguration()
     poison_detector = PoisonRequestDetector(
-        on_crash=lambda: sidecar.update_record(crashes=poison_detector.local_crashes)
+        settings.node_id,
+        lambda: sidecar.update_record(crashes=poison_detector.local_crashes),
     )
     bounds = decode_bounds(settings.bounds)
     retry_budget = RetryBudget(
--- a/damaskproxy/sidecar/tests/test_mesh.py
+++ b/damaskproxy/sidecar/tests/test_mesh.py
@@ -312,6 +312,8 @@
                 lambda v=victim: len(v.sidecar.poison_detector.local_crashes) == 1
             )
             task.cancel()
+            # The retry of a cancelled request must not pass for the next request.
+            await self.until(lambda: not any(_running(m) for m in members))
         await self.until(
             lambda: all(len(_crashes(m)) == 2 for m in members if m is not None)
         )
