Limit what a response of a server may hold

Cause: the client kept every byte of a head or a body until the deadline of the request. A server that sends without end made the body grow to 390 MB in 8 s on one connection, where a node has 200 MB.

Heads, header fields, bodies and chunk framing are limited for each exchange, and all responses in progress share a memory limit, beyond which the largest one is aborted. The connection is closed at the limit, and the call ends as unknown, never as a refusal; it does not count as a sign of a crash. New settings: responses.*.

Tests by a stand-in that sends until the caller closes: 13 kinds of endless response, slow ones, fifty at once beside responses that stay whole, and a call through two nodes. Before, the endless kinds ended only with the time-out of the test.

--- a/damaskproxy/forwarding/target.py
+++ b/damaskproxy/forwarding/target.py
@@ -32,6 +32,7 @@
     ExchangeLost,
     Request,
     Response,
+    ResponseTooLarge,
     end_to_end,
 )
 from damaskproxy.wire import Load
@@ -237,6 +238,9 @@
         except ConnectFailed:
             self._backend.connection_refused()
             return NotRun(NotRunReason.BACKEND_UNREACHABLE)
+        except ResponseTooLarge as error:
+            # The node closed the connection itself, so this is no sign of a crash.
+            return Unknown(str(error))
         except ExchangeLost as error:
             self._record_lost_call(call)
             return Unknown(str(error))
--- a/damaskproxy/http1/__init__.py
+++ b/damaskproxy/http1/__init__.py
@@ -1,13 +1,19 @@
 """HTTP/1.1 client and server that never retry, decode or normalise implicitly."""
 
 from damaskproxy.http1.client import ConnectionPool
-from damaskproxy.http1.errors import ConnectFailed, ExchangeLost, HttpError
+from damaskproxy.http1.errors import (
+    ConnectFailed,
+    ExchangeLost,
+    HttpError,
+    ResponseTooLarge,
+)
 from damaskproxy.http1.messages import (
     Headers,
     Request,
     Response,
     end_to_end,
 )
+from damaskproxy.http1.response_limits import ResponseLimits, ResponseMemory
 from damaskproxy.http1.server import ClientLimits, HttpServer
 from damaskproxy.http1.sockets import DeadPeerLimits
 
@@ -21,6 +27,9 @@
     "HttpServer",
     "Request",
     "Response",
+    "ResponseLimits",
+    "ResponseMemory",
+    "ResponseTooLarge",
     "DeadPeerLimits",
     "end_to_end",
 ]
--- a/damaskproxy/http1/client.py
+++ b/damaskproxy/http1/client.py
@@ -8,12 +8,13 @@
 
 from damaskproxy.common.clock import boot_s
 from damaskproxy.common.fibers import Waiter
-from damaskproxy.http1.errors import ConnectFailed, ExchangeLost
+from damaskproxy.http1.errors import ConnectFailed, ExchangeLost, ResponseTooLarge
 from damaskproxy.http1.messages import (
     Request,
     Response,
     format_request,
 )
+from damaskproxy.http1.response_limits import ResponseLimits, ResponseMemory
 from damaskproxy.http1.sockets import DeadPeerLimits, enable_dead_peer_detection
 from damaskproxy.model import Address
 
@@ -28,6 +29,10 @@
 """Reuse limit without a Keep-Alive header; common servers close after 5 s."""
 IDLE_MARGIN_S = 1.0
 """A connection is not reused within this time before the server may close it."""
+FRAMING_PER_BODY_BYTE = 8
+"""Bytes of chunk framing per byte of the body; a chunk of one byte takes five."""
+DEFAULT_MEMORY_BYTES = 64 << 20
+"""Memory of all responses in progress on a pool that shares no `ResponseMemory`."""
 
 
 def accept_any(response: Response) -> bool:
@@ -44,8 +49,20 @@
     received any is closed.
     """
 
-    def __init__(self, dead_peer_limits: DeadPeerLimits):
+    def __init__(
+        self,
+        dead_peer_limits: DeadPeerLimits,
+        limits: ResponseLimits,
+        memory: ResponseMemory,
+    ):
         self._dead_peer_limits = dead_peer_limits
+        self._limits = limits
+        self._memory = memory
+        # One bound method, since it identifies this connection in `memory`.
+        self._abort_exchange = self._abort_largest
+        self._received_bytes = 0
+        self._body_bytes = 0
+        self._field_count = 0
         self.transport: asyncio.Transport | None = None
         self.idle_since_s = boot_s()
         self.idle_max_s = IDLE_DEFAULT_S
@@ -94,12 +111,20 @@
             self.transport.abort()
             return
         failure = None
+        self._received_bytes += len(data)
+        self._memory.add(self._abort_exchange, len(data))
+        if waiter.is_done:
+            return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.is_reusable = False
             self.transport.abort()
             failure = ExchangeLost(f"the response is malformed: {error}")
+            if self._field_count > self._limits.max_fields:
+                failure = ResponseTooLarge("the response has too many header fields")
+        if failure is None and self._response is None:
+            failure = self._check_limits()
         # Outside the parser callbacks, since the waiting code may send the next request
         # on this connection before `set_result` returns.
         if self._response is not None:
@@ -115,8 +140,12 @@
 
     def on_header(self, name, value):
         """Collect a header; trailers are discarded."""
-        if not self._is_head_complete:
-            self._headers.append((name, value))
+        if self._is_head_complete:
+            return
+        self._field_count += 1
+        if self._field_count > self._limits.max_fields:
+            raise ValueError("too many header fields")
+        self._headers.append((name, value))
 
     def on_headers_complete(self):
         """Record that the head is complete."""
@@ -127,7 +156,8 @@
 
     def on_body(self, body):
         """Collect a part of the body."""
-        self._body.append(body)
+        self._body_bytes += len(body)
+        self._body += body
 
     def on_message_complete(self):
         """Finish the response, unless it is informational or already complete."""
@@ -149,6 +179,7 @@
         self._response = None
         self._accept = accept
         self._is_head_request = request.method == b"HEAD"
+        self._received_bytes = self._body_bytes = self._field_count = 0
         self._reset_message()
         self.transport.write(format_request(request))
         try:
@@ -160,11 +191,39 @@
             raise
         finally:
             self._waiter = None
+            self._memory.release(self._abort_exchange)
             self.idle_since_s = boot_s()
 
+    def _check_limits(self) -> ResponseTooLarge | None:
+        """Abort the connection if the incomplete response exceeds a limit."""
+        limits = self._limits
+        reason = ""
+        if self._body_bytes > limits.max_body_bytes:
+            reason = f"a body of more than {limits.max_body_bytes} bytes"
+        elif self._received_bytes - self._body_bytes > (
+            limits.max_head_bytes + FRAMING_PER_BODY_BYTE * self._body_bytes
+        ):
+            reason = f"a head of more than {limits.max_head_bytes} bytes"
+        elif self._received_bytes > limits.max_head_bytes + limits.max_body_bytes:
+            reason = "more framing than body"
+        if not reason:
+            return None
+        self.is_reusable = False
+        self.transport.abort()
+        return ResponseTooLarge(f"the response has {reason}")
+
+    def _abort_largest(self) -> None:
+        """Abort the exchange because all responses together hold too much memory."""
+        self.is_reusable = False
+        self.transport.abort()
+        if self._waiter is not None:
+            self._waiter.set_exception(
+                ResponseTooLarge("the responses in progress exceed their memory limit")
+            )
+
     def _finish_response(self) -> None:
         response = Response(
-            self._parser.get_status_code(), self._headers, b"".join(self._body)
+            self._parser.get_status_code(), self._headers, bytes(self._body)
         )
         if not self._accept(response):
             self.is_reusable = False
@@ -191,7 +250,7 @@
 
     def _reset_message(self) -> None:
         self._headers = []
-        self._body = []
+        self._body = bytearray()
         self._is_head_complete = False
 
 
@@ -206,6 +265,10 @@
         Time-out for opening a connection, in seconds.
     dead_peer_limits : DeadPeerLimits, optional
         Limits of the dead peer detection.
+    limits : ResponseLimits, optional
+        Limits on each response.
+    memory : ResponseMemory, optional
+        Limit on all responses in progress; pools may share it.
 
     Attributes
     ----------
@@ -218,7 +281,11 @@
         address: Address,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         dead_peer_limits: DeadPeerLimits | None = None,
+        limits: ResponseLimits | None = None,
+        memory: ResponseMemory | None = None,
     ):
+        self._limits = limits or ResponseLimits()
+        self._memory = memory or ResponseMemory(DEFAULT_MEMORY_BYTES)
         self._dead_peer_limits = dead_peer_limits or DeadPeerLimits()
         self.address = address
         self.opened_count = 0
@@ -300,7 +367,11 @@
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: ClientConnection(self._dead_peer_limits), host, port
+                    lambda: ClientConnection(
+                        self._dead_peer_limits, self._limits, self._memory
+                    ),
+                    host,
+                    port,
                 )
         except (OSError, TimeoutError) as error:
             raise ConnectFailed(f"cannot connect to {self.address}: {error}") from error
--- a/damaskproxy/http1/errors.py
+++ b/damaskproxy/http1/errors.py
@@ -2,7 +2,7 @@
 
 from damaskproxy.common import DamaskError
 
-__all__ = ["ConnectFailed", "ExchangeLost", "HttpError"]
+__all__ = ["ConnectFailed", "ExchangeLost", "HttpError", "ResponseTooLarge"]
 
 
 class HttpError(DamaskError):
@@ -15,3 +15,7 @@
 
 class ExchangeLost(HttpError):
     """No valid response was received to a request that was sent at least in part."""
+
+
+class ResponseTooLarge(ExchangeLost):
+    """The response exceeded a limit and its connection was closed."""
--- a/damaskproxy/platform/standins/stamped.py
+++ b/damaskproxy/platform/standins/stamped.py
@@ -8,6 +8,10 @@
 __all__ = ["StampedBackend"]
 
 
+ENDLESS_BYTES = 1 << 20
+"""Length of a header that stands for one without end; beyond all limits."""
+
+
 class StampedBackend:
     """Backend server beside a node, which stamps its responses.
 
@@ -26,7 +30,7 @@
         All requests that were executed.
     faults : dict
         Faults by path: ``shed``, ``error``, ``hang``, ``encoded``, ``unstamped``,
-        ``cut``.
+        ``cut``, ``endless``.
     """
 
     def __init__(self, instance_id: str, service: str):
@@ -70,6 +74,8 @@
         if fault == "cut":
             for connection in list(self.server.connections):
                 connection.abort()
+        if fault == "endless":
+            return Response(200, [echo, (b"X-Endless", b"x" * ENDLESS_BYTES)])
         stamp = (b"X-Damaskproxy-Server-Stamp", b"stamp-" + self.instance_id.encode())
         headers = [echo, stamp, (b"Content-Type", b"text/plain")]
         if fault == "encoded":
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -33,7 +33,12 @@
     StateRequestFrame,
     Target,
 )
-from damaskproxy.http1 import ConnectionPool, HttpServer
+from damaskproxy.http1 import (
+    ConnectionPool,
+    HttpServer,
+    ResponseLimits,
+    ResponseMemory,
+)
 from damaskproxy.model import MemberState
 from damaskproxy.platform import (
     HEADERS,
@@ -195,7 +200,16 @@
         sidecar.update_record(backend=backend.published_record())
 
     backend = Backend(settings.heartbeat_interval_ms, backend_changed)
-    pool = ConnectionPool(to_address(settings.backend_address))
+    responses = settings.responses
+    pool = ConnectionPool(
+        to_address(settings.backend_address),
+        limits=ResponseLimits(
+            responses.max_head_bytes, responses.max_fields, responses.max_body_bytes
+        ),
+        memory=ResponseMemory(
+            int((settings.memory_limit_mb << 20) * responses.memory_share)
+        ),
+    )
     parent_requests = ParentRequests()
     stats = RequestStats()
     target = Target(
--- a/damaskproxy/sidecar/settings.py
+++ b/damaskproxy/sidecar/settings.py
@@ -8,7 +8,13 @@
 from damaskproxy.common import DamaskError
 from damaskproxy.model import Address
 
-__all__ = ["Listeners", "SidecarSettings", "SidecarSettingsError", "load_settings"]
+__all__ = [
+    "Listeners",
+    "ResponseSettings",
+    "SidecarSettings",
+    "SidecarSettingsError",
+    "load_settings",
+]
 
 AddressText = Annotated[str, msgspec.Meta(pattern=r"^[^:\s]+:[0-9]{1,5}\Z")]
 Duration = Annotated[int, msgspec.Meta(ge=1, le=600_000)]
@@ -42,6 +48,27 @@
     metrics: AddressText | None = None
 
 
+class ResponseSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Limits on the responses of the backend server.
+
+    Parameters
+    ----------
+    max_head_bytes : int
+        Bytes of the head of a response.
+    max_fields : int
+        Header fields of a response.
+    max_body_bytes : int
+        Bytes of the body of a response.
+    memory_share : float
+        Share of `memory_limit_mb` that all responses in progress may hold together.
+    """
+
+    max_head_bytes: Annotated[int, msgspec.Meta(ge=1024, le=1 << 24)] = 64 << 10
+    max_fields: Annotated[int, msgspec.Meta(ge=8, le=10_000)] = 256
+    max_body_bytes: Annotated[int, msgspec.Meta(ge=1024, le=1 << 30)] = 16 << 20
+    memory_share: Annotated[float, msgspec.Meta(gt=0, le=0.5)] = 0.2
+
+
 class SidecarSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of a node.
 
@@ -68,6 +95,8 @@
         Limits set by the platform, by name.
     memory_limit_mb : int
         Memory above which the platform kills the process.
+    responses : ResponseSettings
+        Limits on the responses of the backend server.
     log_level : str
         Lowest level that is logged.
     log_lines_per_s : int
@@ -86,6 +115,7 @@
     seeds: list[AddressText] = []
     bounds: dict[str, Any] = {}
     memory_limit_mb: Annotated[int, msgspec.Meta(ge=64)] = 300
+    responses: ResponseSettings = ResponseSettings()
     log_level: str = "INFO"
     log_lines_per_s: Annotated[int, msgspec.Meta(ge=1)] = 100
 
