--- a/damaskproxy/membership/hashing.py
+++ b/damaskproxy/common/hashing.py
@@ -1,13 +1,11 @@
-"""Hashes of node ids and records, and rendezvous hashing."""
+"""Hashes of node ids and rendezvous hashing, equal on all nodes."""
 
 import heapq
 from collections.abc import Iterable
 from functools import lru_cache
 from hashlib import blake2b
 
-from damaskproxy.model import Member, MemberState
-
-__all__ = ["RING_SIZE", "digest_of", "pollers", "rendezvous", "ring_position"]
+__all__ = ["RING_SIZE", "digest_of", "rendezvous", "rendezvous_score", "ring_position"]
 
 HASH_BYTES = 8
 RING_SIZE = 1 << (8 * HASH_BYTES)
@@ -16,7 +14,6 @@
 MIX_SHIFT = 31
 # Room for the members of the largest mesh and its retained dead members.
 POSITION_CACHE_SIZE = 16_384
-ELIGIBLE = (MemberState.STARTING, MemberState.SERVING)
 
 
 def digest_of(data: bytes) -> int:
@@ -30,7 +27,8 @@
     return digest_of(node_id.encode())
 
 
-def _score(node_id: str, key_hash: int) -> int:
+def rendezvous_score(node_id: str, key_hash: int) -> int:
+    """Return the score of a node for a key; the highest score ranks first."""
     mixed = ((ring_position(node_id) ^ key_hash) * MIX_MULTIPLIER) % RING_SIZE
     mixed ^= mixed >> MIX_SHIFT
     return (mixed * MIX_MULTIPLIER) % RING_SIZE
@@ -55,30 +53,7 @@
     """
     key_hash = digest_of(key.encode())
     return heapq.nlargest(
-        count, node_ids, key=lambda node_id: (_score(node_id, key_hash), node_id)
+        count,
+        node_ids,
+        key=lambda node_id: (rendezvous_score(node_id, key_hash), node_id),
     )
-
-
-def pollers(members: Iterable[Member], data_centre: str, count: int = 2) -> list[str]:
-    """Return the ids of the nodes that poll the table for a data centre.
-
-    Parameters
-    ----------
-    members : iterable of Member
-        Live members; only those that are starting or serving are eligible.
-    data_centre : str
-        Data centre whose nodes are candidates.
-    count : int
-        Number of pollers.
-
-    Returns
-    -------
-    list of str
-        Node ids, equal on all nodes with equal member lists.
-    """
-    candidates = [
-        member.node_id
-        for member in members
-        if member.data_centre == data_centre and member.state in ELIGIBLE
-    ]
-    return rendezvous(candidates, f"poll/{data_centre}", count)
--- a/damaskproxy/directory/__init__.py
+++ b/damaskproxy/directory/__init__.py
@@ -8,6 +8,7 @@
 )
 from damaskproxy.directory.following import (
     OwnRowWriter,
+    StorePlan,
     StoreWatcher,
     apply_encoded_configuration,
 )
@@ -43,6 +44,7 @@
     "Rows",
     "ServiceEntry",
     "StoreError",
+    "StorePlan",
     "StoreWatcher",
     "WriteOutcome",
     "decode_member",
--- a/damaskproxy/directory/events.py
+++ b/damaskproxy/directory/events.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "CONFIGURATION_IN_FORCE",
+    "FEED_STUCK",
     "HISTORY_LOST",
     "ROW_IGNORED",
     "STORE_LOST",
@@ -30,6 +31,13 @@
 ROW_IGNORED = define(
     11004, "row-ignored", logging.WARNING, "A row of the store is invalid and ignored."
 )
+FEED_STUCK = define(
+    11009,
+    "store-feed-stuck",
+    logging.INFO,
+    "The feed of the store has not delivered a configuration that another node has "
+    "received; it is opened again.",
+)
 CONFIGURATION_IN_FORCE = define(
     11006, "configuration-in-force", logging.INFO, "A new configuration is in force."
 )
--- a/damaskproxy/directory/following.py
+++ b/damaskproxy/directory/following.py
@@ -4,6 +4,7 @@
 import logging
 import random
 from collections.abc import Callable
+from typing import Protocol
 
 from damaskproxy.directory import events
 from damaskproxy.directory.configuration import Configuration, CurrentConfiguration
@@ -27,6 +28,7 @@
 __all__ = [
     "DecodeConfiguration",
     "OwnRowWriter",
+    "StorePlan",
     "StoreWatcher",
     "apply_encoded_configuration",
 ]
@@ -40,22 +42,9 @@
 CONFIGURATION_KEY = "config"
 MEMBER_TABLE = "damask-members"
 
-CONFIGURATION_WAIT_MS = 4000
-"""Long-poll time of the configuration feed.
-
-An unresponsive feed delays a configuration by at most this time and the grace time of
-the request. The limit on the delay of a configuration holds again 3 s after a
-disruption."""
-MEMBERS_WAIT_MS = 20000
-"""Long-poll time of the member feed.
-
-It is longer than that of the configuration to reduce the number of calls charged. An
-unresponsive feed matters less, since refusals of peers also carry member records."""
-MEMBERS_PAUSE_S = 0.4
-"""Pause after a change of members, which batches changes.
-
-When many nodes start or are upgraded together, each change would otherwise cost each
-node one call."""
+MS_PER_S = 1000
+MEMBERS_CHECK_S = 0.25
+"""Interval at which the plan is asked whether to read the members."""
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 1.0
 """Longest pause between calls to an unavailable store.
@@ -104,6 +93,46 @@
         self._pause_s = min(2 * self._pause_s, RETRY_MAX_S)
 
 
+class StorePlan(Protocol):
+    """Decides when this node calls the store."""
+
+    configuration_position: int
+    members_position: int
+    is_feed_open: bool
+
+    async def wait_until_store_wanted(self) -> None:
+        """Wait until the configuration is to be read from the store."""
+
+    def feed_wait_s(self, *, is_renewal: bool) -> float:
+        """Return how long the next call of the configuration feed may wait."""
+
+    @property
+    def wants_store(self) -> bool:
+        """Whether the configuration is to be read from the store now."""
+
+    def store_retry_s(self, failures: int) -> float:
+        """Return the pause after a number of failed calls in a row."""
+
+    def feed_closed(self) -> None:
+        """Record that no call of the feed waits any more."""
+
+    async def wait_until_feed_stuck(self) -> None:
+        """Wait until the feed has evidently missed a change."""
+
+    def store_succeeded(self, position: int) -> None:
+        """Record that all changes up to a version of the store have been applied."""
+
+    def store_failed(self) -> None:
+        """Record a failed call."""
+
+    def is_members_poll_due(self) -> bool:
+        """Tell whether to read changed member rows now."""
+
+
+class FeedStuck(StoreError):
+    """The feed did not deliver a change that other nodes have received."""
+
+
 class StoreWatcher:
     """Applies changes of the configuration and the members in the store.
 
@@ -119,6 +148,10 @@
         Decodes the configuration in the operator's row.
     node_id : str
         Id of this node, whose own row is not merged.
+    plan : StorePlan
+        Decides when this node calls the store.
+    publish : callable
+        Passes on a record that was found in the store.
     rng : random.Random
         Jitter of retries.
 
@@ -128,6 +161,8 @@
         Row of this node as read last.
     has_read_members : bool
         Whether the members have been read at least once.
+    is_store_unavailable : bool
+        Whether the last call of this node failed.
     """
 
     def __init__(
@@ -137,121 +172,163 @@
         directory: Directory,
         decode: DecodeConfiguration,
         node_id: str,
+        plan: StorePlan,
+        publish: Callable[[MemberRecord], None],
         rng: random.Random,
     ):
         self.own_row: Row | None = None
         self.has_read_members = False
+        self.is_store_unavailable = False
         self._store = store
         self._configuration = configuration
         self._directory = directory
         self._decode = decode
         self._node_id = node_id
+        self._plan = plan
+        self._publish = publish
         self._rng = rng
-        self._failing: set[str] = set()
-        self._members_read = asyncio.Event()
-
-    @property
-    def is_store_unavailable(self) -> bool:
-        """Whether the last call for any of the followed tables failed."""
-        return bool(self._failing)
 
-    async def wait_until_members_read(self) -> None:
-        """Wait until the members have been read once."""
-        await self._members_read.wait()
+    async def read_members(self) -> None:
+        """Read all members once, with retries while the store is unavailable."""
+        backoff = _Backoff(self._rng)
+        while not self.has_read_members:
+            try:
+                body = await self._store.read(MEMBER_TABLE)
+            except StoreError as error:
+                self._record_failure(error)
+                await backoff.wait()
+                continue
+            self._record_success()
+            for row in body.rows:
+                self._apply_member_row(row)
+            self._plan.members_position = body.version
+            self.has_read_members = True
 
     async def follow_configuration(self) -> None:
-        """Apply changes of the operator's rows until cancelled."""
-        await self._follow(
-            OPERATOR_TABLE,
-            CONFIGURATION_WAIT_MS,
-            0.0,
-            self._apply_operator_row,
-            lambda keys: None,
-        )
-
-    async def follow_members(self) -> None:
-        """Apply changes of the members' rows until cancelled."""
-        await self._follow(
-            MEMBER_TABLE,
-            MEMBERS_WAIT_MS,
-            MEMBERS_PAUSE_S,
-            self._apply_member_row,
-            self._remove_missing_members,
-        )
+        """Apply the operator's configuration while the plan asks for it.
 
-    async def _follow(
-        self,
-        table: str,
-        wait_ms: int,
-        change_pause_s: float,
-        apply: Callable[[Row], None],
-        after_full_read: Callable[[set[str]], None],
-    ) -> None:
-        after: int | None = None
-        backoff = _Backoff(self._rng)
+        The feed continues at the version of the store up to which this node, or the
+        node that it followed before, knows the configuration.
+        """
+        failures = 0
+        is_renewal = False
         while True:
+            if not self._plan.wants_store:
+                self._plan.feed_closed()
+                await self._plan.wait_until_store_wanted()
+            wait_s = self._plan.feed_wait_s(is_renewal=is_renewal)
             try:
-                body = await self._read_next(table, after, wait_ms)
+                rows = await self._read_configuration(wait_s)
             except HistoryLost as error:
-                log_event(logger, events.HISTORY_LOST, table=table, reason=str(error))
-                after = None
+                log_event(logger, events.HISTORY_LOST, reason=str(error))
+                self._plan.configuration_position = 0
+                continue
+            except FeedStuck as error:
+                log_event(logger, events.FEED_STUCK, reason=str(error))
+                self._plan.feed_closed()
                 continue
             except StoreError as error:
-                self._record_failure(table, error)
-                await backoff.wait()
+                self._plan.store_failed()
+                self._record_failure(error)
+                failures += 1
+                await asyncio.sleep(self._plan.store_retry_s(failures))
                 continue
-            backoff.reset()
-            self._record_success(table)
-            for row in body.rows:
-                apply(row)
-            if after is None:
-                after_full_read({row.key for row in body.rows})
-            after = body.version
-            if body.rows and change_pause_s:
-                await asyncio.sleep(change_pause_s)
-
-    async def _read_next(self, table: str, after: int | None, wait_ms: int) -> Rows:
-        if after is None:
-            return await self._store.read(table)
-        return await self._store.changes(table, after, wait_ms)
-
-    def _apply_operator_row(self, row: Row) -> None:
-        if row.key == CONFIGURATION_KEY and row.value is not None:
-            apply_encoded_configuration(self._configuration, row.value, self._decode)
-
-    def _apply_member_row(self, row: Row) -> None:
+            failures = 0
+            self._record_success()
+            for row in rows.rows:
+                if row.key == CONFIGURATION_KEY and row.value is not None:
+                    apply_encoded_configuration(
+                        self._configuration, row.value, self._decode
+                    )
+            is_renewal = not rows.rows
+            self._plan.store_succeeded(rows.version)
+
+    async def _read_configuration(self, wait_s: float) -> Rows:
+        """Return the rows of the operator that have changed.
+
+        The first call after a failure or a change of the source does not wait, so that
+        a change in the meantime is found and the contact is confirmed at once.
+        """
+        position = self._plan.configuration_position
+        if not position or self._configuration.current is None:
+            return await self._store.read(OPERATOR_TABLE)
+        if not self._plan.is_feed_open:
+            return await self._store.changes(OPERATOR_TABLE, position, 0)
+        wait_ms = int(wait_s * MS_PER_S)
+        feed = asyncio.create_task(
+            self._store.changes(OPERATOR_TABLE, position, wait_ms)
+        )
+        stuck = asyncio.create_task(self._plan.wait_until_feed_stuck())
+        try:
+            await asyncio.wait({feed, stuck}, return_when=asyncio.FIRST_COMPLETED)
+            if not feed.done():
+                raise FeedStuck("the feed missed a change that another node has")
+            return feed.result()
+        finally:
+            feed.cancel()
+            stuck.cancel()
+
+    async def poll_members(self) -> None:
+        """Read changed member rows when the plan asks for it, until cancelled."""
+        while True:
+            await asyncio.sleep(MEMBERS_CHECK_S)
+            if not self._plan.is_members_poll_due():
+                continue
+            try:
+                await self._read_changed_members()
+            except StoreError as error:
+                self._record_failure(error)
+
+    async def _read_changed_members(self) -> None:
+        position = self._plan.members_position
+        try:
+            if not position:
+                raise HistoryLost("no member rows have been read")
+            body = await self._store.changes(MEMBER_TABLE, position, 0)
+        except HistoryLost as error:
+            log_event(logger, events.HISTORY_LOST, reason=str(error))
+            body = await self._store.read(MEMBER_TABLE)
+            self._remove_missing_members({row.key for row in body.rows})
+        self._record_success()
+        for row in body.rows:
+            record = self._apply_member_row(row)
+            if record is not None:
+                self._publish(record)
+        self._plan.members_position = max(self._plan.members_position, body.version)
+
+    def _apply_member_row(self, row: Row) -> MemberRecord | None:
+        """Apply a row; return the record if it was news."""
         if row.key == self._node_id:
             self.own_row = row
-            return
+            return None
         if row.value is None:
-            self._directory.remove(row.key)
-            return
+            return self._directory.remove(row.key)
         try:
             record = decode_member(row.value)
             if record.node_id != row.key:
                 raise RecordError(f"the row names node {record.node_id!r}")
         except RecordError as error:
             log_event(logger, events.ROW_IGNORED, key=row.key, reason=str(error))
-            return
-        self._directory.merge(record)
+            return None
+        return record if self._directory.merge(record) else None
 
     def _remove_missing_members(self, keys: set[str]) -> None:
         """Remove the members that are not in a complete read of the store."""
         for record in list(self._directory.records()):
             if record.node_id not in keys and record.node_id != self._node_id:
-                self._directory.remove(record.node_id)
-        self.has_read_members = True
-        self._members_read.set()
+                removed = self._directory.remove(record.node_id)
+                if removed is not None:
+                    self._publish(removed)
 
-    def _record_failure(self, table: str, error: StoreError) -> None:
-        if table not in self._failing:
-            self._failing.add(table)
-            log_event(logger, events.STORE_LOST, table=table, reason=str(error))
+    def _record_failure(self, error: StoreError) -> None:
+        if not self.is_store_unavailable:
+            self.is_store_unavailable = True
+            log_event(logger, events.STORE_LOST, reason=str(error))
 
-    def _record_success(self, table: str) -> None:
-        if table in self._failing:
-            self._failing.discard(table)
-            log_event(logger, events.STORE_REGAINED, table=table)
+    def _record_success(self) -> None:
+        if self.is_store_unavailable:
+            self.is_store_unavailable = False
+            log_event(logger, events.STORE_REGAINED)
 
 
 class OwnRowWriter:
@@ -285,6 +362,22 @@
         self._changed = asyncio.Event()
         self._stored = asyncio.Event()
 
+    async def create(self, record: MemberRecord) -> bool:
+        """Write the first row of this node; False if it exists already.
+
+        Raises
+        ------
+        StoreError
+            If the outcome is unknown.
+        """
+        outcome, body = await self._store.put(
+            MEMBER_TABLE, record.node_id, 0, encode_member(record)
+        )
+        if outcome is WriteOutcome.APPLIED:
+            self._version = body.version
+            self._stored.set()
+        return outcome is WriteOutcome.APPLIED
+
     def publish(self, record: MemberRecord) -> None:
         """Queue `record` for writing; it replaces one that is not written yet."""
         self._record = record
--- a/damaskproxy/directory/members.py
+++ b/damaskproxy/directory/members.py
@@ -1,11 +1,11 @@
 """Records of the nodes of the mesh and of their backend servers."""
 
-import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import msgspec
 
 from damaskproxy.common import DamaskError
+from damaskproxy.common.hashing import digest_of, ring_position
 from damaskproxy.model import MemberState
 
 __all__ = [
@@ -18,6 +18,11 @@
 ]
 
 
+DIGEST_BUCKETS = 32
+"""Groups of records with a digest each. Two nodes whose records differ exchange only
+the groups that do, 160 records of 5,000 for each."""
+
+
 class RecordError(DamaskError):
     """An invalid record from another writer, which the caller ignores."""
 
@@ -116,6 +121,16 @@
         """Sort key among the records of one node, newest highest."""
         return (self.incarnation, self.version)
 
+    def removed(self) -> "MemberRecord":
+        """Return the record that replaces this one after its row was deleted."""
+        return msgspec.structs.replace(
+            self,
+            version=self.version + 1,
+            state=MemberState.STOPPED,
+            backend=None,
+            crashes=(),
+        )
+
     def serves(self, service: str) -> bool:
         """Return whether the backend server accepts requests of `service`."""
         backend = self.backend
@@ -158,8 +173,7 @@
     def __init__(self, on_change: Callable[[MemberRecord], None] = lambda record: None):
         self._records: dict[str, MemberRecord] = {}
         self._serving: dict[str, list[MemberRecord]] = {}
-        self._removed: dict[str, tuple[int, int]] = {}
-        self._digest: int | None = None
+        self._digests = [0] * DIGEST_BUCKETS
         self._on_change = on_change
 
     def __len__(self) -> int:
@@ -178,25 +192,39 @@
         known = self._records.get(record.node_id)
         if known is not None and record.order <= known.order:
             return False
-        if record.order <= self._removed.get(record.node_id, (-1, -1)):
-            return False
         if known is not None and record.backend is not None:
             backend = record.backend.with_leave_of(known.backend)
             if backend is not record.backend:
                 record = msgspec.structs.replace(record, backend=backend)
         self._records[record.node_id] = record
-        self._invalidate_caches()
+        self._serving.clear()
+        if known is not None:
+            self._toggle_digest(known)
+        self._toggle_digest(record)
         self._on_change(record)
         return True
 
-    def remove(self, node_id: str, order: tuple[int, int] | None = None) -> None:
-        """Remove the record of a node that left, unless it is newer than `order`."""
+    def remove(
+        self, node_id: str, order: tuple[int, int] | None = None
+    ) -> MemberRecord | None:
+        """Replace the record of a node that left, unless it is newer than `order`.
+
+        The record that replaces it is newer than the one before, so that it spreads to
+        other nodes, and a late record does not bring the member back.
+
+        Returns
+        -------
+        MemberRecord or None
+            The new record, None if nothing was changed.
+        """
         known = self._records.get(node_id)
         if known is None or (order is not None and known.order > order):
-            return
-        del self._records[node_id]
-        self._removed[node_id] = known.order
-        self._invalidate_caches()
+            return None
+        if known.state is MemberState.STOPPED and known.backend is None:
+            return None
+        record = known.removed()
+        self.merge(record)
+        return record
 
     def serving(self, service: str) -> list[MemberRecord]:
         """Return the members that accept requests of `service`."""
@@ -207,12 +235,25 @@
         return serving
 
     def digest(self) -> int:
-        """Return a checksum that is equal for equal directories."""
-        if self._digest is None:
-            orders = sorted((r.node_id, *r.order) for r in self._records.values())
-            self._digest = zlib.crc32(repr(orders).encode())
-        return self._digest
+        """Return a digest that is equal for equal directories."""
+        combined = 0
+        for digest in self._digests:
+            combined ^= digest
+        return combined
 
-    def _invalidate_caches(self) -> None:
-        self._serving.clear()
-        self._digest = None
+    def bucket_digests(self) -> list[int]:
+        """Return the digest of each bucket of records."""
+        return list(self._digests)
+
+    def records_in(self, buckets: Collection[int]) -> list[MemberRecord]:
+        """Return the records in some buckets."""
+        return [r for r in self._records.values() if _bucket(r.node_id) in buckets]
+
+    def _toggle_digest(self, record: MemberRecord) -> None:
+        """Add the digest of a record to its bucket, or remove it from there."""
+        content = f"{record.node_id}/{record.incarnation}/{record.version}"
+        self._digests[_bucket(record.node_id)] ^= digest_of(content.encode())
+
+
+def _bucket(node_id: str) -> int:
+    return ring_position(node_id) % DIGEST_BUCKETS
--- a/damaskproxy/directory/tests/test_following.py
+++ b/damaskproxy/directory/tests/test_following.py
@@ -19,6 +19,7 @@
     following,
 )
 from damaskproxy.directory.following import MEMBER_TABLE
+from damaskproxy.model import MemberState
 from damaskproxy.platform import (
     PlatformStore,
     decode_configuration,
@@ -39,6 +40,40 @@
     return MemberRecord(node_id, incarnation, version, "a", "10.0.0.1", 1)
 
 
+class AlwaysFollow:
+    """Plan of a node that always follows the store."""
+
+    def __init__(self):
+        self.configuration_position = self.members_position = 0
+        self.is_feed_open = False
+        self.wants_store = True
+
+    async def wait_until_store_wanted(self):
+        return
+
+    def feed_wait_s(self, *, is_renewal):
+        return 0.1
+
+    def store_retry_s(self, failures):
+        return 0.01
+
+    def feed_closed(self):
+        self.is_feed_open = False
+
+    async def wait_until_feed_stuck(self):
+        await asyncio.Event().wait()
+
+    def store_succeeded(self, position):
+        self.configuration_position = position
+        self.is_feed_open = True
+
+    def store_failed(self):
+        self.is_feed_open = False
+
+    def is_members_poll_due(self):
+        return True
+
+
 class SyncTests(unittest.IsolatedAsyncioTestCase):
     """Guards against a view of the mesh that does not catch up with the store."""
 
@@ -46,9 +81,7 @@
         for module, name, value in (
             (following, "RETRY_MIN_S", 0.01),
             (following, "RETRY_MAX_S", 0.02),
-            (following, "MEMBERS_PAUSE_S", 0.1),
-            (following, "CONFIGURATION_WAIT_MS", 100),
-            (following, "MEMBERS_WAIT_MS", 100),
+            (following, "MEMBERS_CHECK_S", 0.02),
             (store_module, "READ_TIMEOUT_S", 0.1),
             (store_module, "FEED_GRACE_S", 0.05),
         ):
@@ -59,8 +92,16 @@
         self.store = PlatformStore(to_address(await self.rows.open()))
         self.current, self.directory = CurrentConfiguration(), Directory()
         rng = random.Random(1)
+        self.published = []
         self.watcher = StoreWatcher(
-            self.store, self.current, self.directory, decode_configuration, "n1", rng
+            self.store,
+            self.current,
+            self.directory,
+            decode_configuration,
+            "n1",
+            AlwaysFollow(),
+            self.published.append,
+            rng,
         )
         self.broadcast = []
         self.own_row_writer = OwnRowWriter(
@@ -70,7 +111,8 @@
             asyncio.create_task(step())
             for step in (
                 self.watcher.follow_configuration,
-                self.watcher.follow_members,
+                self.watcher.read_members,
+                self.watcher.poll_members,
                 self.own_row_writer.write_published_records,
             )
         ]
@@ -129,7 +171,14 @@
         self.rows.oldest_version = self.rows.version
         self.rows.status = 200
         names = {"n3", "n4"}
-        await self.until(lambda: {r.node_id for r in self.directory.records()} == names)
+        await self.until(lambda: self.serving_names() == names)
+        # Other nodes hear of the removed member as of any other change.
+        self.assertIn("n2", [r.node_id for r in self.published])
+
+    def serving_names(self):
+        """Return the ids of the nodes that have not been removed."""
+        records = self.directory.records()
+        return {r.node_id for r in records if r.state is MemberState.SERVING}
 
     async def test_many_changes_of_members_cost_few_calls(self):
         await self.until(lambda: self.watcher.has_read_members)
--- a/damaskproxy/forwarding/__init__.py
+++ b/damaskproxy/forwarding/__init__.py
@@ -8,7 +8,9 @@
 from damaskproxy.forwarding.backend import Backend, StatusReport
 from damaskproxy.forwarding.frames import (
     STATE_PATH,
+    ControlFrame,
     HelloFrame,
+    RecordRequestFrame,
     StateFrame,
     StateRequestFrame,
 )
@@ -26,6 +28,8 @@
     "LATENCY_BUCKETS_S",
     "STATE_PATH",
     "StateRequestFrame",
+    "ControlFrame",
+    "RecordRequestFrame",
     "Backend",
     "MemberSelector",
     "PoisonRequestDetector",
--- a/damaskproxy/forwarding/frames.py
+++ b/damaskproxy/forwarding/frames.py
@@ -16,17 +16,23 @@
     "AnswerFrame",
     "StateRequestFrame",
     "CancelFrame",
+    "ControlFrame",
     "Frame",
     "FrameDecoder",
     "FrameError",
+    "HeartbeatFrame",
     "HelloFrame",
     "NotRunFrame",
     "PingFrame",
     "PongFrame",
+    "RecordDigestsFrame",
+    "RecordRequestFrame",
     "RunFrame",
     "StateFrame",
     "StringTable",
+    "SubscribeFrame",
     "UnknownFrame",
+    "UnsubscribeFrame",
     "encode_frame",
 ]
 
@@ -130,18 +136,15 @@
 
 
 class StateRequestFrame(msgspec.Struct, array_like=True, tag=6):
-    """Request for a newer configuration and for unknown records of members.
+    """Request for a newer configuration.
 
     Parameters
     ----------
     configuration_version : int
         Version in force at the sender.
-    directory_digest : int or None
-        Digest of the records that the sender has; None when it requests no records.
     """
 
     configuration_version: int
-    directory_digest: int | None = None
 
 
 class StateFrame(msgspec.Struct, array_like=True, tag=7):
@@ -159,6 +162,73 @@
     """Response to a ping."""
 
 
+class SubscribeFrame(msgspec.Struct, array_like=True, tag=10):
+    """Request for heartbeats, newer configurations and changed records.
+
+    Parameters
+    ----------
+    data_centre : str
+        Data centre of the sender.
+    configuration_version : int
+        Version in force at the sender.
+    record : MemberRecord
+        Record of the sender.
+    """
+
+    data_centre: str
+    configuration_version: int
+    record: MemberRecord
+
+
+class UnsubscribeFrame(msgspec.Struct, array_like=True, tag=11):
+    """End of a subscription."""
+
+
+class HeartbeatFrame(msgspec.Struct, array_like=True, tag=12):
+    """Sign of life for subscribers, and what the sender knows.
+
+    Parameters
+    ----------
+    configuration_version : int
+        Version in force at the sender.
+    directory_digest : int
+        Digest of its member records.
+    store_age_ms : int
+        Time since the store was last known to be in touch with the sender or with one
+        of its sources.
+    configuration_position, members_position : int
+        Version of the store up to which the sender has the configuration and the member
+        records, 0 if it is not known.
+    """
+
+    configuration_version: int
+    directory_digest: int
+    store_age_ms: int
+    configuration_position: int
+    members_position: int
+
+
+class RecordDigestsFrame(msgspec.Struct, array_like=True, tag=13):
+    """Digests of the member records by bucket, to find those that differ.
+
+    Parameters
+    ----------
+    digests : list of int
+        Digest of each bucket.
+    is_reply : bool
+        Whether the receiver sent its own digests before.
+    """
+
+    digests: list[int]
+    is_reply: bool
+
+
+class RecordRequestFrame(msgspec.Struct, array_like=True, tag=14):
+    """Request for the record of one node."""
+
+    node_id: str
+
+
 Frame = (
     HelloFrame
     | RunFrame
@@ -170,7 +240,23 @@
     | StateFrame
     | PingFrame
     | PongFrame
+    | SubscribeFrame
+    | UnsubscribeFrame
+    | HeartbeatFrame
+    | RecordDigestsFrame
+    | RecordRequestFrame
+)
+
+ControlFrame = (
+    StateRequestFrame
+    | StateFrame
+    | SubscribeFrame
+    | UnsubscribeFrame
+    | HeartbeatFrame
+    | RecordDigestsFrame
+    | RecordRequestFrame
 )
+"""Frames about configuration and members."""
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Frame)
--- a/damaskproxy/forwarding/link.py
+++ b/damaskproxy/forwarding/link.py
@@ -21,6 +21,7 @@
 from damaskproxy.forwarding.frames import (
     AnswerFrame,
     CancelFrame,
+    ControlFrame,
     Frame,
     FrameDecoder,
     FrameError,
@@ -29,7 +30,6 @@
     PingFrame,
     PongFrame,
     RunFrame,
-    StateFrame,
     StateRequestFrame,
     StringTable,
     UnknownFrame,
@@ -66,16 +66,16 @@
         Runs a call on the local backend server.
     configuration_version : callable
         Returns the version of the configuration in force.
-    answer_state_request : callable
-        Returns what the peer lacks, None if nothing.
-    apply_state : callable
-        Applies the configuration and the records that the peer sent.
+    handle_control : callable
+        Handles a frame about configuration or members, with the link that it came on.
+    lost : callable
+        Called with a link after its connection was lost.
     """
 
     run: Callable[[Call], Awaitable[Result]]
     configuration_version: Callable[[], int]
-    answer_state_request: Callable[[StateRequestFrame], StateFrame | None]
-    apply_state: Callable[[StateFrame], None]
+    handle_control: Callable[["Link", ControlFrame], None]
+    lost: Callable[["Link"], None] = lambda link: None
 
 
 class DelayMeter:
@@ -192,6 +192,7 @@
             in_flight=len(self._calls_in_flight),
         )
         self._on_lost(self)
+        self._handlers.lost(self)
         # Copies, since a resumed or cancelled fiber removes its entry at once.
         for waiter in list(self._calls_in_flight.values()):
             waiter.set_result(Unknown("the connection to the node was lost"))
@@ -312,12 +313,9 @@
             fiber = self._running.get(frame.call_id)
             if fiber is not None:
                 fiber.cancel()
-        elif isinstance(frame, StateRequestFrame):
-            state = self._handlers.answer_state_request(frame)
-            if state is not None:
-                self.write(state)
-        elif isinstance(frame, StateFrame):
-            self._handlers.apply_state(frame)
+        elif isinstance(frame, ControlFrame):
+            self.last_used_s = boot_s()
+            self._handlers.handle_control(self, frame)
         elif isinstance(frame, PingFrame):
             self.write(PongFrame())
         elif isinstance(frame, PongFrame):
--- a/damaskproxy/forwarding/tests/test_links.py
+++ b/damaskproxy/forwarding/tests/test_links.py
@@ -53,8 +53,7 @@
         handlers = LinkHandlers(
             self.run,
             lambda: self.version,
-            self.answer_state_request,
-            self.received_states.append,
+            self.handle_control,
         )
         self.incarnation = 1
         self.links = Links(
@@ -76,9 +75,12 @@
             self.cancelled += 1
             raise
 
-    def answer_state_request(self, request):
-        self.state_requests.append(request)
-        return StateFrame(b"configuration", [make_member()])
+    def handle_control(self, link, frame):
+        if isinstance(frame, StateRequestFrame):
+            self.state_requests.append(frame)
+            link.write(StateFrame(b"configuration", [make_member()]))
+        else:
+            self.received_states.append(frame)
 
 
 class LinkTests(unittest.IsolatedAsyncioTestCase):
--- a/damaskproxy/membership/__init__.py
+++ b/damaskproxy/membership/__init__.py
@@ -3,7 +3,6 @@
 from damaskproxy.membership.contacts import ContactRow, Contacts, ContactTable
 from damaskproxy.membership.errors import ControlError
 from damaskproxy.membership.exchange import Extras
-from damaskproxy.membership.hashing import pollers, rendezvous
 from damaskproxy.membership.messages import (
     Describe,
     DescribeReply,
@@ -16,6 +15,7 @@
     ProbeVia,
     Status,
 )
+from damaskproxy.membership.pollers import pollers
 from damaskproxy.membership.service import Membership
 from damaskproxy.membership.settings import MembershipSettings
 from damaskproxy.membership.transport import ControlClient, ControlServer
@@ -41,5 +41,4 @@
     "ProbeVia",
     "Status",
     "pollers",
-    "rendezvous",
 ]
--- a/damaskproxy/membership/contacts.py
+++ b/damaskproxy/membership/contacts.py
@@ -8,9 +8,9 @@
 import msgspec
 
 from damaskproxy.common import DamaskError
+from damaskproxy.common.hashing import rendezvous
 from damaskproxy.events import log_event
 from damaskproxy.membership import events
-from damaskproxy.membership.hashing import rendezvous
 from damaskproxy.model import Address, Member, MemberState
 
 __all__ = ["CONTACT_SLOTS", "ContactRow", "ContactTable", "Contacts"]
--- a/damaskproxy/membership/exchange.py
+++ b/damaskproxy/membership/exchange.py
@@ -6,10 +6,10 @@
 
 import msgspec
 
+from damaskproxy.common.hashing import digest_of
 from damaskproxy.events import log_event
 from damaskproxy.membership import events
 from damaskproxy.membership.errors import ControlError
-from damaskproxy.membership.hashing import digest_of
 from damaskproxy.membership.messages import (
     Exchange,
     Mark,
--- a/damaskproxy/membership/neighbours.py
+++ b/damaskproxy/membership/neighbours.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
 
-from damaskproxy.membership.hashing import ring_position
+from damaskproxy.common.hashing import ring_position
 from damaskproxy.membership.settings import MembershipSettings
 
 __all__ = ["MAX_PUSHED", "Neighbours"]
--- a/damaskproxy/membership/records.py
+++ b/damaskproxy/membership/records.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from damaskproxy.membership.hashing import digest_of, ring_position
+from damaskproxy.common.hashing import digest_of, ring_position
 from damaskproxy.membership.messages import (
     BUCKET_COUNT,
     Mark,
--- a/damaskproxy/membership/ring.py
+++ b/damaskproxy/membership/ring.py
@@ -2,7 +2,7 @@
 
 from bisect import bisect_left
 
-from damaskproxy.membership.hashing import RING_SIZE, ring_position
+from damaskproxy.common.hashing import RING_SIZE, ring_position
 
 __all__ = ["LINK_COUNT", "SUCCESSOR_COUNT", "Ring"]
 
--- a/damaskproxy/membership/service.py
+++ b/damaskproxy/membership/service.py
@@ -13,11 +13,11 @@
 from damaskproxy.membership.errors import ControlError
 from damaskproxy.membership.exchange import ControlCall, Exchanger, Extras
 from damaskproxy.membership.guard import TICK_S, StallGuard
-from damaskproxy.membership.hashing import pollers
 from damaskproxy.membership.joining import Joiner
 from damaskproxy.membership.messages import Exchange, ProbeReply, ProbeVia, Status
 from damaskproxy.membership.neighbours import Neighbours
 from damaskproxy.membership.own import OwnRecord
+from damaskproxy.membership.pollers import pollers
 from damaskproxy.membership.records import Entry, MemberList
 from damaskproxy.membership.settings import MembershipSettings
 from damaskproxy.model import Address, Member, MemberState
--- a/damaskproxy/membership/tests/test_records.py
+++ b/damaskproxy/membership/tests/test_records.py
@@ -7,7 +7,8 @@
 from hypothesis import given, settings, strategies as st
 from nose2.tools import params
 
-from damaskproxy.membership import Mark, Status, pollers, rendezvous
+from damaskproxy.common.hashing import rendezvous
+from damaskproxy.membership import Mark, Status, pollers
 from damaskproxy.membership.guard import StallGuard
 from damaskproxy.membership.messages import to_record
 from damaskproxy.membership.records import MemberList
--- /dev/null
+++ b/damaskproxy/propagation/tests/test_schedules.py
@@ -0,0 +1,360 @@
+"""Configuration and leaves reach all nodes in time, whatever fails on the way."""
+
+import asyncio
+import logging
+import random
+import unittest
+
+from nose2.tools import params
+
+from damaskproxy.directory import BackendRecord
+from damaskproxy.propagation.tests.virtual_mesh import (
+    RESTART_S,
+    VirtualMesh,
+    now_s,
+)
+from tools.faults.virtual_time import run_virtual
+
+STABLE_S = 3.0
+"""Time without a disturbance after which the limits hold for a node."""
+CONFIGURATION_S = 2.0
+"""Bound on the time from the store's confirmation until a configuration is in force."""
+LEAVE_S = 2.0
+"""Bound on the time until a confirmed leave is known, the shortest drain time."""
+JOIN_S = CONFIGURATION_S + 2.0
+SETTLE_S = 8.0
+
+
+FAILED_BEFORE = [
+    # A feed whose answer was lost, while all other first nodes were cut off.
+    (6, 3, 5),
+    (6, 3, 9),
+    # All first nodes cut off at once: each relied on what the others reported.
+    (14, 3, 67),
+    (6, 3, 140),
+    (14, 3, 140),
+    # A starting node read the rows before a leave was stored.
+    (14, 3, 69),
+    # All first nodes frozen at once while the store was down.
+    (60, 6, 3),
+    (60, 6, 8),
+]
+FAILING = [
+    # All first nodes are cut off from the store, and a configuration comes within the
+    # next 0.4 s. The kernel detects the cut after up to 2 s.
+    (6, 3, 208),
+    (14, 3, 165),
+    # Half of all nodes are frozen while the store is down, among them several that
+    # would stand in for the first node.
+    (60, 6, 18),
+]
+
+
+class Schedule:
+    """Random faults for a mesh, and the checks that hold during them.
+
+    Attributes
+    ----------
+    problems : list of str
+        Broken limits.
+    """
+
+    def __init__(self, mesh, seed):
+        self.mesh = mesh
+        self.rng = random.Random(seed)
+        self.problems = []
+        self.store_troubled_s = float("-inf")
+        self.changes = 0
+        self.starts = len(mesh.nodes)
+        self._checks = []
+
+    async def run(self, duration_s):
+        """Play faults, changes and leaves, then wait and check the end state."""
+        end_s = now_s() + duration_s
+        faults = asyncio.create_task(self._repeat(self._fault, 1.5, end_s))
+        changes = asyncio.create_task(self._repeat(self._change, 2.0, end_s))
+        leaves = asyncio.create_task(self._repeat(self._leave, 4.0, end_s))
+        await asyncio.gather(faults, changes, leaves)
+        await asyncio.gather(*self._checks)
+        await asyncio.sleep(SETTLE_S)
+        self._check_end()
+
+    async def _repeat(self, action, mean_s, end_s):
+        while now_s() < end_s:
+            await asyncio.sleep(self.rng.uniform(0.3, 2 * mean_s))
+            action()
+
+    def _victims(self):
+        """Return some running nodes, often those that others follow."""
+        running = self.mesh.running()
+        kind = self.rng.randrange(5)
+        if kind == 0 and self.mesh.first_nodes():
+            return self.mesh.first_nodes()
+        if kind == 1:
+            data_centre = self.rng.choice(running).data_centre if running else ""
+            return [n for n in running if n.data_centre == data_centre]
+        if kind == 2:
+            return running[: len(running) // 2]
+        return self.rng.sample(running, min(len(running), self.rng.randint(1, 3)))
+
+    def _fault(self):
+        action = self.rng.choice(
+            [
+                self._kill,
+                self._freeze,
+                self._isolate,
+                self._cut_from_store,
+                self._silence,
+                self._delay_frames,
+                self._store_down,
+                self._store_refuses,
+                self._store_loses_answers,
+                self._store_loses_history,
+            ]
+        )
+        task = asyncio.create_task(action(self._victims(), self.rng.uniform(0.5, 5)))
+        self._checks.append(task)
+
+    async def _kill(self, victims, _):
+        for node in victims:
+            if node.is_running:
+                node.kill()
+                self.starts += 1
+                self.mesh.restart_later(node, RESTART_S * self.rng.uniform(0.5, 3))
+
+    async def _freeze(self, victims, duration_s):
+        for node in victims:
+            node.is_frozen = node.is_running
+        await asyncio.sleep(duration_s)
+        for node in victims:
+            if node.is_frozen:
+                node.thaw()
+
+    async def _isolate(self, victims, duration_s):
+        self.mesh.store.cut |= {n.node_id for n in victims}
+        for node in victims:
+            node.is_isolated = True
+        await asyncio.sleep(duration_s)
+        for node in victims:
+            node.is_isolated = False
+            self._reconnect(node)
+
+    async def _cut_from_store(self, victims, duration_s):
+        self.mesh.store.cut |= {n.node_id for n in victims}
+        await asyncio.sleep(duration_s)
+        for node in victims:
+            self._reconnect(node)
+
+    def _reconnect(self, node):
+        self.mesh.store.cut.discard(node.node_id)
+        node.troubled_s = now_s()
+
+    async def _silence(self, *_):
+        self.mesh.silence_links()
+        for node in self.mesh.nodes.values():
+            node.troubled_s = now_s()
+
+    async def _delay_frames(self, _, duration_s):
+        self.mesh.delayed_share = 0.1
+        await asyncio.sleep(duration_s)
+        self.mesh.delayed_share = 0.0
+
+    async def _store_down(self, _, duration_s):
+        self.mesh.store.is_down = True
+        await asyncio.sleep(duration_s)
+        self.mesh.store.is_down = False
+        self.store_troubled_s = now_s()
+
+    async def _store_refuses(self, victims, duration_s):
+        names = {n.node_id for n in victims}
+        self.mesh.store.refused |= names
+        await asyncio.sleep(duration_s)
+        self.mesh.store.refused -= names
+        self.store_troubled_s = now_s()
+
+    async def _store_loses_answers(self, _, duration_s):
+        self.mesh.store.lost_share = 0.4
+        await asyncio.sleep(duration_s)
+        self.mesh.store.lost_share = 0.0
+        self.store_troubled_s = now_s()
+
+    async def _store_loses_history(self, *_):
+        self.mesh.store.oldest_version = self.mesh.store.version
+        self.store_troubled_s = now_s()
+
+    def _is_store_stable(self, since_s):
+        store = self.mesh.store
+        if store.is_down or store.refused or store.lost_share:
+            return False
+        return self.store_troubled_s < since_s
+
+    def _in_touch(self, since_s):
+        """Return the nodes without a disturbance since a moment."""
+        return [
+            node
+            for node in self.mesh.running()
+            if not (node.is_frozen or node.is_isolated)
+            and node.node_id not in self.mesh.store.cut
+            and max(node.started_s, node.troubled_s) < since_s
+        ]
+
+    def _change(self):
+        if self.mesh.store.is_down:
+            return
+        self.changes += 1
+        version = self.mesh.configure()
+        self._checks.append(asyncio.create_task(self._check_in_force(version)))
+
+    async def _check_in_force(self, version):
+        since_s = now_s() - STABLE_S
+        await asyncio.sleep(CONFIGURATION_S)
+        if not self._is_store_stable(since_s):
+            return
+        for node in self._in_touch(since_s):
+            if node.configuration.version < version:
+                self.problems.append(
+                    f"{now_s():.2f}: {node.node_id} lacks version {version}"
+                )
+
+    def _leave(self):
+        candidates = self._in_touch(now_s() - STABLE_S)
+        if candidates:
+            node = self.rng.choice(candidates)
+            node.drain()
+            self._checks.append(asyncio.create_task(self._check_leave(node)))
+
+    async def _check_leave(self, node):
+        incarnation, since_s = node.incarnation, now_s() - STABLE_S
+        await asyncio.sleep(LEAVE_S)
+        in_touch = self._in_touch(since_s)
+        if node in in_touch and node.incarnation == incarnation:
+            for other in in_touch:
+                known = other.directory.get(node.node_id)
+                if known is not None and known.serves("orders"):
+                    self.problems.append(
+                        f"{now_s():.2f}: {other.node_id} still uses {node.node_id}"
+                    )
+
+    def _check_end(self):
+        mesh = self.mesh
+        for node in mesh.behind(mesh.version):
+            self.problems.append(f"end: {node.node_id} lacks the configuration")
+        expected = {n.node_id: n.record.order for n in mesh.running()}
+        for node in mesh.running():
+            found = {r.node_id: r.order for r in node.directory.records()}
+            if any(found.get(name) != order for name, order in expected.items()):
+                self.problems.append(f"end: {node.node_id} has other records")
+            versions = [c.version for _, c in node.versions]
+            if versions != sorted(versions) and node.incarnation == 1:
+                self.problems.append(f"{node.node_id} went back: {versions}")
+
+
+def play(count, data_centres, seed, duration_s=25.0):
+    """Play one random schedule and return the broken limits and the calls."""
+
+    async def main():
+        mesh = VirtualMesh(count, data_centres, seed)
+        await mesh.start()
+        await asyncio.sleep(8)
+        schedule = Schedule(mesh, seed)
+        await schedule.run(duration_s)
+        mesh.close()
+        return schedule
+
+    return run_virtual(main())
+
+
+class QuietLogs(unittest.TestCase):
+    """Test case without the log lines of many nodes."""
+
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+
+class ScheduleTests(QuietLogs):
+    """Guards against a late configuration and a forgotten leave under failures."""
+
+    @params(
+        *[(6, 3, seed) for seed in range(24)],
+        *[(60, 6, seed) for seed in range(5)],
+        *FAILED_BEFORE,
+    )
+    def test_limits_hold(self, count, data_centres, seed):
+        schedule = play(count, data_centres, seed)
+        self.assertEqual(schedule.problems, [])
+
+    @params(*FAILING)
+    def test_limits_hold_when_all_first_nodes_fail_at_once(
+        self, count, data_centres, seed
+    ):
+        schedule = play(count, data_centres, seed)
+        self.assertEqual(schedule.problems, [])
+
+    def test_limits_hold_with_hundreds_of_nodes(self):
+        self.assertEqual(play(300, 6, 1, 10.0).problems, [])
+
+
+class QuietDayTests(QuietLogs):
+    """Guards against calls to the store that grow with nodes times changes."""
+
+    @params((30, 6, 150), (195, 6, 900), (300, 6, 1200))
+    def test_calls_of_a_quiet_day_are_bounded(self, count, data_centres, limit):
+        async def main():
+            mesh = VirtualMesh(count, data_centres)
+            await mesh.start()
+            await asyncio.sleep(14)
+            self.assertEqual(mesh.behind(1), [])
+            self.assertEqual(len(mesh.first_nodes()), data_centres)
+            for _ in range(2):
+                await asyncio.sleep(24)
+                version = mesh.configure()
+                await asyncio.sleep(0.5)
+                self.assertEqual(mesh.behind(version), [])
+            sizes = {len(node.directory) for node in mesh.running()}
+            self.assertEqual(sizes, {count})
+            mesh.close()
+            return len(mesh.store.calls)
+
+        self.assertLessEqual(run_virtual(main()), limit)
+
+    def test_a_change_costs_calls_by_data_centre_and_not_by_node(self):
+        async def calls_of_changes(count):
+            mesh = VirtualMesh(count, 3)
+            await mesh.start()
+            await asyncio.sleep(30)
+            before = len(mesh.store.calls)
+            node = mesh.nodes["n0"]
+            for _ in range(10):
+                mesh.configure()
+                node.update(BackendRecord("i-n0", "orders", 4))
+                await asyncio.sleep(1)
+            mesh.close()
+            return len(mesh.store.calls) - before
+
+        small, large = (run_virtual(calls_of_changes(n)) for n in (9, 90))
+        self.assertLessEqual(large, small + 5)
+
+
+class StartTests(QuietLogs):
+    """Guards against nodes that do not serve in time after all were killed at once."""
+
+    @params((6, 3), (195, 6))
+    def test_herd_serves_again_within_a_second_of_its_start(self, count, data_centres):
+        async def main():
+            mesh = VirtualMesh(count, data_centres)
+            await mesh.start()
+            await asyncio.sleep(10)
+            before = len(mesh.store.calls)
+            for node in mesh.running():
+                node.kill()
+                mesh.restart_later(node, RESTART_S * mesh.rng.uniform(0.7, 1.3))
+            await asyncio.sleep(1.3 * RESTART_S + 1.0)
+            self.assertEqual(len(mesh.running()), count)
+            self.assertEqual(mesh.behind(1), [])
+            sizes = {len(node.directory) for node in mesh.running()}
+            self.assertEqual(sizes, {count})
+            mesh.close()
+            return len(mesh.store.calls) - before
+
+        self.assertLessEqual(run_virtual(main()), 3.5 * count + 20)
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -1,9 +1,10 @@
 """Composition root of a sidecar."""
 
+import asyncio
 import random
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -30,7 +31,6 @@
     PoisonRequestDetector,
     RequestStats,
     StateFrame,
-    StateRequestFrame,
     Target,
 )
 from damaskproxy.http1 import (
@@ -49,6 +49,7 @@
     make_control_handler,
     make_readiness_handler,
 )
+from damaskproxy.propagation import Propagation
 from damaskproxy.retries import RetryBudget, RetrySettings
 from damaskproxy.sidecar.metrics import make_metrics_handler
 from damaskproxy.sidecar.settings import SidecarSettings, to_address
@@ -93,6 +94,7 @@
     store: PlatformStore
     store_watcher: StoreWatcher
     own_row_writer: OwnRowWriter
+    propagation: Propagation
     poison_detector: PoisonRequestDetector
     servers: dict[str, HttpServer]
     record: MemberRecord
@@ -100,7 +102,9 @@
     stats: RequestStats
     started_s: float
     dropped_log_lines: Callable[[], int]
-    on_state: Callable[[], None] | None = None
+    backend_reported: asyncio.Event
+    on_own_record: Callable[[], None] | None = None
+    connect_tasks: set[asyncio.Task] = field(default_factory=set)
     is_ready: bool = False
     is_stopping: bool = False
 
@@ -109,6 +113,7 @@
         version = self.record.version + 1
         self.record = msgspec.structs.replace(self.record, version=version, **changes)
         self.directory.merge(self.record)
+        self.propagation.publish(self.record)
         if self.is_ready or self.store_watcher.has_read_members:
             self.own_row_writer.publish(self.record)
 
@@ -117,29 +122,30 @@
         for link in self.links.open_links():
             link.write(StateFrame(b"", [record]))
 
-    def answer_state_request(self, request: StateRequestFrame) -> StateFrame | None:
-        """Return what the requesting node lacks, None if nothing."""
-        configuration = self.configuration
-        is_newer = configuration.version > request.configuration_version
-        encoded = configuration.encoded if is_newer else b""
-        records = []
-        if request.directory_digest not in (None, self.directory.digest()):
-            records = list(self.directory.records())
-        return StateFrame(encoded, records) if encoded or records else None
-
-    def apply_state(self, state: StateFrame) -> None:
-        """Merge a configuration and records received from another node."""
-        if state.configuration:
-            apply_encoded_configuration(
-                self.configuration, state.configuration, decode_configuration
+    def handle_own_record(self, record: MemberRecord) -> None:
+        """Handle a record of this node that another node has."""
+        is_same_machine = record.host == self.record.host
+        if is_same_machine and record.backend is not None:
+            self.backend.restore_leave(record.backend)
+        if record.order >= self.record.order and record != self.record:
+            # Another node removed the record of this node, which still runs.
+            self.record = msgspec.structs.replace(
+                self.record, incarnation=record.incarnation, version=record.version
             )
-        for record in state.records:
-            if record.node_id != self.settings.node_id:
-                self.directory.merge(record)
-            elif record.backend is not None and record.host == self.record.host:
-                self.backend.restore_leave(record.backend)
-        if self.on_state is not None:
-            self.on_state()
+            self.update_record()
+        if self.on_own_record is not None:
+            self.on_own_record()
+
+    def connect_for_propagation(self, member: MemberRecord) -> None:
+        """Open a connection to a member and report the result to the propagation."""
+
+        async def connect() -> None:
+            link = await self.links.open(member)
+            self.propagation.connected(member.node_id, link)
+
+        task = asyncio.create_task(connect())
+        self.connect_tasks.add(task)
+        task.add_done_callback(self.connect_tasks.discard)
 
     def encoded_state(self) -> bytes:
         """Return the encoded configuration and members for a node that starts."""
@@ -192,10 +198,14 @@
             known_incarnations[record.node_id] = incarnations
             member_selector.reset(record.node_id)
             links.close_outdated(record)
+        propagation.member_changed(record)
 
     directory = Directory(member_changed)
 
+    backend_reported = asyncio.Event()
+
     def backend_changed() -> None:
+        backend_reported.set()
         target.apply_backend_state()
         sidecar.update_record(backend=backend.published_record())
 
@@ -230,8 +240,8 @@
         LinkHandlers(
             target.run,
             lambda: configuration.version,
-            lambda request: sidecar.answer_state_request(request),
-            lambda state: sidecar.apply_state(state),
+            lambda link, frame: propagation.handle(link, frame),
+            lambda link: propagation.lost(link),
         ),
         VOLATILE_HEADERS,
         member_selector.clear_backoff,
@@ -251,9 +261,30 @@
         stats,
         rng,
     )
+    propagation = Propagation(
+        lambda: sidecar.record,
+        directory,
+        configuration,
+        apply_configuration=lambda encoded: apply_encoded_configuration(
+            configuration, encoded, decode_configuration
+        ),
+        handle_own_record=lambda record: sidecar.handle_own_record(record),
+        connect=lambda member: sidecar.connect_for_propagation(member),
+        schedule_flush=lambda delay_s: asyncio.get_running_loop().call_later(
+            delay_s, propagation.flush
+        ),
+        rng=rng,
+    )
     store = PlatformStore(to_address(settings.store_address))
     store_watcher = StoreWatcher(
-        store, configuration, directory, decode_configuration, settings.node_id, rng
+        store,
+        configuration,
+        directory,
+        decode_configuration,
+        settings.node_id,
+        propagation,
+        propagation.publish,
+        rng,
     )
     own_row_writer = OwnRowWriter(
         store, store_watcher, lambda record: sidecar.broadcast(record), rng
@@ -293,6 +324,7 @@
         store=store,
         store_watcher=store_watcher,
         own_row_writer=own_row_writer,
+        propagation=propagation,
         poison_detector=poison_detector,
         servers=servers,
         record=MemberRecord(
@@ -308,6 +340,7 @@
         stats=stats,
         started_s=boot_s(),
         dropped_log_lines=dropped_log_lines,
+        backend_reported=backend_reported,
     )
     if settings.listeners.metrics is not None:
         servers["metrics"] = HttpServer("metrics", make_metrics_handler(sidecar))
--- a/damaskproxy/sidecar/events.py
+++ b/damaskproxy/sidecar/events.py
@@ -5,6 +5,7 @@
 from damaskproxy.events import define
 
 __all__ = [
+    "FIRST_ROW_NOT_WRITTEN",
     "NO_PEER_ANSWERED",
     "OWN_ROW_UNREADABLE",
     "SETTINGS_KEPT",
@@ -56,6 +57,13 @@
     logging.ERROR,
     "A background task raised an unexpected exception and is restarted.",
 )
+FIRST_ROW_NOT_WRITTEN = define(
+    12010,
+    "first-row-not-written",
+    logging.INFO,
+    "The store did not confirm the first row of this node; it is written once the "
+    "members have been read.",
+)
 NO_PEER_ANSWERED = define(
     12009,
     "no-peer-answered",
--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -1,6 +1,7 @@
 """Start, background tasks and graceful stop of a sidecar."""
 
 import asyncio
+import contextlib
 import gc
 import logging
 import os
@@ -11,9 +12,14 @@
 
 from damaskproxy.common import RefusalReason
 from damaskproxy.common.clock import boot_s
-from damaskproxy.directory import MemberRecord, RecordError, decode_member
+from damaskproxy.directory import (
+    MemberRecord,
+    RecordError,
+    StoreError,
+    decode_member,
+)
 from damaskproxy.events import log_event
-from damaskproxy.forwarding import STATE_PATH, StateFrame, StateRequestFrame
+from damaskproxy.forwarding import STATE_PATH, RecordRequestFrame, StateFrame
 from damaskproxy.http1 import ConnectionPool, HttpError, Request
 from damaskproxy.model import MemberState
 from damaskproxy.platform import decode_bounds
@@ -34,22 +40,23 @@
 SETTINGS_POLL_INTERVAL_S = 2.0
 """Interval at which the modification time of the settings file is checked; the file may
 change without SIGHUP."""
-STATE_REQUEST_INTERVAL_S = 0.5
-"""Interval between state requests to peers while the store is unavailable; a new
-configuration has to be in force within 2 s."""
-LOCAL_REQUEST_SHARE = 0.5
-"""Share of the state requests that stay in the data centre, where traffic is not
-charged; the others reach up-to-date nodes when the store is unavailable to an entire
-data centre."""
+PROPAGATION_TICK_S = 0.2
+"""Half of the interval between heartbeats."""
+SEED_INTERVAL_S = 0.5
 SEED_TIMEOUT_S = 0.5
+FIRST_REPORT_WAIT_S = 4.0
+"""Time that a node waits for the first status report when the whole mesh starts, so
+that it writes one row instead of two; requests follow some ten seconds later."""
+FIRST_READ_S = 4.5
+"""Time from the first start of the whole mesh until a node reads the members. By then
+all nodes have written their rows, so that each one reads the complete mesh and only the
+first nodes of the data centres read the configuration from the store."""
 LEAVE_REQUEST_PEERS = 3
 """Peers from which a restarted node requests a leave that it had confirmed; more than
 one, since a peer may be down."""
 LEAVE_REQUEST_TIMEOUT_S = 0.1
 """Two round trips between regions. Short, since no peer has the record when all nodes
 start at the same time."""
-UNKNOWN_DIGEST = -1
-"""Differs from the digest of every directory, so that a peer sends all its records."""
 TASK_RESTART_DELAY_S = 0.2
 STOP_ACCEPT_S = 2.7
 """Time after SIGTERM in which requests are still accepted: the platform takes a node
@@ -120,10 +127,10 @@
     log_event(logger, events.SIDECAR_STARTED, node_id=sidecar.settings.node_id)
     jobs: list[Callable[[], Awaitable[None]]] = [
         sidecar.store_watcher.follow_configuration,
-        sidecar.store_watcher.follow_members,
+        sidecar.store_watcher.poll_members,
         sidecar.own_row_writer.write_published_records,
         lambda: _join_from_seeds(sidecar),
-        lambda: _request_state_without_store(sidecar),
+        lambda: _run_propagation(sidecar),
         lambda: _become_ready(sidecar),
         lambda: _run_maintenance(sidecar),
         lambda: _follow_settings(sidecar, path, reload),
@@ -152,10 +159,18 @@
 
 async def _become_ready(sidecar: Sidecar) -> None:
     """Publish the node once it has members and a configuration."""
-    await sidecar.store_watcher.wait_until_members_read()
-    await _restore_confirmed_leave(sidecar)
-    _restore_own_record(sidecar)
-    sidecar.update_record()
+    created: MemberRecord | None = None
+    if sidecar.settings.is_first_start:
+        created = await _create_own_row(sidecar)
+        await asyncio.sleep(sidecar.started_s + FIRST_READ_S - boot_s())
+    await sidecar.store_watcher.read_members()
+    if created is None:
+        await _restore_confirmed_leave(sidecar)
+        _restore_own_record(sidecar)
+        sidecar.update_record()
+    elif created is not sidecar.record:
+        sidecar.own_row_writer.publish(sidecar.record)
+    sidecar.propagation.start(is_first_start=created is not None)
     await sidecar.configuration.wait_until_known()
     sidecar.is_ready = True
     log_event(
@@ -180,28 +195,45 @@
         return
     peers = _other_members(sidecar)
     sidecar.rng.shuffle(peers)
-    state_received = asyncio.Event()
-    sidecar.on_state = state_received.set
+    record_received = asyncio.Event()
+    sidecar.on_own_record = record_received.set
     tasks = [
-        asyncio.create_task(_request_state(sidecar, member, UNKNOWN_DIGEST))
+        asyncio.create_task(_request_own_record(sidecar, member))
         for member in peers[:LEAVE_REQUEST_PEERS]
     ]
     try:
         async with asyncio.timeout(LEAVE_REQUEST_TIMEOUT_S):
-            await state_received.wait()
+            await record_received.wait()
     except TimeoutError:
         log_event(logger, events.NO_PEER_ANSWERED, peers=len(peers))
     finally:
-        sidecar.on_state = None
+        sidecar.on_own_record = None
         for task in tasks:
             task.cancel()
 
 
-async def _request_state(sidecar: Sidecar, member: MemberRecord, digest: int) -> None:
-    """Request a newer configuration and missing member records from a peer."""
+async def _request_own_record(sidecar: Sidecar, member: MemberRecord) -> None:
+    """Request the record of this node that a peer has."""
     link = await sidecar.links.open(member)
     if link is not None:
-        link.write(StateRequestFrame(sidecar.configuration.version, digest))
+        link.write(RecordRequestFrame(sidecar.settings.node_id))
+
+
+async def _create_own_row(sidecar: Sidecar) -> MemberRecord | None:
+    """Write the first row of this node before the members are read.
+
+    Of two nodes that start at the same time, at least one then reads the row of the
+    other. Returns None if the row exists or the store does not respond.
+    """
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(FIRST_REPORT_WAIT_S):
+            await sidecar.backend_reported.wait()
+    record = sidecar.record
+    try:
+        return record if await sidecar.own_row_writer.create(record) else None
+    except StoreError as error:
+        log_event(logger, events.FIRST_ROW_NOT_WRITTEN, reason=str(error))
+        return None
 
 
 def _other_members(sidecar: Sidecar) -> list[MemberRecord]:
@@ -233,7 +265,7 @@
 async def _join_from_seeds(sidecar: Sidecar) -> None:
     """Fetch the state from seeds while the store is unavailable to a starting node."""
     while not sidecar.store_watcher.has_read_members:
-        await asyncio.sleep(STATE_REQUEST_INTERVAL_S)
+        await asyncio.sleep(SEED_INTERVAL_S)
         if (
             sidecar.store_watcher.has_read_members
             or not sidecar.store_watcher.is_store_unavailable
@@ -243,6 +275,7 @@
             if await _fetch_state(sidecar, seed):
                 sidecar.is_ready = sidecar.configuration.current is not None
                 sidecar.update_record()
+                sidecar.propagation.start()
                 break
 
 
@@ -257,24 +290,14 @@
         return False
     finally:
         pool.close()
-    sidecar.apply_state(state)
+    sidecar.propagation.apply_state(state)
     return True
 
 
-async def _request_state_without_store(sidecar: Sidecar) -> None:
+async def _run_propagation(sidecar: Sidecar) -> None:
     while True:
-        await asyncio.sleep(STATE_REQUEST_INTERVAL_S)
-        if not sidecar.store_watcher.is_store_unavailable:
-            continue
-        peers = _other_members(sidecar)
-        local_peers = [
-            r for r in peers if r.data_centre == sidecar.settings.data_centre
-        ]
-        if not peers:
-            continue
-        is_local = bool(local_peers) and sidecar.rng.random() < LOCAL_REQUEST_SHARE
-        member = sidecar.rng.choice(local_peers if is_local else peers)
-        await _request_state(sidecar, member, sidecar.directory.digest())
+        await asyncio.sleep(PROPAGATION_TICK_S)
+        sidecar.propagation.tick()
 
 
 async def _run_maintenance(sidecar: Sidecar) -> None:
@@ -351,6 +374,8 @@
     """Close all listeners and connections immediately."""
     for server in sidecar.servers.values():
         await server.close()
+    for task in sidecar.connect_tasks:
+        task.cancel()
     await sidecar.links.close()
     sidecar.pool.close()
     sidecar.store.close()
--- a/damaskproxy/sidecar/settings.py
+++ b/damaskproxy/sidecar/settings.py
@@ -91,6 +91,8 @@
     seeds : list of str
         Control addresses of nodes that supply a starting node with the state of the
         mesh while the store is unavailable.
+    is_first_start : bool
+        Whether the whole mesh starts for the first time.
     bounds : object
         Limits set by the platform, by name.
     memory_limit_mb : int
@@ -113,6 +115,7 @@
     store_address: AddressText
     heartbeat_interval_ms: Duration = 1500
     seeds: list[AddressText] = []
+    is_first_start: bool = False
     bounds: dict[str, Any] = {}
     memory_limit_mb: Annotated[int, msgspec.Meta(ge=64)] = 300
     responses: ResponseSettings = ResponseSettings()
--- /dev/null
+++ b/damaskproxy/sidecar/tests/test_propagation.py
@@ -0,0 +1,91 @@
+"""Sidecars that learn from each other while a node that others follow fails."""
+
+import asyncio
+import time
+import unittest
+
+from nose2.tools import params
+
+from damaskproxy.model import MemberState
+from damaskproxy.platform.standins import encode_configuration
+from damaskproxy.sidecar.tests.mesh import MeshTestCase
+
+CONFIGURATION_S = 2.0
+
+
+class PropagationTests(MeshTestCase, unittest.IsolatedAsyncioTestCase):
+    """Guards against a node that is alone with an old configuration or old members."""
+
+    async def start_mesh(self, count=4):
+        """Start nodes of one data centre and wait until one of them is first."""
+        members = [await self.start(f"n{i}") for i in range(count)]
+        await self.until_known(count)
+        await self.until(lambda: len(self.first_members()) == 1)
+        return members
+
+    def first_members(self):
+        """Return the members that follow the store."""
+        return [m for m in self.running() if m.sidecar.propagation.is_first]
+
+    def running(self):
+        """Return the members whose sidecar runs."""
+        return [m for m in self.members if m.sidecar is not None]
+
+    async def configure_and_wait(self, version, members):
+        """Write a configuration; return the time until all of `members` have it."""
+        self.rows.put("op", "config", encode_configuration(version))
+        start_s = time.monotonic()
+        await self.until(
+            lambda: all(m.sidecar.configuration.version == version for m in members)
+        )
+        return time.monotonic() - start_s
+
+    async def test_one_node_follows_the_store_for_all(self):
+        members = await self.start_mesh()
+        await asyncio.sleep(0.5)
+        self.rows.calls.clear()
+        elapsed_s = await self.configure_and_wait(5, members)
+        self.assertLess(elapsed_s, CONFIGURATION_S)
+        await asyncio.sleep(0.2)
+        self.assertLessEqual(len(self.rows.calls), 3)
+
+    @params("killed", "frozen")
+    async def test_configuration_is_in_force_after_the_first_node_failed(self, fault):
+        members = await self.start_mesh()
+        first = self.first_members()[0]
+        others = [m for m in members if m is not first]
+        if fault == "killed":
+            await self.kill(first)
+        else:
+            # Its connections stay open, but it neither sends nor passes on anything.
+            for task in first.tasks:
+                task.cancel()
+            first.sidecar.propagation.handle = lambda link, frame: None
+            first.sidecar.propagation.flush = lambda: None
+        elapsed_s = await self.configure_and_wait(7, others)
+        self.assertLess(elapsed_s, CONFIGURATION_S)
+
+    async def test_leave_reaches_all_nodes_while_the_store_is_unavailable(self):
+        members = await self.start_mesh()
+        self.rows.status = 503
+        leaving = next(m for m in members if not m.sidecar.propagation.is_first)
+        self.assertEqual(await leaving.report("draining"), 200)
+        start_s = time.monotonic()
+        await self.until_known(3)
+        self.assertLess(time.monotonic() - start_s, CONFIGURATION_S)
+
+    async def test_deleted_row_of_a_running_node_comes_back(self):
+        members = await self.start_mesh(3)
+        victim = members[0].name
+        self.rows.drop("damask-members", victim)
+        self.rows.oldest_version = self.rows.version
+        await self.until(
+            lambda: (
+                all(
+                    m.sidecar.directory.get(victim).version > 2
+                    and m.sidecar.directory.get(victim).state is MemberState.SERVING
+                    for m in members
+                )
+                and self.rows.get("damask-members", victim) is not None
+            )
+        )
