--- /dev/null
+++ b/damaskproxy/propagation/tests/test_decisions.py
@@ -0,0 +1,156 @@
+"""Whom a node follows and when it calls the store, case by case."""
+
+import random
+import unittest
+
+from nose2.tools import params
+
+from damaskproxy.propagation import (
+    FANOUT,
+    Ranking,
+    StoreContact,
+    local_candidates,
+    remote_candidates,
+)
+from damaskproxy.propagation.store_contact import (
+    DISTRUST_S,
+    MISSED_CHANGE_S,
+    RENEWAL_S,
+    STALE_S,
+    START_GRACE_S,
+)
+
+
+def make_ranking(data_centre, count):
+    """Return the order of `count` nodes."""
+    ranking = Ranking(data_centre)
+    for number in range(count):
+        ranking.add(f"{data_centre}-{number}")
+    return ranking
+
+
+class RankingTests(unittest.TestCase):
+    """Guards against cycles of sources and against nodes without a source."""
+
+    @params(1, 2, 33, 34, 900)
+    def test_sources_come_before_the_node_in_the_order(self, count):
+        ranking = make_ranking("a", count)
+        for rank in range(count):
+            candidates = local_candidates(ranking, ranking.at(rank))
+            self.assertEqual(bool(candidates), rank > 0)
+            self.assertTrue(all(ranking.rank(name) < rank for name in candidates))
+
+    def test_number_of_followers_of_a_node_is_bounded(self):
+        ranking = make_ranking("a", 900)
+        followers = {}
+        for rank in range(1, 900):
+            parent = local_candidates(ranking, ranking.at(rank))[0]
+            followers[parent] = followers.get(parent, 0) + 1
+        self.assertLessEqual(max(followers.values()), FANOUT)
+
+    def test_a_node_that_leaves_changes_few_sources(self):
+        ranking = make_ranking("a", 30)
+        before = {n: local_candidates(ranking, n)[:1] for n in self.ids(ranking)}
+        ranking.remove(ranking.at(15))
+        after = {n: local_candidates(ranking, n)[:1] for n in self.ids(ranking)}
+        self.assertTrue(all(before[name] == source for name, source in after.items()))
+
+    @staticmethod
+    def ids(ranking):
+        """Return the nodes in their order."""
+        return [ranking.at(rank) for rank in range(len(ranking))]
+
+    @params(("a", "b"), ("b", "c"), ("c", "a"), ("lost", "a"))
+    def test_data_centres_follow_each_other_in_a_ring(self, own, expected):
+        rankings = {name: make_ranking(name, 3) for name in ("a", "b", "c")}
+        rankings["empty"] = Ranking("empty")
+        first = remote_candidates(rankings, own)[0]
+        self.assertEqual(first, rankings[expected].at(0))
+
+
+class StoreContactTests(unittest.TestCase):
+    """Guards against calls that are needless, and against trust in a lost store."""
+
+    def setUp(self):
+        self.now_s = 100.0
+        self.subscribers = []
+        self.changes = 0
+        self.has_configuration = True
+        self.contact = StoreContact(
+            data_centre=lambda: "b",
+            data_centres=lambda: ["a", "b", "c"],
+            has_source=lambda: True,
+            has_configuration=lambda: self.has_configuration,
+            subscribers=lambda: self.subscribers,
+            on_change=self.changed,
+            rng=random.Random(1),
+            now_s=lambda: self.now_s,
+        )
+        self.contact.start(is_first_start=False)
+
+    def changed(self):
+        self.changes += 1
+
+    def wait(self, seconds):
+        """Let time pass, with an update at its end."""
+        self.now_s += seconds
+        self.contact.update()
+
+    def test_starting_node_waits_for_a_source_before_it_asks_the_store(self):
+        self.has_configuration = False
+        self.contact.update()
+        self.assertFalse(self.contact.wants_store)
+        self.wait(START_GRACE_S + 0.01)
+        self.assertTrue(self.contact.wants_store)
+
+    def test_node_with_a_source_in_touch_makes_no_calls(self):
+        for _ in range(20):
+            self.contact.report("source", 0.2)
+            self.wait(0.4)
+            self.assertFalse(self.contact.wants_store)
+
+    @params((0.0, False), (STALE_S + 1, True))
+    def test_report_of_a_source_replaces_the_one_before(self, age_s, wants_store):
+        self.contact.report("source", 0.0)
+        self.contact.report("source", age_s)
+        self.wait(0.5)
+        self.assertEqual(self.contact.wants_store, wants_store)
+
+    @params(("source", True), ("subscriber", False))
+    def test_first_node_distrusts_its_sources_after_a_failure(self, peer, is_stale):
+        self.subscribers = ["subscriber"]
+        self.contact.is_first = True
+        self.contact.store_succeeded(5)
+        self.wait(10)
+        self.contact.store_failed()
+        self.contact.report(peer, 0.0)
+        self.assertEqual(self.contact.age_s() > STALE_S, is_stale)
+        self.wait(DISTRUST_S)
+        self.contact.report(peer, 0.0)
+        self.assertLessEqual(self.contact.age_s(), STALE_S)
+
+    def test_change_from_a_peer_that_the_feed_missed_renews_the_feed(self):
+        self.contact.is_first = True
+        self.contact.store_succeeded(5)
+        self.contact.configuration_received()
+        self.wait(MISSED_CHANGE_S / 2)
+        self.assertFalse(self.contact._feed_stuck.is_set())
+        self.wait(MISSED_CHANGE_S)
+        self.assertTrue(self.contact._feed_stuck.is_set())
+
+    def test_feeds_are_renewed_in_turn(self):
+        self.contact.is_first = True
+        self.assertEqual(self.contact.feed_wait_s(is_renewal=False), 2 * RENEWAL_S)
+        self.assertEqual(self.contact.feed_wait_s(is_renewal=True), 3 * RENEWAL_S)
+
+    def test_loss_and_return_of_the_store_are_announced_once(self):
+        self.contact.is_first = True
+        self.contact.store_succeeded(5)
+        self.wait(5)
+        self.changes = 0
+        self.contact.store_failed()
+        self.wait(3)
+        self.assertEqual(self.changes, 1)
+        self.contact.store_succeeded(6)
+        self.wait(3)
+        self.assertEqual(self.changes, 2)
