Bring back the row of a running node that another writer deleted

A node did not notice that its own row was gone; only another node that read the rows would have told it. test_deleted_row_of_a_running_node_comes_back failed for the first node of a data centre, which is the one that reads the rows.

--- a/damaskproxy/directory/following.py
+++ b/damaskproxy/directory/following.py
@@ -152,6 +152,8 @@
         Decides when this node calls the store.
     publish : callable
         Passes on a record that was found in the store.
+    own_row_deleted : callable
+        Called when the row of this node was deleted by another writer.
     rng : random.Random
         Jitter of retries.
 
@@ -174,6 +176,7 @@
         node_id: str,
         plan: StorePlan,
         publish: Callable[[MemberRecord], None],
+        own_row_deleted: Callable[[], None],
         rng: random.Random,
     ):
         self.own_row: Row | None = None
@@ -186,6 +189,7 @@
         self._node_id = node_id
         self._plan = plan
         self._publish = publish
+        self._own_row_deleted = own_row_deleted
         self._rng = rng
 
     async def read_members(self) -> None:
@@ -300,6 +304,8 @@
         """Apply a row; return the record if it was news."""
         if row.key == self._node_id:
             self.own_row = row
+            if row.value is None:
+                self._own_row_deleted()
             return None
         if row.value is None:
             return self._directory.remove(row.key)
@@ -314,6 +320,8 @@
 
     def _remove_missing_members(self, keys: set[str]) -> None:
         """Remove the members that are not in a complete read of the store."""
+        if self._node_id not in keys:
+            self._own_row_deleted()
         for record in list(self._directory.records()):
             if record.node_id not in keys and record.node_id != self._node_id:
                 removed = self._directory.remove(record.node_id)
--- a/damaskproxy/directory/tests/test_following.py
+++ b/damaskproxy/directory/tests/test_following.py
@@ -101,6 +101,7 @@
             "n1",
             AlwaysFollow(),
             self.published.append,
+            lambda: None,
             rng,
         )
         self.broadcast = []
--- a/damaskproxy/propagation/tests/virtual_mesh.py
+++ b/damaskproxy/propagation/tests/virtual_mesh.py
@@ -237,6 +237,7 @@
             self.node_id,
             self.propagation.contact,
             self.propagation.publish,
+            lambda: self.update(self.record.backend),
             rng,
         )
         self.writer = OwnRowWriter(store, self.watcher, lambda record: None, rng)
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -284,6 +284,7 @@
         settings.node_id,
         propagation.contact,
         propagation.publish,
+        lambda: sidecar.update_record(),
         rng,
     )
     own_row_writer = OwnRowWriter(
--- a/damaskproxy/sidecar/tests/test_propagation.py
+++ b/damaskproxy/sidecar/tests/test_propagation.py
@@ -6,7 +6,6 @@
 
 from nose2.tools import params
 
-from damaskproxy.model import MemberState
 from damaskproxy.platform.standins import encode_configuration
 from damaskproxy.sidecar.tests.mesh import MeshTestCase
 
@@ -74,18 +73,25 @@
         await self.until_known(3)
         self.assertLess(time.monotonic() - start_s, CONFIGURATION_S)
 
-    async def test_deleted_row_of_a_running_node_comes_back(self):
+    @params(("first", False), ("other", False), ("first", True), ("other", True))
+    async def test_deleted_row_of_a_running_node_comes_back(
+        self, kind, is_history_lost
+    ):
         members = await self.start_mesh(3)
-        victim = members[0].name
-        self.rows.drop("damask-members", victim)
-        self.rows.oldest_version = self.rows.version
+        first = self.first_members()[0]
+        victim = (
+            first if kind == "first" else next(m for m in members if m is not first)
+        )
+        self.rows.drop("damask-members", victim.name)
+        if is_history_lost:
+            self.rows.oldest_version = self.rows.version
         await self.until(
-            lambda: (
-                all(
-                    m.sidecar.directory.get(victim).version > 2
-                    and m.sidecar.directory.get(victim).state is MemberState.SERVING
-                    for m in members
-                )
-                and self.rows.get("damask-members", victim) is not None
+            lambda: self.rows.get("damask-members", victim.name) is not None
+        )
+        await self.until(
+            lambda: all(
+                m.sidecar.directory.get(victim.name) == victim.sidecar.record
+                for m in members
             )
         )
+        await self.until_known(3)
