Report a finite age before the first contact with the store

Cause: a node that was not started yet answered a subscription with an infinite age.

The virtual mesh ignored exceptions in callbacks, which the event loop only logs.

--- a/damaskproxy/propagation/store_contact.py
+++ b/damaskproxy/propagation/store_contact.py
@@ -11,6 +11,7 @@
 STALE_S = 1.5
 """Age of the last contact with the store from which on a node asks the store itself.
 Above the sum of two heartbeat intervals and the checks of two levels of sources."""
+NO_CONTACT_AGE_S = 3600.0
 START_GRACE_S = 0.15
 """Time that a starting node waits for a source before it asks the store; some round
 trips within the data centre."""
@@ -129,10 +130,14 @@
     # Reports of other nodes.
 
     def age_s(self) -> float:
-        """Return the time since the store was last known to be in touch."""
+        """Return the time since the store was last known to be in touch.
+
+        It is `NO_CONTACT_AGE_S` at most, also before the first contact.
+        """
         if self.is_feed_open:
             return 0.0
-        return self._now_s() - max(self._reported_s(), self._own_contact_s)
+        age_s = self._now_s() - max(self._reported_s(), self._own_contact_s)
+        return min(age_s, NO_CONTACT_AGE_S)
 
     def report(self, peer: Peer, age_s: float) -> None:
         """Record what a peer reports.
--- a/damaskproxy/propagation/tests/test_decisions.py
+++ b/damaskproxy/propagation/tests/test_decisions.py
@@ -96,6 +96,19 @@
         self.now_s += seconds
         self.contact.update()
 
+    def test_age_is_finite_before_any_contact(self):
+        contact = StoreContact(
+            data_centre=lambda: "b",
+            data_centres=lambda: ["b"],
+            has_source=lambda: False,
+            has_configuration=lambda: False,
+            subscribers=list,
+            on_change=self.changed,
+            rng=random.Random(1),
+            now_s=lambda: self.now_s,
+        )
+        self.assertGreater(int(contact.age_s() * 1000), STALE_S)
+
     def test_starting_node_waits_for_a_source_before_it_asks_the_store(self):
         self.has_configuration = False
         self.contact.update()
--- a/damaskproxy/propagation/tests/test_schedules.py
+++ b/damaskproxy/propagation/tests/test_schedules.py
@@ -236,6 +236,7 @@
 
     def _check_end(self):
         mesh = self.mesh
+        self.problems += mesh.errors
         for node in mesh.behind(mesh.version):
             self.problems.append(f"end: {node.node_id} lacks the configuration")
         expected = {n.node_id: n.record.order for n in mesh.running()}
@@ -313,6 +314,7 @@
             sizes = {len(node.directory) for node in mesh.running()}
             self.assertEqual(sizes, {count})
             mesh.close()
+            self.assertEqual(mesh.errors, [])
             return len(mesh.store.calls)
 
         self.assertLessEqual(run_virtual(main()), limit)
@@ -354,6 +356,7 @@
             sizes = {len(node.directory) for node in mesh.running()}
             self.assertEqual(sizes, {count})
             mesh.close()
+            self.assertEqual(mesh.errors, [])
             return len(mesh.store.calls) - before
 
         self.assertLessEqual(run_virtual(main()), 3.5 * count + 20)
--- a/damaskproxy/propagation/tests/virtual_mesh.py
+++ b/damaskproxy/propagation/tests/virtual_mesh.py
@@ -341,6 +341,11 @@
         Number of nodes and of data centres.
     seed : int
         Seed of all random choices.
+
+    Attributes
+    ----------
+    errors : list of str
+        Exceptions in callbacks, which would close a connection between real nodes.
     """
 
     def __init__(self, count, data_centres, seed=1):
@@ -355,6 +360,10 @@
             data_centre = f"dc-{number % data_centres}"
             self.nodes[node_id] = VirtualNode(self, node_id, data_centre)
         self.version = 0
+        self.errors = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: self.errors.append(repr(context.get("exception")))
+        )
 
     def extra_delay_s(self):
         """Return the delay of a frame whose packet was lost."""
--- a/damaskproxy/sidecar/metrics.py
+++ b/damaskproxy/sidecar/metrics.py
@@ -32,7 +32,7 @@
         "is_store_dark": sidecar.store_watcher.is_store_unavailable,
         "follows_store": sidecar.propagation.sources.is_first,
         "sources": sidecar.propagation.sources.ids(),
-        "store_age_s": round(min(sidecar.propagation.contact.age_s(), 1e6), 2),
+        "store_age_s": round(sidecar.propagation.contact.age_s(), 2),
         "configuration_version": sidecar.configuration.version,
         "backend": None if record is None else msgspec.to_builtins(record),
         "load": None if load is None else msgspec.structs.asdict(load),
