Start at once after a kill during the first start of the mesh

A node that finds its own row waited 4.5 s for the rows of the others all the same. Only a node that has just created its row waits now. test_node_killed_during_the_first_start_is_ready_at_once fails before this change.

--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -162,6 +162,7 @@
     created: MemberRecord | None = None
     if sidecar.settings.is_first_start:
         created = await _create_own_row(sidecar)
+    if created is not None:
         await asyncio.sleep(sidecar.started_s + FIRST_READ_S - boot_s())
     await sidecar.store_watcher.read_members()
     if created is None:
--- a/damaskproxy/sidecar/tests/test_propagation.py
+++ b/damaskproxy/sidecar/tests/test_propagation.py
@@ -95,3 +95,12 @@
             )
         )
         await self.until_known(3)
+
+    async def test_node_killed_during_the_first_start_is_ready_at_once(self):
+        member = await self.start("n1", is_first_start=True)
+        await self.kill(member)
+        start_s = time.monotonic()
+        await self.restart(member, report=False)
+        await member.report()
+        await self.until(lambda: member.sidecar.is_ready)
+        self.assertLess(time.monotonic() - start_s, CONFIGURATION_S)
