Reproduce a configuration that is late after the store answered nobody

A feed that is opened while the store answers nobody, but before any call has failed, still hangs for its full wait.

The stand-in of the store gives up unanswered calls after the time-outs of the real client; before, a lost answer of a feed was given up later than that.

--- a/damaskproxy/propagation/tests/test_schedules.py
+++ b/damaskproxy/propagation/tests/test_schedules.py
@@ -10,6 +10,7 @@
 from damaskproxy.directory import BackendRecord
 from damaskproxy.propagation.tests.virtual_mesh import (
     RESTART_S,
+    STORE_S,
     VirtualMesh,
     now_s,
 )
@@ -295,6 +296,39 @@
         self.assertEqual(play(300, 6, 1, 10.0).problems, [])
 
 
+class SilentStoreTests(QuietLogs):
+    """Guards against a feed that was opened while the store answered nobody."""
+
+    @params(
+        *[
+            (data_centres, silent_s)
+            for silent_s in (0.1, 0.5, 1.0, 1.5, 2.5, 3.5, 5.5, 9.0)
+            for data_centres in (1, 3, 6)
+        ]
+    )
+    def test_configuration_is_in_force_after_a_silent_store(
+        self, data_centres, silent_s
+    ):
+        async def main():
+            mesh = VirtualMesh(12, data_centres)
+            await mesh.start()
+            await asyncio.sleep(10)
+            mesh.configure()
+            # The feeds have delivered the change and are opened again after this.
+            await asyncio.sleep(0.75 * STORE_S)
+            mesh.store.is_silent = True
+            await asyncio.sleep(silent_s)
+            mesh.store.is_silent = False
+            await asyncio.sleep(STABLE_S - CONFIGURATION_S)
+            version = mesh.configure()
+            await asyncio.sleep(CONFIGURATION_S)
+            behind = [node.node_id for node in mesh.behind(version)]
+            mesh.close()
+            return behind
+
+        self.assertEqual(run_virtual(main()), [])
+
+
 class QuietDayTests(QuietLogs):
     """Guards against calls to the store that grow with nodes times changes."""
 
--- a/damaskproxy/propagation/tests/virtual_mesh.py
+++ b/damaskproxy/propagation/tests/virtual_mesh.py
@@ -23,6 +23,7 @@
 from damaskproxy.forwarding.frames import encode_frame
 from damaskproxy.http1 import ClientLimits
 from damaskproxy.model import MemberState
+from damaskproxy.platform.store import FEED_GRACE_S, READ_TIMEOUT_S
 from damaskproxy.propagation import Propagation
 from damaskproxy.sidecar.lifecycle import FIRST_READ_S
 
@@ -34,7 +35,6 @@
 DEAD_PEER_S = 2.0
 """Time in which the kernel detects that the store does not react."""
 CHECK_S = 0.2
-READ_TIMEOUT_S = 1.0
 TICK_S = 0.2
 RESTART_S = 0.8
 
@@ -59,6 +59,7 @@
         self.is_down = False
         self.refused = set()
         self.cut = set()
+        self.is_silent = False
         self.lost_share = 0.0
         self.oldest_version = 0
         self.rng = random.Random(1)
@@ -93,11 +94,30 @@
         self._node_id = node_id
 
     async def read(self, table):
+        return await self._within(READ_TIMEOUT_S, self._read(table))
+
+    async def changes(self, table, after, wait_ms):
+        timeout_s = wait_ms / 1000 + FEED_GRACE_S
+        return await self._within(timeout_s, self._changes(table, after, wait_ms))
+
+    async def put(self, table, key, version, value):
+        put = self._put(table, key, version, value)
+        return await self._within(READ_TIMEOUT_S, put)
+
+    async def _within(self, timeout_s, call):
+        """Give up an unanswered call after the time-out of the real client."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await call
+        except TimeoutError as error:
+            raise StoreError("no response") from error
+
+    async def _read(self, table):
         await self._begin("read")
         rows = self._store.changes_after(table, 0)
-        return await self._respond(Rows(rows, self._store.version), READ_TIMEOUT_S)
+        return await self._respond(Rows(rows, self._store.version))
 
-    async def changes(self, table, after, wait_ms):
+    async def _changes(self, table, after, wait_ms):
         await self._begin("changes")
         store = self._store
         if after < store.oldest_version:
@@ -110,19 +130,19 @@
                 raise StoreError("cut off")
             if store.is_down or self._node_id in store.refused:
                 raise StoreError("down")
-        return await self._respond(Rows(rows, store.version), wait_ms / 1000 + 1.5)
+        return await self._respond(Rows(rows, store.version))
 
-    async def put(self, table, key, version, value):
+    async def _put(self, table, key, version, value):
         await self._begin("put")
         store = self._store
         known = store.rows.get((table, key))
         current = known.version if known else 0
         if current != version:
             rows = Rows([known] if known else [], store.version)
-            return WriteOutcome.CONFLICT, await self._respond(rows, READ_TIMEOUT_S)
+            return WriteOutcome.CONFLICT, await self._respond(rows)
         store.put_row(table, key, value)
         rows = Rows([], store.version)
-        return WriteOutcome.APPLIED, await self._respond(rows, READ_TIMEOUT_S)
+        return WriteOutcome.APPLIED, await self._respond(rows)
 
     async def _begin(self, kind):
         store = self._store
@@ -131,14 +151,16 @@
             raise StoreError("cut off")
         store.calls.append((now_s(), self._node_id, kind))
         await asyncio.sleep(STORE_S / 2)
+        if store.is_silent:
+            await asyncio.Event().wait()
         if store.is_down or self._node_id in store.refused:
             raise StoreError("down")
 
-    async def _respond(self, rows, timeout_s):
+    async def _respond(self, rows):
         store = self._store
-        if self._node_id in store.cut or store.rng.random() < store.lost_share:
-            await asyncio.sleep(timeout_s)
-            raise StoreError("no response")
+        is_unreachable = store.is_silent or self._node_id in store.cut
+        if is_unreachable or store.rng.random() < store.lost_share:
+            await asyncio.Event().wait()
         await asyncio.sleep(STORE_S / 2)
         return rows
 
