Notice within 1.1 s that the path to the store is cut

(2) When a feed was found to be stuck, it counted as closed before the call that confirms it; when that call failed, the claim was not taken back, and the claims that the first nodes had sent each other held for 1.5 s more.

While a call to the store waits, the node now opens a connection to the store every 0.5 s. Two attempts of 0.3 s that fail end the call. A stuck feed counts as open until the call without a wait that follows has failed or succeeded.

Other ways: calls instead of connections would cost 6 calls a second on a mesh with six data centres; shorter probes of the kernel do not exist; a second follower in each data centre may be cut off as well.

--- a/damaskproxy/directory/following.py
+++ b/damaskproxy/directory/following.py
@@ -4,7 +4,7 @@
 import logging
 import random
 from collections.abc import Callable
-from typing import Protocol
+from typing import NoReturn, Protocol
 
 from damaskproxy.directory import events
 from damaskproxy.directory.configuration import Configuration, CurrentConfiguration
@@ -43,6 +43,13 @@
 MEMBER_TABLE = "damask-members"
 
 MS_PER_S = 1000
+PATH_CHECK_S = 0.5
+"""Interval at which the path to the store is checked while a call waits.
+
+The kernel finds a connection that went silent after up to 2 s. If all nodes that follow
+the store are cut off from it at once, the others have to ask it within 2 s."""
+RESPONSE_USUAL_S = 0.1
+"""Time after which a call without a response makes the first check of the path."""
 MEMBERS_CHECK_S = 0.25
 """Interval at which the plan is asked whether to read the members."""
 RETRY_MIN_S = 0.2
@@ -216,12 +223,15 @@
         """
         failures = 0
         is_renewal = False
+        is_stuck = False
         while True:
             if not self._plan.wants_store:
                 self._plan.feed_closed()
                 await self._plan.wait_until_store_wanted()
-            wait_s = self._plan.feed_wait_s(is_renewal=is_renewal)
-            was_feed_open = self._plan.is_feed_open
+            wait_s = 0.0
+            if self._plan.is_feed_open and not is_stuck:
+                wait_s = self._plan.feed_wait_s(is_renewal=is_renewal)
+            is_stuck = False
             try:
                 rows = await self._read_configuration(wait_s)
             except HistoryLost as error:
@@ -230,7 +240,7 @@
                 continue
             except FeedStuck as error:
                 log_event(logger, events.FEED_STUCK, reason=str(error))
-                self._plan.feed_closed()
+                is_stuck = True
                 continue
             except StoreError as error:
                 self._plan.store_failed()
@@ -245,33 +255,43 @@
                     apply_encoded_configuration(
                         self._configuration, row.value, self._decode
                     )
-            is_renewal = was_feed_open and not rows.rows
+            is_renewal = wait_s > 0 and not rows.rows
             self._plan.store_succeeded(rows.version)
 
     async def _read_configuration(self, wait_s: float) -> Rows:
         """Return the rows of the operator that have changed.
 
-        The first call after a failure or a change of the source does not wait, so that
-        a change in the meantime is found and the contact is confirmed at once.
+        The first call after a failure, a stuck feed or a change of the source does not
+        wait, so that a change in the meantime is found and the contact is confirmed at
+        once.
         """
         position = self._plan.configuration_position
         if not position or self._configuration.current is None:
-            return await self._store.read(OPERATOR_TABLE)
-        if not self._plan.is_feed_open:
-            return await self._store.changes(OPERATOR_TABLE, position, 0)
-        wait_ms = int(wait_s * MS_PER_S)
-        feed = asyncio.create_task(
-            self._store.changes(OPERATOR_TABLE, position, wait_ms)
-        )
+            call = self._store.read(OPERATOR_TABLE)
+        else:
+            wait_ms = int(wait_s * MS_PER_S)
+            call = self._store.changes(OPERATOR_TABLE, position, wait_ms)
+        response = asyncio.create_task(call)
+        broken = asyncio.create_task(self._check_path())
         stuck = asyncio.create_task(self._plan.wait_until_feed_stuck())
+        tasks = {response, broken, stuck}
         try:
-            await asyncio.wait({feed, stuck}, return_when=asyncio.FIRST_COMPLETED)
-            if not feed.done():
-                raise FeedStuck("the feed missed a change that another node has")
-            return feed.result()
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            if response.done():
+                return response.result()
+            if broken.done():
+                return broken.result()
+            raise FeedStuck("the feed missed a change that another node has")
         finally:
-            feed.cancel()
-            stuck.cancel()
+            for task in tasks:
+                task.cancel()
+
+    async def _check_path(self) -> NoReturn:
+        """Check the path to the store at intervals, until it is broken."""
+        await asyncio.sleep(RESPONSE_USUAL_S)
+        while True:
+            await self._store.check_path()
+            await asyncio.sleep(PATH_CHECK_S)
 
     async def poll_members(self) -> None:
         """Read changed member rows when the plan asks for it, until cancelled."""
--- a/damaskproxy/directory/rows.py
+++ b/damaskproxy/directory/rows.py
@@ -84,3 +84,12 @@
         StoreError
             If the outcome is unknown; the write may be applied, now or later.
         """
+
+    async def check_path(self) -> None:
+        """Check that the store can be reached, without a call to it.
+
+        Raises
+        ------
+        StoreError
+            If it cannot be reached.
+        """
--- a/damaskproxy/platform/store.py
+++ b/damaskproxy/platform/store.py
@@ -35,6 +35,10 @@
 responses take half a second."""
 FEED_GRACE_S = 1.0
 """Time beyond the requested wait after which an unresponsive feed is abandoned."""
+PATH_ATTEMPTS = 2
+PATH_TIMEOUT_S = 0.3
+"""Time-out of each attempt to open a connection. The kernel sends a lost packet again
+only after a second."""
 
 DEAD_PEER_LIMITS = DeadPeerLimits(probe_after_s=1, probes=1, unacknowledged_max_ms=1500)
 """Limits for detecting that the store is an unresponsive peer.
@@ -114,6 +118,28 @@
             return WriteOutcome.CONFLICT, to_rows(_decode_response(response, 412))
         return WriteOutcome.APPLIED, to_rows(_decode_response(response))
 
+    async def check_path(self) -> None:
+        """Open a connection to the store and close it.
+
+        Raises
+        ------
+        StoreError
+            If no attempt succeeds.
+        """
+        address = self._pool.address
+        for _ in range(PATH_ATTEMPTS):
+            try:
+                async with asyncio.timeout(PATH_TIMEOUT_S):
+                    _, writer = await asyncio.open_connection(
+                        address.host, address.port
+                    )
+            except (OSError, TimeoutError) as error:
+                reason = str(error) or "connection timed out"
+                continue
+            writer.close()
+            return
+        raise StoreError(f"no connection to the store: {reason}")
+
     def close_idle(self) -> None:
         """Close connections that have been idle too long to be reused."""
         self._pool.close_idle()
--- a/damaskproxy/platform/tests/test_store.py
+++ b/damaskproxy/platform/tests/test_store.py
@@ -2,9 +2,11 @@
 
 import socket
 import unittest
+from contextlib import closing
 
 from nose2.tools import params
 
+from damaskproxy.directory import StoreError
 from damaskproxy.http1 import DeadPeerLimits
 from damaskproxy.platform.standins import RowStoreStandIn
 from damaskproxy.platform.store import DEAD_PEER_LIMITS, READ_TIMEOUT_S, PlatformStore
@@ -51,3 +53,29 @@
             "TCP_USER_TIMEOUT": DEAD_PEER_LIMITS.unacknowledged_max_ms,
         }
         self.assertEqual(options, expected)
+
+
+class PathTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against a store that cannot be reached and seems to have no news."""
+
+    async def test_reachable_store_gets_no_call(self):
+        rows = RowStoreStandIn()
+        store = PlatformStore(to_address(await rows.open()))
+        self.addAsyncCleanup(rows.close)
+        await store.check_path()
+        self.assertEqual(rows.calls, [])
+
+    async def test_closed_port(self):
+        with closing(socket.create_server(("127.0.0.1", 0))) as listener:
+            port = listener.getsockname()[1]
+        with self.assertRaises(StoreError):
+            await PlatformStore(to_address(f"127.0.0.1:{port}")).check_path()
+
+    async def test_dropped_packets(self):
+        listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.addCleanup(listener.close)
+        # The kernel drops the packets that open a connection beyond the backlog.
+        self.addCleanup(socket.create_connection(listener.getsockname()).close)
+        port = listener.getsockname()[1]
+        with self.assertRaises(StoreError):
+            await PlatformStore(to_address(f"127.0.0.1:{port}")).check_path()
--- a/damaskproxy/propagation/tests/test_schedules.py
+++ b/damaskproxy/propagation/tests/test_schedules.py
@@ -35,6 +35,8 @@
     (6, 3, 140),
     (6, 3, 208),
     (14, 3, 140),
+    # All first nodes cut off, and a configuration within the next 0.6 s.
+    (14, 3, 165),
     # A starting node read the rows before a leave was stored.
     (14, 3, 69),
     # All first nodes frozen at once while the store was down.
@@ -43,11 +45,6 @@
     # Half of all nodes frozen while the store was down.
     (60, 6, 18),
 ]
-FAILING = [
-    # All first nodes are cut off from the store, and a configuration comes within the
-    # next 0.4 s. The kernel detects the cut after up to 2 s.
-    (14, 3, 165),
-]
 
 
 class Schedule:
@@ -300,17 +297,39 @@
         schedule = play(count, data_centres, seed, is_store_silent_at_times=True)
         self.assertEqual(schedule.problems, [])
 
-    @params(*FAILING)
-    def test_limits_hold_when_all_first_nodes_fail_at_once(
-        self, count, data_centres, seed
-    ):
-        schedule = play(count, data_centres, seed)
-        self.assertEqual(schedule.problems, [])
-
     def test_limits_hold_with_hundreds_of_nodes(self):
         self.assertEqual(play(300, 6, 1, 10.0).problems, [])
 
 
+class CutOffTests(QuietLogs):
+    """Guards against reliance on first nodes that were cut off from the store."""
+
+    @params(
+        *[
+            (data_centres, delay_s)
+            for data_centres in (1, 3, 6)
+            for delay_s in (0.01, 0.2, 0.4, 0.6, 1.0, 1.5, 2.5)
+        ]
+    )
+    def test_configuration_is_in_force_when_all_first_nodes_are_cut_off(
+        self, data_centres, delay_s
+    ):
+        async def main():
+            mesh = VirtualMesh(18, data_centres)
+            await mesh.start()
+            await asyncio.sleep(10)
+            cut = {node.node_id for node in mesh.first_nodes()}
+            mesh.store.cut |= cut
+            await asyncio.sleep(delay_s)
+            version = mesh.configure()
+            await asyncio.sleep(CONFIGURATION_S)
+            behind = {node.node_id for node in mesh.behind(version)}
+            mesh.close()
+            return behind - cut
+
+        self.assertEqual(run_virtual(main()), set())
+
+
 class SilentStoreTests(QuietLogs):
     """Guards against a feed that was opened while the store answered nobody."""
 
--- a/damaskproxy/propagation/tests/virtual_mesh.py
+++ b/damaskproxy/propagation/tests/virtual_mesh.py
@@ -23,7 +23,12 @@
 from damaskproxy.forwarding.frames import encode_frame
 from damaskproxy.http1 import ClientLimits
 from damaskproxy.model import MemberState
-from damaskproxy.platform.store import FEED_GRACE_S, READ_TIMEOUT_S
+from damaskproxy.platform.store import (
+    FEED_GRACE_S,
+    PATH_ATTEMPTS,
+    PATH_TIMEOUT_S,
+    READ_TIMEOUT_S,
+)
 from damaskproxy.propagation import Propagation
 from damaskproxy.sidecar.lifecycle import FIRST_READ_S
 
@@ -104,6 +109,12 @@
         put = self._put(table, key, version, value)
         return await self._within(READ_TIMEOUT_S, put)
 
+    async def check_path(self):
+        if self._node_id in self._store.cut:
+            await asyncio.sleep(PATH_ATTEMPTS * PATH_TIMEOUT_S)
+            raise StoreError("cut off")
+        await asyncio.sleep(STORE_S / 2)
+
     async def _within(self, timeout_s, call):
         """Give up an unanswered call after the time-out of the real client."""
         try:
