Keep to the limit that a backend server names

Cause: nothing read the header.

The node beside the server sees all calls to it. It starts them at the rate that was named; a call that has to wait for over 0.3 s is refused, so that it runs elsewhere. The limit is part of the member record: all nodes know it, and a restarted node restores it from its row or from its peers. Each origin keeps to its share of the limit while another server has room.

--- a/damaskproxy/admission/controller.py
+++ b/damaskproxy/admission/controller.py
@@ -10,6 +10,7 @@
 from damaskproxy.admission.level import AdmissionLevel
 from damaskproxy.admission.limit import ConcurrencyLimit
 from damaskproxy.admission.queue import CallQueue, QueuedCall
+from damaskproxy.admission.rate import RateLimit
 from damaskproxy.admission.settings import AdmissionSettings
 from damaskproxy.admission.tickets import LEVEL_COUNT, Permit, Ticket
 from damaskproxy.common import Outcome, Refusal, RefusalReason
@@ -65,6 +66,8 @@
         self._level = AdmissionLevel(self._settings)
         self._costs = RouteCosts(self._settings)
         self._queue = CallQueue()
+        self._rate: RateLimit | None = None
+        self._rate_timer: asyncio.TimerHandle | None = None
         self._in_flight = 0
         self._long_in_flight = 0
         self._newest_first = False
@@ -100,7 +103,7 @@
             return _refusal(RefusalReason.OVERLOAD_LEVEL, self._retry_after_ms())
         cost = self._costs.get(ticket.route)
         is_long = ticket.long_work_hint or (cost is not None and cost.is_long)
-        is_free = in_flight < limit and not self._queue
+        is_free = in_flight < limit and not self._queue and not self._rate_wait_s(now_s)
         if is_free and (not is_long or self._long_may_start(is_short_waiting=False)):
             self._last_progress_s = now_s
             return self._grant(ticket.route, is_long, 0.0)
@@ -176,7 +179,7 @@
         return Load(
             in_flight=self._in_flight,
             queued=len(self._queue),
-            limit=self._limit.value,
+            limit=self._sustained_limit(),
             level=self._level.value,
             latency_ms=self._latency_s * 1000,
         )
@@ -190,12 +193,36 @@
         self._limit.set_slots(slots)
         self._start_queued_calls(self._now_s())
 
+    def set_rate(self, per_s: float | None) -> None:
+        """Apply a limit on the calls per second, None for no limit."""
+        now_s = self._now_s()
+        if per_s is None:
+            self._rate = None
+        elif self._rate is None:
+            self._rate = RateLimit(per_s, now_s)
+        else:
+            self._rate.set_rate(per_s)
+        self._start_queued_calls(now_s)
+
     def refuse_waiting(self, refusal: Refusal) -> None:
         """Refuse all queued calls with `refusal`."""
         for call in self._queue.calls():
             self._refuse_queued_call(call, refusal)
 
+    def _sustained_limit(self) -> int:
+        """Return the calls that may run at once, given the calls per second."""
+        limit = self._limit.value
+        if self._rate is None:
+            return limit
+        return min(limit, max(1, math.ceil(self._rate.per_s * self._latency_s)))
+
+    def _rate_wait_s(self, now_s: float) -> float:
+        """Return the time until the rate allows another call, 0 if it does now."""
+        return 0.0 if self._rate is None else self._rate.wait_s(now_s)
+
     def _grant(self, route: str, is_long: bool, waited_s: float) -> Permit:
+        if self._rate is not None:
+            self._rate.take(self._now_s())
         self._in_flight += 1
         self._long_in_flight += is_long
         self._level.record_start()
@@ -241,6 +268,8 @@
         """
         newest_first = self._newest_first
         ahead = self._queue.ahead_of(ticket, newest_first=newest_first) + 1
+        if self._rate is not None and self._in_flight < self._limit.value:
+            return self._rate.wait_s(now_s) + (ahead - 1) / self._rate.per_s
         mean_s = self._costs.mean_s
         release_interval_s = mean_s / self._limit.value
         since_progress_s = now_s - self._last_progress_s
@@ -305,6 +334,10 @@
 
     def _start_queued_calls(self, now_s: float) -> None:
         while self._queue and self._in_flight < self._limit.value:
+            rate_wait_s = self._rate_wait_s(now_s)
+            if rate_wait_s > 0:
+                self._start_rate_timer(rate_wait_s)
+                return
             call = self._next_call()
             if call is None:
                 return
@@ -318,6 +351,15 @@
             permit = self._grant(call.ticket.route, call.is_long, waited_s)
             call.future.set_result(permit)
 
+    def _start_rate_timer(self, delay_s: float) -> None:
+        if self._rate_timer is None:
+            loop = asyncio.get_running_loop()
+            self._rate_timer = loop.call_later(delay_s, self._rate_allows_call)
+
+    def _rate_allows_call(self) -> None:
+        self._rate_timer = None
+        self._start_queued_calls(self._now_s())
+
     def _next_call(self) -> QueuedCall | None:
         is_short_waiting = self._queue.short_count > 0
         short_only = not self._long_may_start(is_short_waiting=is_short_waiting)
@@ -340,6 +382,9 @@
         overloaded = self._has_refused or (
             min_wait_s > target_s and self._queue.short_count > 0
         )
+        if self._rate is not None and not self._was_full:
+            # Other servers may have room; the level would also reject their requests.
+            overloaded = False
         calm = not overloaded and (
             min_wait_s < target_s * CALM_SHARE or not self._queue
         )
--- a/damaskproxy/directory/members.py
+++ b/damaskproxy/directory/members.py
@@ -45,6 +45,8 @@
         identify stale reports, also after a restart of the node.
     warm_at_ms : int
         Unix time at which its cold start ends.
+    max_calls_per_s : float, optional
+        Calls per second that it has said it takes from all nodes together.
     """
 
     instance_id: str
@@ -54,6 +56,7 @@
     born_ms: int = 0
     sequence: int = 0
     warm_at_ms: int = 0
+    max_calls_per_s: float | None = None
 
     @property
     def incarnation_key(self) -> tuple[str, int]:
@@ -174,11 +177,17 @@
         self._records: dict[str, MemberRecord] = {}
         self._serving: dict[str, list[MemberRecord]] = {}
         self._digests = [0] * DIGEST_BUCKETS
+        self._running_count = 0
         self._on_change = on_change
 
     def __len__(self) -> int:
         return len(self._records)
 
+    @property
+    def running_count(self) -> int:
+        """Number of running nodes."""
+        return self._running_count
+
     def get(self, node_id: str) -> MemberRecord | None:
         """Return the record of a node."""
         return self._records.get(node_id)
@@ -198,7 +207,9 @@
                 record = msgspec.structs.replace(record, backend=backend)
         self._records[record.node_id] = record
         self._serving.clear()
+        self._running_count += record.state is MemberState.SERVING
         if known is not None:
+            self._running_count -= known.state is MemberState.SERVING
             self._toggle_digest(known)
         self._toggle_digest(record)
         self._on_change(record)
--- a/damaskproxy/forwarding/backend.py
+++ b/damaskproxy/forwarding/backend.py
@@ -16,6 +16,11 @@
 MISSED_REPORTS_MAX = 4
 """Consecutive status reports that may be late or lost before the server is taken out of
 service."""
+LIMIT_TOLERANCE = 0.1
+"""Relative change of a named limit that is ignored, since each change is stored."""
+LIMIT_HELD_S = 1.0
+"""Time after the last answer that named a limit in which others do not end it. Answers
+may be sent in another order than they arrive."""
 RETRY_CONNECT_S = 0.2
 """Pause after a refused connection, so that a crashed server does not cost a connection
 attempt for each call."""
@@ -76,6 +81,8 @@
         self._is_overdue = False
         self._unreachable_until_s = 0.0
         self._restored_leave: BackendRecord | None = None
+        self._restored_limit: BackendRecord | None = None
+        self._limit_named_s = float("-inf")
 
     @property
     def is_serving(self) -> bool:
@@ -96,10 +103,14 @@
         if self.record is None:
             self.record = record.with_leave_of(self._restored_leave)
             self._reported_s = boot_s()
+            self._limit_named_s = boot_s()
             self._on_change()
 
-    def restore_leave(self, record: BackendRecord) -> None:
-        """Apply a confirmed leave that only the peers of this node have on record."""
+    def restore_from_peers(self, record: BackendRecord) -> None:
+        """Apply a leave or a limit that only the peers of this node have on record."""
+        if record.max_calls_per_s is not None and self._limit_named_s < 0:
+            self._restored_limit = record
+            self.limit_named(record.incarnation_key, record.max_calls_per_s, 0.0)
         if not record.is_leaving:
             return
         self._restored_leave = record
@@ -135,7 +146,14 @@
             report.born_ms,
             report.sequence,
             warm_at_ms if report.cold_ms else 0,
+            current.max_calls_per_s if is_same_incarnation else None,
         )
+        restored = self._restored_limit if current is None else None
+        if restored and restored.incarnation_key == record.incarnation_key:
+            self._limit_named_s = boot_s()
+            record = msgspec.structs.replace(
+                record, max_calls_per_s=restored.max_calls_per_s
+            )
         self._apply(record.with_leave_of(self._restored_leave), force=was_overdue)
         return True
 
@@ -149,6 +167,38 @@
         if current.state is not MemberState.STOPPED:
             self._apply(_with_state(current, MemberState.STOPPED), force=True)
 
+    def limit_named(
+        self, incarnation: tuple[str, int], per_s: float | None, sent_s: float
+    ) -> None:
+        """Record the limit that an answer named.
+
+        Parameters
+        ----------
+        incarnation : tuple
+            Key of the incarnation that answered.
+        per_s : float or None
+            Calls per second that it takes from all nodes together, None for no limit.
+        sent_s : float
+            Time at which the call was sent to it. Answers to calls that were sent
+            before a limit was named do not end the limit.
+        """
+        current = self.record
+        if current is None or current.incarnation_key != incarnation:
+            return
+        known_per_s = current.max_calls_per_s
+        if per_s is None:
+            if known_per_s is None or sent_s < self._limit_named_s + LIMIT_HELD_S:
+                return
+        else:
+            self._limit_named_s = boot_s()
+            if (
+                known_per_s is not None
+                and abs(per_s - known_per_s) <= LIMIT_TOLERANCE * known_per_s
+            ):
+                return
+        changed = msgspec.structs.replace(current, max_calls_per_s=per_s)
+        self._apply(changed, force=False)
+
     def connection_refused(self) -> None:
         """Record that no process listens at its address."""
         self._unreachable_until_s = boot_s() + RETRY_CONNECT_S
@@ -193,6 +243,7 @@
         record.service,
         record.slots,
         record.state,
+        record.max_calls_per_s,
     )
 
 
--- a/damaskproxy/forwarding/events.py
+++ b/damaskproxy/forwarding/events.py
@@ -8,6 +8,7 @@
     "BACKEND_CRASHED",
     "CALL_FAILED",
     "CALL_NOT_ANSWERED",
+    "LIMIT_IGNORED",
     "LINK_LOST",
     "LINK_OPENED",
     "LINK_REFUSED",
@@ -60,3 +61,9 @@
     logging.ERROR,
     "Handling a call of another node raised an unexpected exception.",
 )
+LIMIT_IGNORED = define(
+    10109,
+    "server-limit-ignored",
+    logging.WARNING,
+    "The backend server named a limit on its requests that is not a valid number.",
+)
--- a/damaskproxy/forwarding/headers.py
+++ b/damaskproxy/forwarding/headers.py
@@ -1,8 +1,9 @@
 """Names of the headers that carry the context of a request."""
 
+import math
 from dataclasses import dataclass
 
-__all__ = ["HeaderNames"]
+__all__ = ["HeaderNames", "parse_calls_per_s"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,6 +24,8 @@
         Set by a backend server that rejected the request without running it.
     stamp : bytes
         Message authentication code (MAC) of the backend server over its response.
+    server_limit : bytes
+        Calls per second that the backend server takes from all nodes together.
     """
 
     request_id: bytes
@@ -31,7 +34,17 @@
     target_instance: bytes
     not_executed: bytes
     stamp: bytes
+    server_limit: bytes
 
     def lower(self, field: str) -> bytes:
         """Return the name of a field's header in lower case, for comparison."""
         return getattr(self, field).lower()
+
+
+def parse_calls_per_s(value: bytes) -> float | None:
+    """Return the limit on calls per second that a header names, None if invalid."""
+    try:
+        per_s = float(value)
+    except ValueError:
+        return None
+    return per_s if math.isfinite(per_s) and per_s >= 0 else None
--- a/damaskproxy/forwarding/member_selection.py
+++ b/damaskproxy/forwarding/member_selection.py
@@ -1,8 +1,9 @@
 """Selection of the member that runs a call."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
+from damaskproxy.admission.rate import MIN_PER_S
 from damaskproxy.common.clock import boot_s
 from damaskproxy.directory import MemberRecord
 from damaskproxy.forwarding.calls import Answer, LoadReport, NotRun, Result
@@ -14,7 +15,10 @@
 data centre is preferred. Traffic between data centres is charged by the byte, and a
 local server is as fast as any other while it has free slots."""
 FULL_COST = 2.0
-"""Cost of a server without a free slot, higher than that of another data centre."""
+"""Cost of a server without a free slot, higher than that of another data centre.
+
+It is also that of a server which has named a limit on its calls, until this node's
+share of the limit allows the next call."""
 FAILURE_COST = 3.0
 """Cost of a server whose recent calls all failed."""
 FAILURE_WEIGHT = 0.15
@@ -43,6 +47,8 @@
         "latency_s",
         "load",
         "load_received_s",
+        "next_call_s",
+        "paced_per_s",
         "in_flight",
         "retry_at_s",
         "sent_since_load",
@@ -57,6 +63,8 @@
         self.last_outcome_s = 0.0
         self.latency_s = 0.0
         self.retry_at_s = 0.0
+        self.next_call_s = 0.0
+        self.paced_per_s: float | None = None
         self.backoff_s = BACKOFF_S
 
     def utilization(self, slots: int, now_s: float) -> float:
@@ -85,11 +93,16 @@
         Data centre of this node.
     rng : random.Random
         Source of the tie-breaking costs.
+    node_count : callable
+        Returns the number of nodes, which share the limits of backend servers.
     """
 
-    def __init__(self, data_centre: str, rng: random.Random):
+    def __init__(
+        self, data_centre: str, rng: random.Random, node_count: Callable[[], int]
+    ):
         self._data_centre = data_centre
         self._rng = rng
+        self._node_count = node_count
         self._stats: dict[str, _MemberStats] = {}
 
     def choose(
@@ -114,6 +127,10 @@
         stats = self._stats_of(member.node_id)
         stats.in_flight += 1
         stats.sent_since_load += 1
+        if stats.paced_per_s is not None:
+            stats.next_call_s = max(stats.next_call_s, boot_s()) + self._interval_s(
+                stats.paced_per_s
+            )
 
     def finished(
         self,
@@ -190,6 +207,27 @@
         stats.failure_share = failures + (is_failure - failures) * FAILURE_WEIGHT
         stats.last_outcome_s = now_s
 
+    def _interval_s(self, per_s: float) -> float:
+        """Return the time between calls of this node, for its share of a limit."""
+        return self._node_count() / max(per_s, MIN_PER_S)
+
+    def _update_pace(
+        self, member: MemberRecord, stats: _MemberStats, now_s: float
+    ) -> None:
+        """Apply the limit that a server names.
+
+        Notes
+        -----
+        All nodes learn of a new limit at the same time, so that each of them makes its
+        first call at a random moment of the interval.
+        """
+        per_s = member.backend.max_calls_per_s
+        if per_s != stats.paced_per_s:
+            stats.paced_per_s = per_s
+            if per_s is not None:
+                delay_s = self._rng.random() * self._interval_s(per_s)
+                stats.next_call_s = now_s + delay_s
+
     def _cost(
         self, member: MemberRecord, stats: _MemberStats, now_s: float, fastest_s: float
     ) -> float:
@@ -197,7 +235,9 @@
         cost = utilization + self._rng.random() * TIE_BREAK_COST
         if stats.failure_share:
             cost += FAILURE_COST * stats.failures(now_s)
-        if utilization >= 1:
+        self._update_pace(member, stats, now_s)
+        is_paced = stats.paced_per_s is not None and now_s < stats.next_call_s
+        if utilization >= 1 or is_paced:
             cost += FULL_COST
         if fastest_s and stats.latency_s > fastest_s:
             cost += min(1.0, SLOW_COST * (stats.latency_s / fastest_s - 1))
--- a/damaskproxy/forwarding/target.py
+++ b/damaskproxy/forwarding/target.py
@@ -9,6 +9,7 @@
 from damaskproxy.admission import AdmissionController, Permit, Ticket
 from damaskproxy.common import Outcome, Refusal, RefusalReason, ordinal_of
 from damaskproxy.common.clock import boot_s
+from damaskproxy.directory import BackendRecord
 from damaskproxy.events import log_event
 from damaskproxy.forwarding import events
 from damaskproxy.forwarding.backend import Backend
@@ -22,7 +23,7 @@
     Unknown,
     to_priority,
 )
-from damaskproxy.forwarding.headers import HeaderNames
+from damaskproxy.forwarding.headers import HeaderNames, parse_calls_per_s
 from damaskproxy.forwarding.parent_requests import ParentRequests, root_id_of
 from damaskproxy.forwarding.poison_requests import PoisonRequestDetector, digest_of
 from damaskproxy.forwarding.stats import RequestStats
@@ -113,6 +114,8 @@
         self._request_id = names.lower("request_id")
         self._not_executed = names.lower("not_executed")
         self._stamp = names.lower("stamp")
+        self._server_limit = names.lower("server_limit")
+        self._invalid_limit: bytes | None = None
         # The origin knows the request id, so it is not sent back between nodes.
         self._dropped_headers = frozenset({self._not_executed, self._request_id})
 
@@ -183,6 +186,7 @@
         if self._admission is None:
             self._admission = self._make_admission(slots)
         self._admission.set_slots(slots)
+        self._admission.set_rate(record.max_calls_per_s)
         if not self._backend.is_serving:
             self.refuse_waiting(RefusalReason.LEAVING)
 
@@ -228,6 +232,7 @@
         ]
         request = Request(call.method, call.target, headers, call.body)
         self.in_flight += 1
+        sent_s = boot_s()
         self._parent_requests.call_started(call)
         try:
             response = await self._pool.exchange(
@@ -247,6 +252,7 @@
         finally:
             self.in_flight -= 1
             self._parent_requests.call_ended(call)
+        self._record_limit(response, record, sent_s)
         return self._classify(response)
 
     def _make_response_check(self, request_id: bytes):
@@ -260,6 +266,24 @@
 
         return accept
 
+    def _record_limit(
+        self, response: Response, record: BackendRecord, sent_s: float
+    ) -> None:
+        """Record the limit on calls that a response names, if any."""
+        is_own = response.header(self._stamp) or response.header(self._not_executed)
+        if is_own is None:
+            return
+        value = response.header(self._server_limit)
+        per_s = None
+        if value is not None:
+            per_s = parse_calls_per_s(value)
+            if per_s is None:
+                if value != self._invalid_limit:
+                    self._invalid_limit = value
+                    log_event(logger, events.LIMIT_IGNORED, value=repr(value[:40]))
+                return
+        self._backend.limit_named(record.incarnation_key, per_s, sent_s)
+
     def _classify(self, response: Response) -> Result:
         is_rejected = response.header(self._not_executed) is not None
         if is_rejected or response.status == 421:
--- a/damaskproxy/forwarding/tests/builders.py
+++ b/damaskproxy/forwarding/tests/builders.py
@@ -15,6 +15,7 @@
     target_instance=b"X-Target",
     not_executed=b"X-Not-Run",
     stamp=b"X-Stamp",
+    server_limit=b"Server-Limit",
 )
 
 
--- a/damaskproxy/forwarding/tests/test_backend.py
+++ b/damaskproxy/forwarding/tests/test_backend.py
@@ -7,6 +7,7 @@
 
 from damaskproxy.directory import BackendRecord
 from damaskproxy.forwarding import Backend, backend as backend_module
+from damaskproxy.forwarding.backend import LIMIT_HELD_S
 from damaskproxy.forwarding.tests.builders import make_report
 from damaskproxy.model import MemberState
 
@@ -127,3 +128,78 @@
         self.assertFalse(self.backend.is_reachable)
         self.backend.report(make_report(sequence=2))
         self.assertTrue(self.backend.is_reachable)
+
+
+class NamedLimitTests(unittest.TestCase):
+    """Guards against a limit that is lost, outlives its incarnation or never ends."""
+
+    def setUp(self):
+        self.now_s = 100.0
+        patch = mock.patch.object(backend_module, "boot_s", lambda: self.now_s)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.changes = 0
+        self.backend = Backend(1000, self.changed)
+        self.backend.report(READY)
+        self.key = self.backend.record.incarnation_key
+        self.changes = 0
+
+    def changed(self):
+        self.changes += 1
+
+    def name(self, per_s, *, sent_s=None, key=None):
+        """Record an answer, by default to a call that was sent just now."""
+        sent_s = self.now_s if sent_s is None else sent_s
+        self.backend.limit_named(key or self.key, per_s, sent_s)
+        return self.backend.record.max_calls_per_s
+
+    def test_limit_is_announced_once(self):
+        self.assertEqual([self.name(10.0) for _ in range(3)], [10.0] * 3)
+        self.assertEqual(self.changes, 1)
+
+    @params((10.9, 10.0), (11.1, 11.1), (5.0, 5.0), (0.0, 0.0))
+    def test_small_changes_are_not_announced(self, per_s, expected):
+        self.name(10.0)
+        self.assertEqual(self.name(per_s), expected)
+
+    @params(
+        ("sent before the limit was named", -0.1, 10.0),
+        ("sent just after", 0.5, 10.0),
+        ("sent later", LIMIT_HELD_S + 0.1, None),
+    )
+    def test_answer_without_a_limit(self, name, sent_after_s, expected):
+        self.name(10.0)
+        named_s, self.now_s = self.now_s, self.now_s + 5
+        limit = self.name(None, sent_s=named_s + sent_after_s)
+        self.assertEqual(limit, expected, name)
+
+    def test_limit_outlives_reports_but_not_the_incarnation(self):
+        self.name(10.0)
+        self.backend.report(make_report(sequence=2))
+        self.assertEqual(self.backend.record.max_calls_per_s, 10.0)
+        self.backend.report(RESTARTED)
+        self.assertIsNone(self.backend.record.max_calls_per_s)
+        self.assertIsNone(self.name(10.0, key=self.key))
+
+    def test_limit_is_restored_after_a_restart_of_the_node(self):
+        self.name(10.0)
+        restarted = Backend(1000, self.changed)
+        restarted.restore(self.backend.record)
+        restarted.report(make_report(sequence=2))
+        self.assertEqual(restarted.record.max_calls_per_s, 10.0)
+
+    @params(("same", READY, 10.0), ("next", RESTARTED, None))
+    def test_limit_that_only_peers_know_is_restored(self, name, report, expected):
+        self.name(10.0)
+        restarted = Backend(1000, self.changed)
+        restarted.restore_from_peers(self.backend.record)
+        restarted.report(report)
+        self.assertEqual(restarted.record.max_calls_per_s, expected, name)
+
+    def test_record_of_peers_does_not_bring_back_a_limit_that_ended(self):
+        self.name(10.0)
+        stale = self.backend.record
+        self.now_s += 5
+        self.name(None)
+        self.backend.restore_from_peers(stale)
+        self.assertIsNone(self.backend.record.max_calls_per_s)
--- a/damaskproxy/platform/headers.py
+++ b/damaskproxy/platform/headers.py
@@ -11,6 +11,7 @@
     target_instance=b"X-Damaskproxy-Target-Instance",
     not_executed=b"X-Damaskproxy-Not-Executed",
     stamp=b"X-Damaskproxy-Server-Stamp",
+    server_limit=b"Server-Limit",
 )
 
 VOLATILE_HEADERS = frozenset(
--- a/damaskproxy/platform/standins/stamped.py
+++ b/damaskproxy/platform/standins/stamped.py
@@ -31,6 +31,8 @@
     faults : dict
         Faults by path: ``shed``, ``error``, ``hang``, ``encoded``, ``unstamped``,
         ``cut``, ``endless``.
+    extra_headers : list of tuple of bytes
+        Headers that are added to all responses to executed requests.
     """
 
     def __init__(self, instance_id: str, service: str):
@@ -41,6 +43,7 @@
         self.cancelled = 0
         self.requests: list[Request] = []
         self.faults: dict[bytes, str] = {}
+        self.extra_headers: list[tuple[bytes, bytes]] = []
         self.work_s = 0.0
         self.server = HttpServer("stamped backend", self._handle)
 
@@ -78,6 +81,7 @@
             return Response(200, [echo, (b"X-Endless", b"x" * ENDLESS_BYTES)])
         stamp = (b"X-Damaskproxy-Server-Stamp", b"stamp-" + self.instance_id.encode())
         headers = [echo, stamp, (b"Content-Type", b"text/plain")]
+        headers += self.extra_headers
         if fault == "encoded":
             headers.append((b"Content-Encoding", b"gzip"))
         if fault == "unstamped":
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -126,7 +126,7 @@
         """Handle a record of this node that another node has."""
         is_same_machine = record.host == self.record.host
         if is_same_machine and record.backend is not None:
-            self.backend.restore_leave(record.backend)
+            self.backend.restore_from_peers(record.backend)
         if record.order >= self.record.order and record != self.record:
             # Another node removed the record of this node, which still runs.
             self.record = msgspec.structs.replace(
@@ -183,7 +183,9 @@
             ratio=bounds.retry_ratio * RETRY_RATIO_SHARE, saved_max=RETRY_CAPACITY_MIN
         )
     )
-    member_selector = MemberSelector(settings.data_centre, rng)
+    member_selector = MemberSelector(
+        settings.data_centre, rng, lambda: directory.running_count
+    )
     known_incarnations: dict[str, tuple] = {}
 
     def member_changed(record: MemberRecord) -> None:
