Stop calls to a server that says in an answer that it leaves

What callers would see: requests reach a server that has named Server-Leaving later than the drain time after a node had passed that answer on (DRAIN).

Cause: nothing read the header, so a server whose report or DELETE is late or missing got new calls until then. The node beside the server sees all of its answers. It now treats the header like a confirmed leave of that incarnation, before it passes the answer on: it refuses new calls, and the changed record goes to the other nodes and to the store, from which a restarted node restores it.

NamedLeaveTests cover the incarnations.

--- a/damaskproxy/forwarding/backend.py
+++ b/damaskproxy/forwarding/backend.py
@@ -167,6 +167,22 @@
         if current.state is not MemberState.STOPPED:
             self._apply(_with_state(current, MemberState.STOPPED), force=True)
 
+    def leave_named(self, incarnation: tuple[str, int]) -> bool:
+        """Record that an incarnation said in an answer that it leaves.
+
+        Returns
+        -------
+        bool
+            Whether this was news.
+        """
+        current = self.record
+        if current is None or current.incarnation_key != incarnation:
+            return False
+        if current.is_leaving:
+            return False
+        self._apply(_with_state(current, MemberState.DRAINING), force=True)
+        return True
+
     def limit_named(
         self, incarnation: tuple[str, int], per_s: float | None, sent_s: float
     ) -> None:
--- a/damaskproxy/forwarding/events.py
+++ b/damaskproxy/forwarding/events.py
@@ -8,6 +8,7 @@
     "BACKEND_CRASHED",
     "CALL_FAILED",
     "CALL_NOT_ANSWERED",
+    "LEAVE_NAMED",
     "LIMIT_IGNORED",
     "LINK_LOST",
     "LINK_OPENED",
@@ -67,3 +68,9 @@
     logging.WARNING,
     "The backend server named a limit on its requests that is not a valid number.",
 )
+LEAVE_NAMED = define(
+    10110,
+    "server-leaves",
+    logging.INFO,
+    "The backend server said in an answer that it leaves; it gets no new calls.",
+)
--- a/damaskproxy/forwarding/headers.py
+++ b/damaskproxy/forwarding/headers.py
@@ -26,6 +26,8 @@
         Message authentication code (MAC) of the backend server over its response.
     server_limit : bytes
         Calls per second that the backend server takes from all nodes together.
+    server_leaving : bytes
+        Set to ``1`` by a backend server that leaves.
     """
 
     request_id: bytes
@@ -35,6 +37,7 @@
     not_executed: bytes
     stamp: bytes
     server_limit: bytes
+    server_leaving: bytes
 
     def lower(self, field: str) -> bytes:
         """Return the name of a field's header in lower case, for comparison."""
--- a/damaskproxy/forwarding/target.py
+++ b/damaskproxy/forwarding/target.py
@@ -52,6 +52,8 @@
 break within a round trip."""
 CRASH_PROBE_TIMEOUT_S = 0.3
 
+LEAVING = b"1"
+"""Value of the header in which a backend server says that it leaves."""
 REJECTED_STATUSES = frozenset({400, 421, 429, 503})
 
 
@@ -115,6 +117,7 @@
         self._not_executed = names.lower("not_executed")
         self._stamp = names.lower("stamp")
         self._server_limit = names.lower("server_limit")
+        self._server_leaving = names.lower("server_leaving")
         self._invalid_limit: bytes | None = None
         # The origin knows the request id, so it is not sent back between nodes.
         self._dropped_headers = frozenset({self._not_executed, self._request_id})
@@ -252,7 +255,7 @@
         finally:
             self.in_flight -= 1
             self._parent_requests.call_ended(call)
-        self._record_limit(response, record, sent_s)
+        self._record_server_state(response, record, sent_s)
         return self._classify(response)
 
     def _make_response_check(self, request_id: bytes):
@@ -266,13 +269,22 @@
 
         return accept
 
-    def _record_limit(
+    def _record_server_state(
         self, response: Response, record: BackendRecord, sent_s: float
     ) -> None:
-        """Record the limit on calls that a response names, if any."""
+        """Record what the backend server says of itself in a response."""
         is_own = response.header(self._stamp) or response.header(self._not_executed)
         if is_own is None:
             return
+        if response.header(self._server_leaving) == LEAVING and (
+            self._backend.leave_named(record.incarnation_key)
+        ):
+            log_event(logger, events.LEAVE_NAMED, instance_id=record.instance_id)
+        self._record_limit(response, record, sent_s)
+
+    def _record_limit(
+        self, response: Response, record: BackendRecord, sent_s: float
+    ) -> None:
         value = response.header(self._server_limit)
         per_s = None
         if value is not None:
--- a/damaskproxy/forwarding/tests/builders.py
+++ b/damaskproxy/forwarding/tests/builders.py
@@ -16,6 +16,7 @@
     not_executed=b"X-Not-Run",
     stamp=b"X-Stamp",
     server_limit=b"Server-Limit",
+    server_leaving=b"Server-Leaving",
 )
 
 
--- a/damaskproxy/forwarding/tests/test_backend.py
+++ b/damaskproxy/forwarding/tests/test_backend.py
@@ -203,3 +203,28 @@
         self.name(None)
         self.backend.restore_from_peers(stale)
         self.assertIsNone(self.backend.record.max_calls_per_s)
+
+
+class NamedLeaveTests(unittest.TestCase):
+    """Guards against calls to a server that said in an answer that it leaves."""
+
+    @params(
+        ("current incarnation", [READY], ("i-1", 1000), True),
+        ("earlier incarnation", [READY, RESTARTED], ("i-1", 1000), False),
+        ("no report yet", [], ("i-1", 1000), False),
+        ("drains already", [READY, DRAINING], ("i-1", 1000), False),
+    )
+    def test_only_the_current_incarnation_can_leave(self, name, reports, key, is_news):
+        backend = Backend(1000, lambda: None)
+        for report in reports:
+            backend.report(report)
+        was_serving = backend.is_serving
+        self.assertEqual(backend.leave_named(key), is_news, name)
+        self.assertEqual(backend.is_serving, was_serving and not is_news, name)
+
+    def test_later_report_does_not_bring_the_server_back(self):
+        backend = Backend(1000, lambda: None)
+        backend.report(READY)
+        backend.leave_named(backend.record.incarnation_key)
+        backend.report(make_report(sequence=2))
+        self.assertFalse(backend.is_serving)
--- a/damaskproxy/platform/headers.py
+++ b/damaskproxy/platform/headers.py
@@ -12,6 +12,7 @@
     not_executed=b"X-Damaskproxy-Not-Executed",
     stamp=b"X-Damaskproxy-Server-Stamp",
     server_limit=b"Server-Limit",
+    server_leaving=b"Server-Leaving",
 )
 
 VOLATILE_HEADERS = frozenset(
