Restore a limit that peers know beside a stored row without it

Cause, found while reading the change: a limit that was named while the store was unavailable is known to the peers only. A node that restarted after the return of the store applied its row, which has no limit, and the server got its usual share until its first answer. The first record since the start, from a row or a report, now has the limit that peers know.

test_limit_that_only_peers_know_is_restored_beside_a_stored_record fails before (no limit) and passes after.

--- a/damaskproxy/forwarding/backend.py
+++ b/damaskproxy/forwarding/backend.py
@@ -101,9 +101,10 @@
     def restore(self, record: BackendRecord) -> None:
         """Apply the record that this node stored before its restart."""
         if self.record is None:
-            self.record = record.with_leave_of(self._restored_leave)
+            self.record = self._with_limit_of_peers(record).with_leave_of(
+                self._restored_leave
+            )
             self._reported_s = boot_s()
-            self._limit_named_s = boot_s()
             self._on_change()
 
     def restore_from_peers(self, record: BackendRecord) -> None:
@@ -148,12 +149,8 @@
             warm_at_ms if report.cold_ms else 0,
             current.max_calls_per_s if is_same_incarnation else None,
         )
-        restored = self._restored_limit if current is None else None
-        if restored and restored.incarnation_key == record.incarnation_key:
-            self._limit_named_s = boot_s()
-            record = msgspec.structs.replace(
-                record, max_calls_per_s=restored.max_calls_per_s
-            )
+        if current is None:
+            record = self._with_limit_of_peers(record)
         self._apply(record.with_leave_of(self._restored_leave), force=was_overdue)
         return True
 
@@ -233,6 +230,16 @@
             return _with_state(self.record, MemberState.STARTING)
         return self.record
 
+    def _with_limit_of_peers(self, record: BackendRecord) -> BackendRecord:
+        """Return the first record since the start, with a limit that peers know."""
+        known = self._restored_limit
+        if known is not None and known.incarnation_key == record.incarnation_key:
+            per_s = known.max_calls_per_s
+            record = msgspec.structs.replace(record, max_calls_per_s=per_s)
+        if record.max_calls_per_s is not None:
+            self._limit_named_s = boot_s()
+        return record
+
     def _apply(self, record: BackendRecord, *, force: bool) -> None:
         current, self.record = self.record, record
         if (
--- a/damaskproxy/forwarding/tests/test_backend.py
+++ b/damaskproxy/forwarding/tests/test_backend.py
@@ -16,8 +16,8 @@
 RESTARTED = make_report(born_ms=2000, sequence=1)
 
 
-class BackendTests(unittest.TestCase):
-    """Guards against calls to a backend server that drains or has stopped."""
+class BackendTestCase(unittest.TestCase):
+    """Test case with a backend server, its clock, and a count of its changes."""
 
     def setUp(self):
         self.now_s = 100.0
@@ -30,6 +30,10 @@
     def changed(self):
         self.changes += 1
 
+
+class BackendTests(BackendTestCase):
+    """Guards against calls to a backend server that drains or has stopped."""
+
     @params(
         ("first report", [READY], True, "i-1"),
         ("drains", [READY, DRAINING], False, "i-1"),
@@ -130,23 +134,15 @@
         self.assertTrue(self.backend.is_reachable)
 
 
-class NamedLimitTests(unittest.TestCase):
+class NamedLimitTests(BackendTestCase):
     """Guards against a limit that is lost, outlives its incarnation or never ends."""
 
     def setUp(self):
-        self.now_s = 100.0
-        patch = mock.patch.object(backend_module, "boot_s", lambda: self.now_s)
-        patch.start()
-        self.addCleanup(patch.stop)
-        self.changes = 0
-        self.backend = Backend(1000, self.changed)
+        super().setUp()
         self.backend.report(READY)
         self.key = self.backend.record.incarnation_key
         self.changes = 0
 
-    def changed(self):
-        self.changes += 1
-
     def name(self, per_s, *, sent_s=None, key=None):
         """Record an answer, by default to a call that was sent just now."""
         sent_s = self.now_s if sent_s is None else sent_s
@@ -196,6 +192,21 @@
         restarted.report(report)
         self.assertEqual(restarted.record.max_calls_per_s, expected, name)
 
+    def test_limit_that_peers_send_after_a_report_is_restored(self):
+        self.name(10.0)
+        restarted = Backend(1000, self.changed)
+        restarted.report(READY)
+        restarted.restore_from_peers(self.backend.record)
+        self.assertEqual(restarted.record.max_calls_per_s, 10.0)
+
+    def test_limit_that_only_peers_know_is_restored_beside_a_stored_record(self):
+        stored = self.backend.record
+        self.name(10.0)
+        restarted = Backend(1000, self.changed)
+        restarted.restore_from_peers(self.backend.record)
+        restarted.restore(stored)
+        self.assertEqual(restarted.record.max_calls_per_s, 10.0)
+
     def test_record_of_peers_does_not_bring_back_a_limit_that_ended(self):
         self.name(10.0)
         stale = self.backend.record
