--- a/damaskproxy/forwarding/backend.py
+++ b/damaskproxy/forwarding/backend.py
@@ -182,7 +182,7 @@
 
     def limit_named(
         self, incarnation: tuple[str, int], per_s: float | None, sent_s: float
-    ) -> None:
+    ) -> bool:
         """Record the limit that an answer named.
 
         Parameters
@@ -194,23 +194,29 @@
         sent_s : float
             Time at which the call was sent to it. Answers to calls that were sent
             before a limit was named do not end the limit.
+
+        Returns
+        -------
+        bool
+            Whether the limit has changed.
         """
         current = self.record
         if current is None or current.incarnation_key != incarnation:
-            return
+            return False
         known_per_s = current.max_calls_per_s
         if per_s is None:
             if known_per_s is None or sent_s < self._limit_named_s + LIMIT_HELD_S:
-                return
+                return False
         else:
             self._limit_named_s = boot_s()
             if (
                 known_per_s is not None
                 and abs(per_s - known_per_s) <= LIMIT_TOLERANCE * known_per_s
             ):
-                return
+                return False
         changed = msgspec.structs.replace(current, max_calls_per_s=per_s)
         self._apply(changed, force=False)
+        return True
 
     def connection_refused(self) -> None:
         """Record that no process listens at its address."""
--- a/damaskproxy/forwarding/events.py
+++ b/damaskproxy/forwarding/events.py
@@ -9,6 +9,7 @@
     "CALL_FAILED",
     "CALL_NOT_ANSWERED",
     "LEAVE_NAMED",
+    "LIMIT_CHANGED",
     "LIMIT_IGNORED",
     "LINK_LOST",
     "LINK_OPENED",
@@ -74,3 +75,9 @@
     logging.INFO,
     "The backend server said in an answer that it leaves; it gets no new calls.",
 )
+LIMIT_CHANGED = define(
+    10111,
+    "server-limit-changed",
+    logging.INFO,
+    "The backend server named another limit on its requests, or no longer names one.",
+)
--- a/damaskproxy/forwarding/target.py
+++ b/damaskproxy/forwarding/target.py
@@ -294,7 +294,13 @@
                     self._invalid_limit = value
                     log_event(logger, events.LIMIT_IGNORED, value=repr(value[:40]))
                 return
-        self._backend.limit_named(record.incarnation_key, per_s, sent_s)
+        if self._backend.limit_named(record.incarnation_key, per_s, sent_s):
+            log_event(
+                logger,
+                events.LIMIT_CHANGED,
+                instance_id=record.instance_id,
+                calls_per_s=per_s,
+            )
 
     def _classify(self, response: Response) -> Result:
         is_rejected = response.header(self._not_executed) is not None
