--- a/damaskproxy/forwarding/tests/builders.py
+++ b/damaskproxy/forwarding/tests/builders.py
@@ -15,8 +15,8 @@
     target_instance=b"X-Target",
     not_executed=b"X-Not-Run",
     stamp=b"X-Stamp",
-    server_limit=b"Server-Limit",
-    server_leaving=b"Server-Leaving",
+    server_limit=b"X-Limit",
+    server_leaving=b"X-Leaving",
 )
 
 
--- a/damaskproxy/forwarding/tests/test_server_leaving.py
+++ b/damaskproxy/forwarding/tests/test_server_leaving.py
@@ -2,6 +2,7 @@
 
 from nose2.tools import params
 
+from damaskproxy.forwarding.tests.builders import NAMES
 from damaskproxy.forwarding.tests.test_server_limit import VirtualTestCase
 from damaskproxy.forwarding.tests.virtual_service import (
     VirtualServer,
@@ -12,7 +13,7 @@
 WORK_S = 0.2
 DRAIN_S = 2.0
 """Time after an answer that named the leave from which on no request may arrive."""
-LEAVING = (b"Server-Leaving", b"1")
+LEAVING = (NAMES.server_leaving, b"1")
 
 
 class ServerLeavingTests(VirtualTestCase):
@@ -52,7 +53,7 @@
     @params(b"0", b"", b"yes")
     def test_other_values_name_no_leave(self, value):
         async def main():
-            server = VirtualServer(WORK_S, [(b"Server-Leaving", value)])
+            server = VirtualServer(WORK_S, [(NAMES.server_leaving, value)])
             service = VirtualService(4, [server])
             await service.play(3.0, order=20.0)
             return service.served("order")
--- a/damaskproxy/forwarding/tests/test_server_limit.py
+++ b/damaskproxy/forwarding/tests/test_server_limit.py
@@ -6,6 +6,7 @@
 
 from nose2.tools import params
 
+from damaskproxy.forwarding.tests.builders import NAMES
 from damaskproxy.forwarding.tests.virtual_service import (
     VirtualServer,
     VirtualService,
@@ -27,7 +28,7 @@
 
 def limit_header(limit_per_s):
     """Return the header that names a limit."""
-    return (b"Server-Limit", b"%.1f" % limit_per_s)
+    return (NAMES.server_limit, b"%.1f" % limit_per_s)
 
 
 class VirtualTestCase(unittest.TestCase):
@@ -111,7 +112,7 @@
     @params(b"", b"much", b"-5", b"nan", b"inf", b"1e400")
     def test_invalid_limit_is_ignored(self, value):
         async def main():
-            server = VirtualServer(WORK_S, [(b"Server-Limit", value)])
+            server = VirtualServer(WORK_S, [(NAMES.server_limit, value)])
             service = VirtualService(4, [server])
             await service.play(5.0, order=50.0)
             return service
