Apply a named limit when a record changes, not for each candidate of a call

The cost of a candidate changed the pace of its server as a side effect, for every member of the service on every call. The pace is now set once, when the record changes. Same decisions; the random phase of a node is drawn at another moment.

--- a/damaskproxy/forwarding/member_selection.py
+++ b/damaskproxy/forwarding/member_selection.py
@@ -194,6 +194,24 @@
             self._stats[node_id] = fresh = _MemberStats()
             fresh.in_flight = stats.in_flight
 
+    def apply_limit(self, member: MemberRecord) -> None:
+        """Apply the limit that the server of a member names, after a change of it.
+
+        Notes
+        -----
+        All nodes learn of a new limit at the same time, so that each of them makes its
+        first call at a random moment of the interval.
+        """
+        per_s = member.backend.max_calls_per_s if member.backend else None
+        if per_s is None and member.node_id not in self._stats:
+            return
+        stats = self._stats_of(member.node_id)
+        if per_s != stats.paced_per_s:
+            stats.paced_per_s = per_s
+            if per_s is not None:
+                delay_s = self._rng.random() * self._interval_s(per_s)
+                stats.next_call_s = boot_s() + delay_s
+
     def _stats_of(self, node_id: str) -> _MemberStats:
         stats = self._stats.get(node_id)
         if stats is None:
@@ -211,23 +229,6 @@
         """Return the time between calls of this node, for its share of a limit."""
         return self._node_count() / max(per_s, MIN_PER_S)
 
-    def _update_pace(
-        self, member: MemberRecord, stats: _MemberStats, now_s: float
-    ) -> None:
-        """Apply the limit that a server names.
-
-        Notes
-        -----
-        All nodes learn of a new limit at the same time, so that each of them makes its
-        first call at a random moment of the interval.
-        """
-        per_s = member.backend.max_calls_per_s
-        if per_s != stats.paced_per_s:
-            stats.paced_per_s = per_s
-            if per_s is not None:
-                delay_s = self._rng.random() * self._interval_s(per_s)
-                stats.next_call_s = now_s + delay_s
-
     def _cost(
         self, member: MemberRecord, stats: _MemberStats, now_s: float, fastest_s: float
     ) -> float:
@@ -235,7 +236,6 @@
         cost = utilization + self._rng.random() * TIE_BREAK_COST
         if stats.failure_share:
             cost += FAILURE_COST * stats.failures(now_s)
-        self._update_pace(member, stats, now_s)
         is_paced = stats.paced_per_s is not None and now_s < stats.next_call_s
         if utilization >= 1 or is_paced:
             cost += FULL_COST
--- a/damaskproxy/forwarding/tests/test_decisions.py
+++ b/damaskproxy/forwarding/tests/test_decisions.py
@@ -140,6 +140,8 @@
                 MemberSelector("a", random.Random(n), lambda: nodes)
                 for n in range(nodes)
             ]
+            for selector in selectors:
+                selector.apply_limit(members[0])
             for _ in range(10 * duration_s):
                 now_s += 0.1
                 for selector in selectors:
--- a/damaskproxy/forwarding/tests/virtual_service.py
+++ b/damaskproxy/forwarding/tests/virtual_service.py
@@ -108,7 +108,9 @@
         """Start the process, with the record that it had stored before."""
         self.version += 1
         rng = random.Random(f"{self.node_id}/{self.version}")
-        configuration, self.directory = CurrentConfiguration(), Directory()
+        configuration = CurrentConfiguration()
+        self.directory = Directory(lambda record: selector.apply_limit(record))
+        selector = self.service.make_selector(self.directory, rng)
         configuration.apply_if_newer(Configuration(1, ROUTES, {}, ClientLimits(), b""))
         poison, stats = (
             PoisonRequestDetector(self.node_id, lambda: None),
@@ -132,7 +134,7 @@
             lambda: "stores",
             configuration,
             self.directory,
-            self.service.make_selector(self.directory, rng),
+            selector,
             self.target.run,
             self.service.run_remote,
             RetryBudget(RetrySettings(ratio=0.1, saved_max=2)),
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -200,6 +200,7 @@
             known_incarnations[record.node_id] = incarnations
             member_selector.reset(record.node_id)
             links.close_outdated(record)
+        member_selector.apply_limit(record)
         propagation.member_changed(record)
 
     directory = Directory(member_changed)
