Keep a limit of the own row when a status report arrives before it is read

Cause, found on reading the change: a restarted node ignored its row if the backend server had reported already, and with it a limit that peers did not send within 0.1 s. What was named before the restart now also reaches a record that a report made; the report's own fields stay.

test_limit_of_a_row_that_is_read_after_a_report_is_restored fails before (no limit), passes after.

--- a/damaskproxy/forwarding/backend.py
+++ b/damaskproxy/forwarding/backend.py
@@ -99,16 +99,22 @@
         return boot_s() >= self._unreachable_until_s
 
     def restore(self, record: BackendRecord) -> None:
-        """Apply the record that this node stored before its restart."""
-        if self.record is None:
-            self.record = self._with_limit_of_peers(record).with_leave_of(
-                self._restored_leave
-            )
-            self._reported_s = boot_s()
-            self._on_change()
+        """Apply the record that this node stored before its restart.
+
+        A status report may have arrived before the record was read. It does not say
+        what the server has named in its answers.
+        """
+        if self.record is not None:
+            self.restore_named(record)
+            return
+        self.record = self._with_limit_of_peers(record).with_leave_of(
+            self._restored_leave
+        )
+        self._reported_s = boot_s()
+        self._on_change()
 
-    def restore_from_peers(self, record: BackendRecord) -> None:
-        """Apply a leave or a limit that only the peers of this node have on record."""
+    def restore_named(self, record: BackendRecord) -> None:
+        """Apply a leave or a limit that was on record before the restart."""
         if record.max_calls_per_s is not None and self._limit_named_s < 0:
             self._restored_limit = record
             self.limit_named(record.incarnation_key, record.max_calls_per_s, 0.0)
--- a/damaskproxy/forwarding/tests/test_backend.py
+++ b/damaskproxy/forwarding/tests/test_backend.py
@@ -188,7 +188,7 @@
     def test_limit_that_only_peers_know_is_restored(self, name, report, expected):
         self.name(10.0)
         restarted = Backend(1000, self.changed)
-        restarted.restore_from_peers(self.backend.record)
+        restarted.restore_named(self.backend.record)
         restarted.report(report)
         self.assertEqual(restarted.record.max_calls_per_s, expected, name)
 
@@ -196,23 +196,31 @@
         self.name(10.0)
         restarted = Backend(1000, self.changed)
         restarted.report(READY)
-        restarted.restore_from_peers(self.backend.record)
+        restarted.restore_named(self.backend.record)
         self.assertEqual(restarted.record.max_calls_per_s, 10.0)
 
     def test_limit_that_only_peers_know_is_restored_beside_a_stored_record(self):
         stored = self.backend.record
         self.name(10.0)
         restarted = Backend(1000, self.changed)
-        restarted.restore_from_peers(self.backend.record)
+        restarted.restore_named(self.backend.record)
         restarted.restore(stored)
         self.assertEqual(restarted.record.max_calls_per_s, 10.0)
 
+    def test_limit_of_a_row_that_is_read_after_a_report_is_restored(self):
+        self.name(10.0)
+        restarted = Backend(1000, self.changed)
+        restarted.report(make_report(sequence=2))
+        restarted.restore(self.backend.record)
+        self.assertEqual(restarted.record.max_calls_per_s, 10.0)
+        self.assertEqual(restarted.record.sequence, 2)
+
     def test_record_of_peers_does_not_bring_back_a_limit_that_ended(self):
         self.name(10.0)
         stale = self.backend.record
         self.now_s += 5
         self.name(None)
-        self.backend.restore_from_peers(stale)
+        self.backend.restore_named(stale)
         self.assertIsNone(self.backend.record.max_calls_per_s)
 
 
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -126,7 +126,7 @@
         """Handle a record of this node that another node has."""
         is_same_machine = record.host == self.record.host
         if is_same_machine and record.backend is not None:
-            self.backend.restore_from_peers(record.backend)
+            self.backend.restore_named(record.backend)
         if record.order >= self.record.order and record != self.record:
             # Another node removed the record of this node, which still runs.
             self.record = msgspec.structs.replace(
--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -257,7 +257,7 @@
     sidecar.record = msgspec.structs.replace(sidecar.record, incarnation=incarnation)
     backend = stored.backend
     is_same_machine = stored.host == sidecar.record.host
-    if is_same_machine and backend is not None and not sidecar.backend.record:
+    if is_same_machine and backend is not None:
         if backend.state is MemberState.STARTING:
             return
         sidecar.backend.restore(backend)
