Log and count when the store returns from an older copy

The store names its era in the header Store-Era, which rises when it returns from an older copy. The code did not read it, so a return looked like a store that has discarded its history (event 11003), and a silent loss did not show at all.

The client decodes the era with each response. Event 11103 has both eras and the kept positions; damask_store_era, damask_store_restores_total and `damask-node top` show it. A read whose pages are from two eras fails and is repeated. The decisions of the node are unchanged. The stand-ins of the store can now return to an older copy.

--- a/damaskproxy/directory/__init__.py
+++ b/damaskproxy/directory/__init__.py
@@ -21,15 +21,18 @@
     encode_member,
 )
 from damaskproxy.directory.rows import (
+    UNKNOWN_ERA,
     HistoryLost,
     Row,
     Rows,
     RowStore,
     StoreError,
+    StorePosition,
     WriteOutcome,
 )
 
 __all__ = [
+    "UNKNOWN_ERA",
     "BackendRecord",
     "Configuration",
     "CurrentConfiguration",
@@ -45,6 +48,7 @@
     "ServiceEntry",
     "StoreError",
     "StorePlan",
+    "StorePosition",
     "StoreWatcher",
     "WriteOutcome",
     "decode_member",
--- a/damaskproxy/directory/following.py
+++ b/damaskproxy/directory/following.py
@@ -132,6 +132,9 @@
     def store_failed(self) -> None:
         """Record a failed call."""
 
+    def note_era(self, era: int) -> None:
+        """Record the era of a response of the store."""
+
     def is_members_poll_due(self) -> bool:
         """Tell whether to read changed member rows now."""
 
@@ -209,10 +212,10 @@
                 self._record_failure(error)
                 await backoff.wait()
                 continue
-            self._record_success()
+            self.record_success(body)
             for row in body.rows:
                 self._apply_member_row(row)
-            self._plan.members_position = body.version
+            self._plan.members_position = body.position.version
             self.has_read_members = True
 
     async def follow_configuration(self) -> None:
@@ -249,14 +252,14 @@
                 await asyncio.sleep(self._plan.store_retry_s(failures))
                 continue
             failures = 0
-            self._record_success()
+            self.record_success(rows)
             for row in rows.rows:
                 if row.key == CONFIGURATION_KEY and row.value is not None:
                     apply_encoded_configuration(
                         self._configuration, row.value, self._decode
                     )
             is_renewal = wait_s > 0 and not rows.rows
-            self._plan.store_succeeded(rows.version)
+            self._plan.store_succeeded(rows.position.version)
 
     async def _read_configuration(self, wait_s: float) -> Rows:
         """Return the rows of the operator that have changed.
@@ -314,12 +317,14 @@
             log_event(logger, events.HISTORY_LOST, reason=str(error))
             body = await self._store.read(MEMBER_TABLE)
             self._remove_missing_members({row.key for row in body.rows})
-        self._record_success()
+        self.record_success(body)
         for row in body.rows:
             record = self._apply_member_row(row)
             if record is not None:
                 self._publish(record)
-        self._plan.members_position = max(self._plan.members_position, body.version)
+        self._plan.members_position = max(
+            self._plan.members_position, body.position.version
+        )
 
     def _apply_member_row(self, row: Row) -> MemberRecord | None:
         """Apply a row; return the record if it was news."""
@@ -354,7 +359,9 @@
             self.is_store_unavailable = True
             log_event(logger, events.STORE_LOST, reason=str(error))
 
-    def _record_success(self) -> None:
+    def record_success(self, rows: Rows) -> None:
+        """Record a response of the store."""
+        self._plan.note_era(rows.position.era)
         if self.is_store_unavailable:
             self.is_store_unavailable = False
             log_event(logger, events.STORE_REGAINED)
@@ -402,8 +409,9 @@
         outcome, body = await self._store.put(
             MEMBER_TABLE, record.node_id, 0, encode_member(record)
         )
+        self._watcher.record_success(body)
         if outcome is WriteOutcome.APPLIED:
-            self._version = body.version
+            self._version = body.position.version
             self._stored.set()
         return outcome is WriteOutcome.APPLIED
 
@@ -452,8 +460,9 @@
         outcome, body = await self._store.put(
             MEMBER_TABLE, record.node_id, version, encode_member(record)
         )
+        self._watcher.record_success(body)
         if outcome is WriteOutcome.APPLIED:
-            self._version = body.version
+            self._version = body.position.version
             return True
         rows = [row for row in body.rows if row.key == record.node_id]
         self._version = rows[0].version if rows else 0
--- a/damaskproxy/directory/rows.py
+++ b/damaskproxy/directory/rows.py
@@ -6,7 +6,19 @@
 
 from damaskproxy.common import DamaskError
 
-__all__ = ["HistoryLost", "Row", "RowStore", "Rows", "StoreError", "WriteOutcome"]
+__all__ = [
+    "UNKNOWN_ERA",
+    "HistoryLost",
+    "Row",
+    "RowStore",
+    "Rows",
+    "StoreError",
+    "StorePosition",
+    "WriteOutcome",
+]
+
+UNKNOWN_ERA = -1
+"""Era before the first response of the store."""
 
 
 class StoreError(DamaskError):
@@ -43,12 +55,30 @@
     value: bytes | None
 
 
+@dataclass(frozen=True, order=True, slots=True)
+class StorePosition:
+    """Point in the history of the store.
+
+    Parameters
+    ----------
+    era : int
+        Number of times that the store has returned from an older copy. What was written
+        after the copy is lost, and its versions are given out again, so versions of
+        different eras cannot be compared.
+    version : int
+        Version of the store within the era, 0 if it is not known.
+    """
+
+    era: int = UNKNOWN_ERA
+    version: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Rows:
-    """All rows of a table at a version of the store, or the changes up to it."""
+    """All rows of a table at a position of the store, or the changes up to it."""
 
     rows: list[Row]
-    version: int
+    position: StorePosition
 
 
 class RowStore(Protocol):
--- a/damaskproxy/directory/tests/test_following.py
+++ b/damaskproxy/directory/tests/test_following.py
@@ -47,6 +47,7 @@
         self.configuration_position = self.members_position = 0
         self.is_feed_open = False
         self.wants_store = True
+        self.eras = []
 
     async def wait_until_store_wanted(self):
         return
@@ -70,6 +71,9 @@
     def store_failed(self):
         self.is_feed_open = False
 
+    def note_era(self, era):
+        self.eras.append(era)
+
     def is_members_poll_due(self):
         return True
 
--- a/damaskproxy/platform/headers.py
+++ b/damaskproxy/platform/headers.py
@@ -2,7 +2,10 @@
 
 from damaskproxy.forwarding import HeaderNames
 
-__all__ = ["HEADERS", "VOLATILE_HEADERS"]
+__all__ = ["HEADERS", "STORE_ERA", "VOLATILE_HEADERS"]
+
+STORE_ERA = b"store-era"
+"""Name, in lower case, of the header with the era of the store."""
 
 HEADERS = HeaderNames(
     request_id=b"X-Damaskproxy-Request-Id",
--- a/damaskproxy/platform/messages.py
+++ b/damaskproxy/platform/messages.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from damaskproxy.directory import Configuration, RecordError, Route, ServiceEntry
-from damaskproxy.directory.rows import Row, Rows
+from damaskproxy.directory.rows import Row, Rows, StorePosition
 from damaskproxy.forwarding import StatusReport
 from damaskproxy.http1 import ClientLimits
 
@@ -233,9 +233,16 @@
     return msgspec.json.encode(body)
 
 
-def to_rows(body: FeedBody) -> Rows:
+def to_rows(body: FeedBody, era: int) -> Rows:
     """Convert the rows with an empty part.
 
+    Parameters
+    ----------
+    body : FeedBody
+        Decoded body of the response.
+    era : int
+        Era of the store, from the header of the response.
+
     Notes
     -----
     A value that is not base64 becomes empty, which every decoder of rows rejects.
@@ -245,7 +252,7 @@
         for row in body.rows
         if not row.part
     ]
-    return Rows(rows, body.ver)
+    return Rows(rows, StorePosition(era, body.ver))
 
 
 def _decode_value(value: str) -> bytes:
--- a/damaskproxy/platform/standins/rows.py
+++ b/damaskproxy/platform/standins/rows.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from damaskproxy.http1 import HttpServer, Request, Response
+from damaskproxy.http1 import Headers, HttpServer, Request, Response
 
 __all__ = ["RowStoreStandIn"]
 
@@ -33,16 +33,25 @@
         Number of writes that are applied but get no response.
     oldest_version : int
         Oldest version after which changes are available.
+    page_rows : int
+        Number of rows in a response to a read.
     calls : list of str
         Method and path of each request.
+    version : int
+        Version of the newest write.
+    era : int
+        Number of times that an older copy was restored.
     """
 
     status: int = 200
     unanswered_writes: int = 0
     oldest_version: int = 0
+    page_rows: int = 500
     calls: list[str] = field(default_factory=list)
     version: int = 0
+    era: int = 0
     _rows: dict[tuple[str, str], _Row] = field(default_factory=dict)
+    _copies: dict[int, dict[tuple[str, str], _Row]] = field(default_factory=dict)
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
     server: HttpServer | None = None
 
@@ -61,6 +70,7 @@
         self.version += 1
         encoded = base64.b64encode(value).decode()
         self._rows[table, key] = _Row(encoded, self.version)
+        self._copies[self.version] = dict(self._rows)
         self._notify_feeds()
         return self.version
 
@@ -68,6 +78,7 @@
         """Delete a row."""
         self.version += 1
         self._rows[table, key] = _Row("", self.version, is_deleted=True)
+        self._copies[self.version] = dict(self._rows)
         self._notify_feeds()
 
     def get(self, table: str, key: str) -> bytes | None:
@@ -77,6 +88,15 @@
             return None
         return base64.b64decode(row.value)
 
+    def restore(self, version: int) -> None:
+        """Return to the copy from just after the write of `version`.
+
+        Later writes are lost, and their versions are given out again.
+        """
+        self._rows = dict(self._copies[version])
+        self.version = version
+        self.era += 1
+
     def _notify_feeds(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
@@ -104,14 +124,15 @@
             for (table, key), row in sorted(self._rows.items())
             if table == query["table"] and key >= first_key and not row.is_deleted
         ]
-        return self._respond({"rows": rows, "truncated": False})
+        page = rows[: self.page_rows]
+        return self._respond({"rows": page, "truncated": len(page) < len(rows)})
 
     async def _changes(self, query: dict[str, str]) -> Response:
         after = int(query["after"])
         deadline_s = asyncio.get_running_loop().time() + int(query["waitMs"]) / 1000
         while True:
-            if after < self.oldest_version:
-                return Response(410)
+            if after < self.oldest_version or after > self.version:
+                return Response(410, self._era_header())
             rows = [
                 self._row_body(table, key, row)
                 for (table, key), row in self._rows.items()
@@ -156,4 +177,7 @@
 
     def _respond(self, body: dict, status: int = 200) -> Response:
         content = {**body, "ver": self.version, "nowMs": 0}
-        return Response(status, body=msgspec.json.encode(content))
+        return Response(status, self._era_header(), msgspec.json.encode(content))
+
+    def _era_header(self) -> Headers:
+        return [(b"Store-Era", str(self.era).encode())]
--- a/damaskproxy/platform/store.py
+++ b/damaskproxy/platform/store.py
@@ -18,6 +18,7 @@
     Response,
 )
 from damaskproxy.model import Address
+from damaskproxy.platform.headers import STORE_ERA
 from damaskproxy.platform.messages import (
     FeedBody,
     decode_feed,
@@ -66,20 +67,24 @@
         Raises
         ------
         StoreError
-            If there was no valid response.
+            If there was no valid response, or if the store returned from an older copy
+            between two pages.
         """
         rows = []
         first = ""
+        era: int | None = None
         while True:
             target = f"/api/rows-get?table={quote(table)}&part="
             if first:
                 target += f"&from={quote(first)}"
-            body = _decode_response(
-                await self._call(b"GET", target, b"", READ_TIMEOUT_S)
-            )
+            response = await self._call(b"GET", target, b"", READ_TIMEOUT_S)
+            body = _decode_response(response)
+            if era is not None and _era(response) != era:
+                raise StoreError(f"the store was restored while {table} was read")
+            era = _era(response)
             rows += body.rows
             if not body.truncated or not body.rows:
-                return to_rows(FeedBody(rows, body.ver))
+                return to_rows(FeedBody(rows, body.ver), era)
             # The smallest key that is greater than the last one.
             first = body.rows[-1].key + "\0"
 
@@ -100,7 +105,7 @@
             raise HistoryLost(
                 f"the store no longer has the changes of {table} after {after}"
             )
-        return to_rows(_decode_response(response))
+        return to_rows(_decode_response(response), _era(response))
 
     async def put(
         self, table: str, key: str, version: int, value: bytes | None
@@ -115,8 +120,10 @@
         encoded = encode_put(table, key, version, value)
         response = await self._call(b"POST", "/api/rows-tx", encoded, READ_TIMEOUT_S)
         if response.status == 412:
-            return WriteOutcome.CONFLICT, to_rows(_decode_response(response, 412))
-        return WriteOutcome.APPLIED, to_rows(_decode_response(response))
+            body = _decode_response(response, 412)
+            return WriteOutcome.CONFLICT, to_rows(body, _era(response))
+        body = _decode_response(response)
+        return WriteOutcome.APPLIED, to_rows(body, _era(response))
 
     async def check_path(self) -> None:
         """Open a connection to the store and close it.
@@ -164,6 +171,17 @@
             raise StoreError(str(error)) from error
 
 
+def _era(response: Response) -> int:
+    """Return the era of the store, 0 for a store that does not name any."""
+    value = response.header(STORE_ERA)
+    if value is None:
+        return 0
+    try:
+        return int(value)
+    except ValueError as error:
+        raise StoreError(f"invalid era {value[:20]!r}") from error
+
+
 def _decode_response(response: Response, status: int = 200) -> FeedBody:
     if response.status != status:
         raise StoreError(f"status {response.status}")
--- a/damaskproxy/platform/tests/test_messages.py
+++ b/damaskproxy/platform/tests/test_messages.py
@@ -135,9 +135,9 @@
 
     def test_value_that_is_not_base64_becomes_empty(self):
         body = FeedBody([RowBody("config", 1, value="%%%"), RowBody("a", 2)], 2)
-        self.assertEqual([row.value for row in to_rows(body).rows], [b"", b""])
+        self.assertEqual([row.value for row in to_rows(body, 0).rows], [b"", b""])
 
     def test_rows_of_another_part_are_left_out(self):
         rows = [RowBody("a", 1, value="YQ=="), RowBody("a", 2, part="p", value="Yg==")]
-        found = to_rows(FeedBody([*rows, RowBody("b", 3, deleted=True)], 3)).rows
+        found = to_rows(FeedBody([*rows, RowBody("b", 3, deleted=True)], 3), 0).rows
         self.assertEqual([(r.key, r.value) for r in found], [("a", b"a"), ("b", None)])
--- a/damaskproxy/platform/tests/test_store.py
+++ b/damaskproxy/platform/tests/test_store.py
@@ -6,7 +6,7 @@
 
 from nose2.tools import params
 
-from damaskproxy.directory import StoreError
+from damaskproxy.directory import StoreError, StorePosition
 from damaskproxy.http1 import DeadPeerLimits
 from damaskproxy.platform.standins import RowStoreStandIn
 from damaskproxy.platform.store import DEAD_PEER_LIMITS, READ_TIMEOUT_S, PlatformStore
@@ -79,3 +79,48 @@
         port = listener.getsockname()[1]
         with self.assertRaises(StoreError):
             await PlatformStore(to_address(f"127.0.0.1:{port}")).check_path()
+
+
+class EraTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against responses that are taken for those of another era of the store."""
+
+    async def asyncSetUp(self):
+        self.rows = RowStoreStandIn()
+        self.store = PlatformStore(to_address(await self.rows.open()))
+        self.addAsyncCleanup(self.rows.close)
+        self.addCleanup(self.store.close)
+        for version in range(1, 6):
+            self.rows.put("op", f"row-{version}", b"x")
+
+    async def test_each_response_names_the_era(self):
+        self.rows.restore(3)
+        read = await self.store.read("op")
+        changes = await self.store.changes("op", 2, 0)
+        _, written = await self.store.put("op", "row-9", 0, b"x")
+        _, conflict = await self.store.put("op", "row-9", 0, b"x")
+        positions = [rows.position for rows in (read, changes, written, conflict)]
+        versions = (3, 3, 4, 4)
+        self.assertEqual(positions, [StorePosition(1, v) for v in versions])
+
+    @params((0, True), (1, False))
+    async def test_pages_of_two_eras_are_not_combined(self, restores, is_read):
+        self.rows.page_rows = 2
+        handle = self.rows.server.handle
+
+        async def restore_after_first_page(request):
+            response = await handle(request)
+            if restores and self.rows.era == 0:
+                self.rows.restore(3)
+            return response
+
+        self.rows.server.handle = restore_after_first_page
+        if is_read:
+            self.assertEqual(len((await self.store.read("op")).rows), 5)
+        else:
+            with self.assertRaises(StoreError):
+                await self.store.read("op")
+
+    async def test_invalid_era_is_an_error(self):
+        self.rows.era = "new"
+        with self.assertRaises(StoreError):
+            await self.store.read("op")
--- a/damaskproxy/propagation/events.py
+++ b/damaskproxy/propagation/events.py
@@ -4,7 +4,7 @@
 
 from damaskproxy.events import define
 
-__all__ = ["FOLLOWS_STORE", "SOURCE_QUIET"]
+__all__ = ["FOLLOWS_STORE", "SOURCE_QUIET", "STORE_RESTORED"]
 
 SOURCE_QUIET = define(
     11101,
@@ -18,3 +18,9 @@
     logging.INFO,
     "This node follows the store for its data centre.",
 )
+STORE_RESTORED = define(
+    11103,
+    "store-restored",
+    logging.WARNING,
+    "The store has returned from an older copy; what was written after it is lost.",
+)
--- a/damaskproxy/propagation/store_contact.py
+++ b/damaskproxy/propagation/store_contact.py
@@ -1,13 +1,19 @@
 """Whether the store is in touch, and when a node calls it for the configuration."""
 
 import asyncio
+import logging
 import random
 from collections.abc import Callable, Collection
 
+from damaskproxy.directory import UNKNOWN_ERA
+from damaskproxy.events import log_event
+from damaskproxy.propagation import events
 from damaskproxy.propagation.peer import Peer
 
 __all__ = ["STALE_S", "StoreContact"]
 
+logger = logging.getLogger(__name__)
+
 STALE_S = 1.5
 """Age of the last contact with the store from which on a node asks the store itself.
 Above the sum of two heartbeat intervals and the checks of two levels of sources."""
@@ -82,6 +88,11 @@
         Whether this node follows the store for its data centre.
     is_feed_open : bool
         Whether a call of the configuration feed waits for the next change.
+    era : int
+        Newest known era of the store; it rises when the store returns from an older
+        copy.
+    restores : int
+        Number of times that the era was seen to rise.
     """
 
     def __init__(
@@ -100,6 +111,8 @@
         self.members_position = 0
         self.is_first = False
         self.is_feed_open = False
+        self.era = UNKNOWN_ERA
+        self.restores = 0
         self._data_centre = data_centre
         self._data_centres = data_centres
         self._has_source = has_source
@@ -251,6 +264,23 @@
         self.configuration_position = position
         self.update()
 
+    def note_era(self, era: int) -> None:
+        """Record an era of the store, and log if it has risen."""
+        if era <= self.era:
+            return
+        known, self.era = self.era, era
+        if known == UNKNOWN_ERA:
+            return
+        self.restores += 1
+        log_event(
+            logger,
+            events.STORE_RESTORED,
+            old_era=known,
+            new_era=era,
+            configuration_position=self.configuration_position,
+            members_position=self.members_position,
+        )
+
     def store_failed(self) -> None:
         """Record that a call to the store failed."""
         if self.is_feed_open:
--- a/damaskproxy/propagation/tests/virtual_mesh.py
+++ b/damaskproxy/propagation/tests/virtual_mesh.py
@@ -15,6 +15,7 @@
     Row,
     Rows,
     StoreError,
+    StorePosition,
     StoreWatcher,
     WriteOutcome,
     apply_encoded_configuration,
@@ -59,7 +60,9 @@
 
     def __init__(self):
         self.version = 0
+        self.era = 0
         self.rows = {}
+        self.copies = []
         self.calls = []
         self.is_down = False
         self.refused = set()
@@ -74,9 +77,23 @@
         """Write a row and wake up the feeds."""
         self.version += 1
         self.rows[table, key] = Row(key, self.version, value)
+        self.copies.append((now_s(), self.version, dict(self.rows)))
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def restore(self, age_s):
+        """Return to the copy of some seconds ago; later writes are lost."""
+        copies = [c for c in self.copies if c[0] <= now_s() - age_s]
+        self.copies = copies or self.copies[:1]
+        _, self.version, rows = self.copies[-1]
+        self.rows = dict(rows)
+        self.oldest_version = min(self.oldest_version, self.version)
+        self.era += 1
+
+    def position(self):
+        """Return the current position."""
+        return StorePosition(self.era, self.version)
+
     def changes_after(self, table, after):
         """Return the rows of a table that were written after a version."""
         rows = [r for (t, _), r in self.rows.items() if t == table]
@@ -126,12 +143,12 @@
     async def _read(self, table):
         await self._begin("read")
         rows = self._store.changes_after(table, 0)
-        return await self._respond(Rows(rows, self._store.version))
+        return await self._respond(Rows(rows, self._store.position()))
 
     async def _changes(self, table, after, wait_ms):
         await self._begin("changes")
         store = self._store
-        if after < store.oldest_version:
+        if after < store.oldest_version or after > store.version:
             raise HistoryLost("history lost")
         end_s = now_s() + wait_ms / 1000
         while not (rows := store.changes_after(table, after)) and now_s() < end_s:
@@ -141,7 +158,7 @@
                 raise StoreError("cut off")
             if store.is_down or self._node_id in store.refused:
                 raise StoreError("down")
-        return await self._respond(Rows(rows, store.version))
+        return await self._respond(Rows(rows, store.position()))
 
     async def _put(self, table, key, version, value):
         await self._begin("put")
@@ -149,10 +166,10 @@
         known = store.rows.get((table, key))
         current = known.version if known else 0
         if current != version:
-            rows = Rows([known] if known else [], store.version)
+            rows = Rows([known] if known else [], store.position())
             return WriteOutcome.CONFLICT, await self._respond(rows)
         store.put_row(table, key, value)
-        rows = Rows([], store.version)
+        rows = Rows([], store.position())
         return WriteOutcome.APPLIED, await self._respond(rows)
 
     async def _begin(self, kind):
--- a/damaskproxy/sidecar/metrics.py
+++ b/damaskproxy/sidecar/metrics.py
@@ -32,6 +32,8 @@
         "is_store_dark": sidecar.store_watcher.is_store_unavailable,
         "follows_store": sidecar.propagation.sources.is_first,
         "sources": sidecar.propagation.sources.ids(),
+        "store_era": sidecar.propagation.contact.era,
+        "store_restores": sidecar.propagation.contact.restores,
         "store_age_s": round(sidecar.propagation.contact.age_s(), 2),
         "configuration_version": sidecar.configuration.version,
         "backend": None if record is None else msgspec.to_builtins(record),
@@ -102,6 +104,11 @@
                 buckets.append((label, total))
             seconds.add_metric([service], buckets, latency.sum_s)
         yield seconds
+        restores = CounterMetricFamily(
+            "damask_store_restores", "Times that the store returned from an older copy"
+        )
+        restores.add_metric([], self._sidecar.propagation.contact.restores)
+        yield restores
         for name, value in self._gauges().items():
             family = GaugeMetricFamily(name, name.replace("_", " "))
             family.add_metric([], value)
@@ -114,6 +121,7 @@
             "damask_ready": float(sidecar.is_ready and not sidecar.is_stopping),
             "damask_store_dark": float(sidecar.store_watcher.is_store_unavailable),
             "damask_follows_store": float(sidecar.propagation.sources.is_first),
+            "damask_store_era": sidecar.propagation.contact.era,
             "damask_store_age_seconds": sidecar.propagation.contact.age_s(),
             "damask_configuration_version": sidecar.configuration.version,
             "damask_members": len(sidecar.directory),
--- a/damaskproxy/sidecar/tests/test_metrics.py
+++ b/damaskproxy/sidecar/tests/test_metrics.py
@@ -11,6 +11,7 @@
 from damaskproxy.forwarding import LATENCY_BUCKETS_S, RequestStats
 from damaskproxy.forwarding.calls import Answer, NotRun, NotRunReason, Unknown
 from damaskproxy.http1 import ConnectionPool, Request
+from damaskproxy.platform.standins import encode_configuration
 from damaskproxy.sidecar import format_top
 from damaskproxy.sidecar.settings import to_address
 from damaskproxy.sidecar.tests.mesh import MeshTestCase
@@ -110,6 +111,20 @@
         self.assertIn("members   1 known; serving: orders 1", lines)
         self.assertTrue(any("orders i-n1, 4 slots, serving" in line for line in lines))
 
+    async def test_restored_store_is_counted_and_shown(self):
+        self.rows.restore(self.rows.version)
+        version = self.rows.put("op", "config", encode_configuration(version=9))
+        async with asyncio.timeout(5):
+            while self.member.sidecar.configuration.version < 9:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        self.assertEqual(self.rows.version, version)
+        samples = await self.samples()
+        self.assertEqual(samples["damask_store_restores_total",], 1)
+        self.assertEqual(samples["damask_store_era",], 1)
+        status = json.loads((await self.fetch(b"/status")).body)
+        shown = "store     era 1, 1 times restored from an older copy"
+        self.assertIn(shown, format_top(status))
+
     @params(
         (["--count", "2", "--interval-s", "0.1"], 0, "node      n1"),
         (["--count", "1", "--json"], 0, '"node_id": "n1"'),
--- a/damaskproxy/sidecar/top.py
+++ b/damaskproxy/sidecar/top.py
@@ -22,6 +22,7 @@
         f" up {now['uptime_s']:.0f} s, {_state(now)}",
         f"config    version {now['configuration_version']}"
         + (", store unavailable" if now["is_store_dark"] else ""),
+        f"store     {_store(now)}",
         f"backend   {_backend(now['backend'])}",
         f"load      {_load(now)}",
         f"held      {now['held_bytes']} bytes, {now['connections']} connections,"
@@ -44,6 +45,14 @@
     return "ready" if now["is_ready"] else "not ready"
 
 
+def _store(now: dict[str, Any]) -> str:
+    era, restores = now["store_era"], now["store_restores"]
+    text = f"era {era}" if era >= 0 else "no response yet"
+    if restores:
+        text += f", {restores} times restored from an older copy"
+    return f"{text}, in touch {now['store_age_s']:.1f} s ago"
+
+
 def _backend(backend: dict[str, Any] | None) -> str:
     if backend is None:
         return "none has reported"
