Compare positions of the store within one era only

Callers could get responses by an old configuration until the next change: one that was written after the store had returned from an older copy was not in force anywhere.

Cause: nodes kept bare versions as positions, and the store gives versions out again after it returned from a copy. While it is behind a kept position, a read gets 410. Once it has passed the position, the same read succeeds and leaves out everything between the copy and the position. Heartbeats carried such positions to nodes that had right ones.

A position is now the pair of era and version, ordered by era first, also in heartbeats (two fields at the end, which earlier releases ignore and leave out). A response of another era than the position counts as lost history, so the table is read in full. A node that hears of a newer era renews its feed at once. Class of fault: versions compared across two histories.

--- a/damaskproxy/directory/__init__.py
+++ b/damaskproxy/directory/__init__.py
@@ -28,6 +28,7 @@
     RowStore,
     StoreError,
     StorePosition,
+    StoreRestored,
     WriteOutcome,
 )
 
@@ -49,6 +50,7 @@
     "StoreError",
     "StorePlan",
     "StorePosition",
+    "StoreRestored",
     "StoreWatcher",
     "WriteOutcome",
     "decode_member",
--- a/damaskproxy/directory/events.py
+++ b/damaskproxy/directory/events.py
@@ -35,8 +35,8 @@
     11009,
     "store-feed-stuck",
     logging.INFO,
-    "The feed of the store has not delivered a configuration that another node has "
-    "received; it is opened again.",
+    "The feed of the store has not delivered a configuration or an era that another "
+    "node has received; it is opened again.",
 )
 CONFIGURATION_IN_FORCE = define(
     11006, "configuration-in-force", logging.INFO, "A new configuration is in force."
--- a/damaskproxy/directory/following.py
+++ b/damaskproxy/directory/following.py
@@ -21,6 +21,8 @@
     Rows,
     RowStore,
     StoreError,
+    StorePosition,
+    StoreRestored,
     WriteOutcome,
 )
 from damaskproxy.events import log_event
@@ -103,8 +105,8 @@
 class StorePlan(Protocol):
     """Decides when this node calls the store."""
 
-    configuration_position: int
-    members_position: int
+    configuration_position: StorePosition
+    members_position: StorePosition
     is_feed_open: bool
 
     async def wait_until_store_wanted(self) -> None:
@@ -126,8 +128,8 @@
     async def wait_until_feed_stuck(self) -> None:
         """Wait until the feed has evidently missed a change."""
 
-    def store_succeeded(self, position: int) -> None:
-        """Record that all changes up to a version of the store have been applied."""
+    def store_succeeded(self, position: StorePosition) -> None:
+        """Record that all changes up to a position have been applied."""
 
     def store_failed(self) -> None:
         """Record a failed call."""
@@ -140,7 +142,7 @@
 
 
 class FeedStuck(StoreError):
-    """The feed did not deliver a change that other nodes have received."""
+    """The feed did not deliver a change or an era that other nodes have received."""
 
 
 class StoreWatcher:
@@ -215,14 +217,14 @@
             self.record_success(body)
             for row in body.rows:
                 self._apply_member_row(row)
-            self._plan.members_position = body.position.version
+            self._plan.members_position = body.position
             self.has_read_members = True
 
     async def follow_configuration(self) -> None:
         """Apply the operator's configuration while the plan asks for it.
 
-        The feed continues at the version of the store up to which this node, or the
-        node that it followed before, knows the configuration.
+        The feed continues at the position up to which this node, or the node that it
+        followed before, knows the configuration.
         """
         failures = 0
         is_renewal = False
@@ -239,7 +241,7 @@
                 rows = await self._read_configuration(wait_s)
             except HistoryLost as error:
                 log_event(logger, events.HISTORY_LOST, reason=str(error))
-                self._plan.configuration_position = 0
+                self._plan.configuration_position = StorePosition()
                 continue
             except FeedStuck as error:
                 log_event(logger, events.FEED_STUCK, reason=str(error))
@@ -259,7 +261,7 @@
                         self._configuration, row.value, self._decode
                     )
             is_renewal = wait_s > 0 and not rows.rows
-            self._plan.store_succeeded(rows.position.version)
+            self._plan.store_succeeded(rows.position)
 
     async def _read_configuration(self, wait_s: float) -> Rows:
         """Return the rows of the operator that have changed.
@@ -269,11 +271,11 @@
         once.
         """
         position = self._plan.configuration_position
-        if not position or self._configuration.current is None:
+        if not position.version or self._configuration.current is None:
             call = self._store.read(OPERATOR_TABLE)
         else:
             wait_ms = int(wait_s * MS_PER_S)
-            call = self._store.changes(OPERATOR_TABLE, position, wait_ms)
+            call = self._read_changes(OPERATOR_TABLE, position, wait_ms)
         response = asyncio.create_task(call)
         broken = asyncio.create_task(self._check_path())
         stuck = asyncio.create_task(self._plan.wait_until_feed_stuck())
@@ -284,11 +286,35 @@
                 return response.result()
             if broken.done():
                 return broken.result()
-            raise FeedStuck("the feed missed a change that another node has")
+            raise FeedStuck("another node has a change, or a newer era of the store")
         finally:
             for task in tasks:
                 task.cancel()
 
+    async def _read_changes(
+        self, table: str, after: StorePosition, wait_ms: int
+    ) -> Rows:
+        """Return the changes after a position.
+
+        Raises
+        ------
+        HistoryLost
+            If the store no longer has all of them.
+        StoreRestored
+            If the response is of another era. Its version may be the same or higher,
+            but changes between the copy and `after` are missing from it.
+        StoreError
+            If there was no valid response.
+        """
+        rows = await self._store.changes(table, after.version, wait_ms)
+        if rows.position.era != after.era:
+            self._plan.note_era(rows.position.era)
+            raise StoreRestored(
+                f"{table} was known up to version {after.version} of era {after.era};"
+                f" the store is in era {rows.position.era}"
+            )
+        return rows
+
     async def _check_path(self) -> NoReturn:
         """Check the path to the store at intervals, until it is broken."""
         await asyncio.sleep(RESPONSE_USUAL_S)
@@ -310,9 +336,9 @@
     async def _read_changed_members(self) -> None:
         position = self._plan.members_position
         try:
-            if not position:
+            if not position.version:
                 raise HistoryLost("no member rows have been read")
-            body = await self._store.changes(MEMBER_TABLE, position, 0)
+            body = await self._read_changes(MEMBER_TABLE, position, 0)
         except HistoryLost as error:
             log_event(logger, events.HISTORY_LOST, reason=str(error))
             body = await self._store.read(MEMBER_TABLE)
@@ -322,9 +348,7 @@
             record = self._apply_member_row(row)
             if record is not None:
                 self._publish(record)
-        self._plan.members_position = max(
-            self._plan.members_position, body.position.version
-        )
+        self._plan.members_position = max(self._plan.members_position, body.position)
 
     def _apply_member_row(self, row: Row) -> MemberRecord | None:
         """Apply a row; return the record if it was news."""
--- a/damaskproxy/directory/rows.py
+++ b/damaskproxy/directory/rows.py
@@ -14,6 +14,7 @@
     "Rows",
     "StoreError",
     "StorePosition",
+    "StoreRestored",
     "WriteOutcome",
 ]
 
@@ -29,6 +30,10 @@
     """The store no longer has all changes since the given version."""
 
 
+class StoreRestored(HistoryLost):
+    """The store has returned from an older copy since the given position."""
+
+
 class WriteOutcome(Enum):
     """Result of a conditional write."""
 
@@ -96,6 +101,8 @@
     async def changes(self, table: str, after: int, wait_ms: int) -> Rows:
         """Return the changes after a version; wait up to `wait_ms` for the first.
 
+        The version is taken for one of the era that the response names.
+
         Raises
         ------
         HistoryLost
--- a/damaskproxy/directory/tests/test_following.py
+++ b/damaskproxy/directory/tests/test_following.py
@@ -13,6 +13,7 @@
     Directory,
     MemberRecord,
     OwnRowWriter,
+    StorePosition,
     StoreWatcher,
     decode_member,
     encode_member,
@@ -44,7 +45,7 @@
     """Plan of a node that always follows the store."""
 
     def __init__(self):
-        self.configuration_position = self.members_position = 0
+        self.configuration_position = self.members_position = StorePosition()
         self.is_feed_open = False
         self.wants_store = True
         self.eras = []
@@ -97,13 +98,14 @@
         self.current, self.directory = CurrentConfiguration(), Directory()
         rng = random.Random(1)
         self.published = []
+        self.plan = AlwaysFollow()
         self.watcher = StoreWatcher(
             self.store,
             self.current,
             self.directory,
             decode_configuration,
             "n1",
-            AlwaysFollow(),
+            self.plan,
             self.published.append,
             lambda: None,
             rng,
@@ -180,6 +182,32 @@
         # Other nodes hear of the removed member as of any other change.
         self.assertIn("n2", [r.node_id for r in self.published])
 
+    @params(False, True)
+    async def test_change_after_a_restore_is_read_although_its_version_is_old(
+        self, is_passed
+    ):
+        for version in (2, 3, 4):
+            self.rows.put("op", "config", configuration(version))
+        await self.until(lambda: self.current.version == 4)
+        self.rows.status = 503
+        await self.until(lambda: self.watcher.is_store_unavailable)
+        self.rows.restore(1)
+        self.rows.put("op", "config", configuration(5))
+        while is_passed and self.rows.version < 6:
+            self.rows.put("other", "row", b"")
+        self.rows.status = 200
+        await self.until(lambda: self.current.version == 5)
+
+    async def test_older_configuration_of_a_restored_copy_is_ignored(self):
+        for version in (2, 3, 4):
+            self.rows.put("op", "config", configuration(version))
+        await self.until(lambda: self.current.version == 4)
+        self.rows.restore(1)
+        self.rows.put("other", "row", b"")
+        await self.until(lambda: 1 in self.plan.eras)
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.current.version, 4)
+
     def serving_names(self):
         """Return the ids of the nodes that have not been removed."""
         records = self.directory.records()
--- a/damaskproxy/forwarding/frames.py
+++ b/damaskproxy/forwarding/frames.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from damaskproxy.common import DamaskError
-from damaskproxy.directory import MemberRecord
+from damaskproxy.directory import UNKNOWN_ERA, MemberRecord
 from damaskproxy.forwarding.calls import LoadReport, NotRunReason
 
 __all__ = [
@@ -199,6 +199,9 @@
     configuration_position, members_position : int
         Version of the store up to which the sender has the configuration and the member
         records, 0 if it is not known.
+    configuration_era, members_era : int
+        Eras of the store that these versions belong to. Senders of earlier releases
+        leave them out.
     """
 
     configuration_version: int
@@ -206,6 +209,8 @@
     store_age_ms: int
     configuration_position: int
     members_position: int
+    configuration_era: int = UNKNOWN_ERA
+    members_era: int = UNKNOWN_ERA
 
 
 class RecordDigestsFrame(msgspec.Struct, array_like=True, tag=13):
--- a/damaskproxy/propagation/propagation.py
+++ b/damaskproxy/propagation/propagation.py
@@ -9,7 +9,12 @@
 from collections.abc import Callable
 
 from damaskproxy.common.clock import boot_s
-from damaskproxy.directory import CurrentConfiguration, Directory, MemberRecord
+from damaskproxy.directory import (
+    CurrentConfiguration,
+    Directory,
+    MemberRecord,
+    StorePosition,
+)
 from damaskproxy.forwarding.frames import (
     ControlFrame,
     HeartbeatFrame,
@@ -242,8 +247,10 @@
             self._configuration.version,
             self._directory.digest(),
             int(self.contact.age_s() * MS_PER_S),
-            self.contact.configuration_position,
-            self.contact.members_position,
+            self.contact.configuration_position.version,
+            self.contact.members_position.version,
+            self.contact.configuration_position.era,
+            self.contact.members_position.era,
         )
 
     def _send_heartbeats(self) -> None:
@@ -281,6 +288,7 @@
 
     def _handle_heartbeat(self, peer: Peer, frame: HeartbeatFrame) -> None:
         now_s = self._now_s()
+        self.contact.note_era(max(frame.configuration_era, frame.members_era))
         version = self._configuration.version
         if frame.configuration_version > version:
             since_s = self._newer_versions.get(peer, (0, now_s))[1]
@@ -288,7 +296,8 @@
             self._schedule_flush(REQUEST_DELAY_S)
         elif frame.configuration_version == version:
             self.contact.configuration_position = max(
-                self.contact.configuration_position, frame.configuration_position
+                self.contact.configuration_position,
+                StorePosition(frame.configuration_era, frame.configuration_position),
             )
         age_s = frame.store_age_ms / MS_PER_S
         if self.sources.heard(peer, age_s):
@@ -309,7 +318,8 @@
         if frame.directory_digest == self._directory.digest():
             self._mismatch_since_s = None
             self.contact.members_position = max(
-                self.contact.members_position, frame.members_position
+                self.contact.members_position,
+                StorePosition(frame.members_era, frame.members_position),
             )
             return
         if self._mismatch_since_s is None:
--- a/damaskproxy/propagation/store_contact.py
+++ b/damaskproxy/propagation/store_contact.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable, Collection
 
-from damaskproxy.directory import UNKNOWN_ERA
+from damaskproxy.directory import UNKNOWN_ERA, StorePosition
 from damaskproxy.events import log_event
 from damaskproxy.propagation import events
 from damaskproxy.propagation.peer import Peer
@@ -81,9 +81,9 @@
 
     Attributes
     ----------
-    configuration_position, members_position : int
-        Version of the store up to which the configuration and the member records are
-        known, 0 if it is not known.
+    configuration_position, members_position : StorePosition
+        Position of the store up to which the configuration and the member records are
+        known.
     is_first : bool
         Whether this node follows the store for its data centre.
     is_feed_open : bool
@@ -107,8 +107,8 @@
         rng: random.Random,
         now_s: Callable[[], float],
     ):
-        self.configuration_position = 0
-        self.members_position = 0
+        self.configuration_position = StorePosition()
+        self.members_position = StorePosition()
         self.is_first = False
         self.is_feed_open = False
         self.era = UNKNOWN_ERA
@@ -255,7 +255,7 @@
         self._feed_stuck.clear()
         await self._feed_stuck.wait()
 
-    def store_succeeded(self, position: int) -> None:
+    def store_succeeded(self, position: StorePosition) -> None:
         """Record a response of the store that has all changes up to `position`."""
         self._own_contact_s = self._now_s()
         self._missed_change_s = None
@@ -265,20 +265,21 @@
         self.update()
 
     def note_era(self, era: int) -> None:
-        """Record an era of the store, and log if it has risen."""
+        """Record an era of the store; log and renew the feed if it has risen."""
         if era <= self.era:
             return
         known, self.era = self.era, era
         if known == UNKNOWN_ERA:
             return
         self.restores += 1
+        self._feed_stuck.set()
         log_event(
             logger,
             events.STORE_RESTORED,
             old_era=known,
             new_era=era,
-            configuration_position=self.configuration_position,
-            members_position=self.members_position,
+            configuration_position=self.configuration_position.version,
+            members_position=self.members_position.version,
         )
 
     def store_failed(self) -> None:
--- a/damaskproxy/propagation/tests/test_decisions.py
+++ b/damaskproxy/propagation/tests/test_decisions.py
@@ -3,8 +3,11 @@
 import random
 import unittest
 
+import msgspec
 from nose2.tools import params
 
+from damaskproxy.directory import UNKNOWN_ERA, StorePosition
+from damaskproxy.forwarding.frames import HeartbeatFrame
 from damaskproxy.platform.store import FEED_GRACE_S
 from damaskproxy.propagation import (
     FANOUT,
@@ -140,7 +143,7 @@
     def test_first_node_distrusts_its_sources_after_a_failure(self, peer, is_stale):
         self.subscribers = ["subscriber"]
         self.contact.is_first = True
-        self.contact.store_succeeded(5)
+        self.contact.store_succeeded(StorePosition(0, 5))
         self.wait(10)
         self.contact.store_failed()
         self.contact.report(peer, 0.0)
@@ -151,7 +154,7 @@
 
     def test_change_from_a_peer_that_the_feed_missed_renews_the_feed(self):
         self.contact.is_first = True
-        self.contact.store_succeeded(5)
+        self.contact.store_succeeded(StorePosition(0, 5))
         self.contact.configuration_received()
         self.wait(MISSED_CHANGE_S / 2)
         self.assertFalse(self.contact._feed_stuck.is_set())
@@ -178,14 +181,41 @@
         longest_pause_s = 1.25 * FIRST_RETRY[0]
         self.assertLess(FIRST_WAIT_S + FEED_GRACE_S + longest_pause_s, RECOVERY_S)
 
+    def test_rise_of_the_era_renews_the_feed_and_is_counted_once(self):
+        self.contact.is_first = True
+        self.contact.note_era(3)
+        self.contact.store_succeeded(StorePosition(3, 5))
+        self.assertFalse(self.contact._feed_stuck.is_set())
+        for era in (4, 4, 3):
+            self.contact.note_era(era)
+        self.assertTrue(self.contact._feed_stuck.is_set())
+        self.assertEqual((self.contact.era, self.contact.restores), (4, 1))
+
+    @params(
+        # Kept, heard from another node, expected.
+        ((1, 12), (1, 14), (1, 14)),
+        ((1, 12), (2, 8), (2, 8)),
+        ((2, 8), (1, 14), (2, 8)),
+        ((2, 8), (-1, 14), (2, 8)),
+    )
+    def test_positions_of_a_newer_era_are_newer(self, kept, heard, expected):
+        newest = max(StorePosition(*kept), StorePosition(*heard))
+        self.assertEqual(newest, StorePosition(*expected))
+
+    def test_heartbeat_of_an_earlier_release_has_no_era(self):
+        encoded = msgspec.msgpack.encode([12, 4, 7, 100, 9, 8])
+        heartbeat = msgspec.msgpack.decode(encoded, type=HeartbeatFrame)
+        self.assertEqual(heartbeat, HeartbeatFrame(4, 7, 100, 9, 8))
+        self.assertEqual(heartbeat.configuration_era, UNKNOWN_ERA)
+
     def test_loss_and_return_of_the_store_are_announced_once(self):
         self.contact.is_first = True
-        self.contact.store_succeeded(5)
+        self.contact.store_succeeded(StorePosition(0, 5))
         self.wait(5)
         self.changes = 0
         self.contact.store_failed()
         self.wait(3)
         self.assertEqual(self.changes, 1)
-        self.contact.store_succeeded(6)
+        self.contact.store_succeeded(StorePosition(0, 6))
         self.wait(3)
         self.assertEqual(self.changes, 2)
