Write member rows again that a restored store has lost

A backend server whose leave had been confirmed was back among the serving members for a node that started after the store had returned from an older copy and could not ask a peer: calls would reach a server that leaves. Rows of members that had joined since the copy were gone, and a later loss of history made other nodes drop these members for a while.

Cause: a node believes its row stored once it was acknowledged, so nobody wrote it again; for a node that has ended, nobody could. A full read took members that the copy lacks for deleted ones.

Rows are never removed because the copy lacks them. The store interface now takes several conditional writes in one call. Event 11010 has the rows read and written and the time it took.

--- a/damaskproxy/directory/events.py
+++ b/damaskproxy/directory/events.py
@@ -8,6 +8,7 @@
     "CONFIGURATION_IN_FORCE",
     "FEED_STUCK",
     "HISTORY_LOST",
+    "MEMBERS_RESTORED",
     "ROW_IGNORED",
     "STORE_LOST",
     "STORE_REGAINED",
@@ -38,6 +39,13 @@
     "The feed of the store has not delivered a configuration or an era that another "
     "node has received; it is opened again.",
 )
+MEMBERS_RESTORED = define(
+    11010,
+    "members-restored",
+    logging.INFO,
+    "The store returned from an older copy; its member rows have been compared with the "
+    "known records, and those that it had lost are written again.",
+)
 CONFIGURATION_IN_FORCE = define(
     11006, "configuration-in-force", logging.INFO, "A new configuration is in force."
 )
--- a/damaskproxy/directory/following.py
+++ b/damaskproxy/directory/following.py
@@ -8,6 +8,7 @@
 
 from damaskproxy.directory import events
 from damaskproxy.directory.configuration import Configuration, CurrentConfiguration
+from damaskproxy.directory.lost_rows import write_lost_rows
 from damaskproxy.directory.members import (
     Directory,
     MemberRecord,
@@ -20,6 +21,7 @@
     Row,
     Rows,
     RowStore,
+    RowWrite,
     StoreError,
     StorePosition,
     StoreRestored,
@@ -140,6 +142,13 @@
     def is_members_poll_due(self) -> bool:
         """Tell whether to read changed member rows now."""
 
+    @property
+    def must_restore_members(self) -> bool:
+        """Whether rows that the store has lost are to be written again."""
+
+    def members_restored(self, position: StorePosition) -> None:
+        """Record that all known members are in the store."""
+
 
 class FeedStuck(StoreError):
     """The feed did not deliver a change or an era that other nodes have received."""
@@ -334,21 +343,53 @@
                 self._record_failure(error)
 
     async def _read_changed_members(self) -> None:
+        if self._plan.must_restore_members:
+            await self._restore_members()
+            return
         position = self._plan.members_position
         try:
             if not position.version:
                 raise HistoryLost("no member rows have been read")
             body = await self._read_changes(MEMBER_TABLE, position, 0)
+        except StoreRestored:
+            # The plan has noted the new era and asks for the members when it is due.
+            return
         except HistoryLost as error:
             log_event(logger, events.HISTORY_LOST, reason=str(error))
             body = await self._store.read(MEMBER_TABLE)
             self._remove_missing_members({row.key for row in body.rows})
+        self._apply_member_rows(body)
+        self._plan.members_position = max(self._plan.members_position, body.position)
+
+    async def _restore_members(self) -> None:
+        """Read all members, and write again what the store has lost.
+
+        A member that the copy lacks was not deleted; its row is written again.
+        """
+        started_s = asyncio.get_running_loop().time()
+        body = await self._store.read(MEMBER_TABLE)
+        self._apply_member_rows(body)
+        written = await write_lost_rows(
+            self._store, MEMBER_TABLE, self._directory, body
+        )
+        self._plan.members_restored(body.position)
+        log_event(
+            logger,
+            events.MEMBERS_RESTORED,
+            era=body.position.era,
+            position=body.position.version,
+            rows_read=len(body.rows),
+            rows_written=written,
+            elapsed_ms=int((asyncio.get_running_loop().time() - started_s) * MS_PER_S),
+        )
+
+    def _apply_member_rows(self, body: Rows) -> None:
+        """Apply rows and pass on what was news."""
         self.record_success(body)
         for row in body.rows:
             record = self._apply_member_row(row)
             if record is not None:
                 self._publish(record)
-        self._plan.members_position = max(self._plan.members_position, body.position)
 
     def _apply_member_row(self, row: Row) -> MemberRecord | None:
         """Apply a row; return the record if it was news."""
@@ -430,9 +471,8 @@
         StoreError
             If the outcome is unknown.
         """
-        outcome, body = await self._store.put(
-            MEMBER_TABLE, record.node_id, 0, encode_member(record)
-        )
+        write = RowWrite(record.node_id, 0, encode_member(record))
+        outcome, body = await self._store.write(MEMBER_TABLE, [write])
         self._watcher.record_success(body)
         if outcome is WriteOutcome.APPLIED:
             self._version = body.position.version
@@ -481,9 +521,8 @@
         last_read = self._watcher.own_row
         exists = last_read is not None and last_read.value is not None
         version = max(self._version, last_read.version if exists else 0)
-        outcome, body = await self._store.put(
-            MEMBER_TABLE, record.node_id, version, encode_member(record)
-        )
+        write = RowWrite(record.node_id, version, encode_member(record))
+        outcome, body = await self._store.write(MEMBER_TABLE, [write])
         self._watcher.record_success(body)
         if outcome is WriteOutcome.APPLIED:
             self._version = body.position.version
--- a/damaskproxy/directory/members.py
+++ b/damaskproxy/directory/members.py
@@ -124,6 +124,17 @@
         """Sort key among the records of one node, newest highest."""
         return (self.incarnation, self.version)
 
+    @property
+    def is_removed(self) -> bool:
+        """Whether it only marks that the row of the node was deleted."""
+        return self.state is MemberState.STOPPED and self.backend is None
+
+    def has_leave_beyond(self, other: "MemberRecord") -> bool:
+        """Return whether only this record has the leave of the same backend server."""
+        if other.backend is None:
+            return False
+        return other.backend.with_leave_of(self.backend) is not other.backend
+
     def removed(self) -> "MemberRecord":
         """Return the record that replaces this one after its row was deleted."""
         return msgspec.structs.replace(
@@ -231,7 +242,7 @@
         known = self._records.get(node_id)
         if known is None or (order is not None and known.order > order):
             return None
-        if known.state is MemberState.STOPPED and known.backend is None:
+        if known.is_removed:
             return None
         record = known.removed()
         self.merge(record)
--- a/damaskproxy/directory/rows.py
+++ b/damaskproxy/directory/rows.py
@@ -1,5 +1,6 @@
 """Interface of the row store that holds configuration and members."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -11,6 +12,7 @@
     "HistoryLost",
     "Row",
     "RowStore",
+    "RowWrite",
     "Rows",
     "StoreError",
     "StorePosition",
@@ -60,6 +62,25 @@
     value: bytes | None
 
 
+@dataclass(frozen=True, slots=True)
+class RowWrite:
+    """Replacement of a row, on the condition that it has a version.
+
+    Parameters
+    ----------
+    key : str
+        Key of the row.
+    version : int
+        Version that the row must have, 0 for an absent one.
+    value : bytes or None
+        New value; None deletes the row.
+    """
+
+    key: str
+    version: int
+    value: bytes | None
+
+
 @dataclass(frozen=True, order=True, slots=True)
 class StorePosition:
     """Point in the history of the store.
@@ -111,10 +132,10 @@
             If there was no valid response.
         """
 
-    async def put(
-        self, table: str, key: str, version: int, value: bytes | None
+    async def write(
+        self, table: str, writes: Sequence[RowWrite]
     ) -> tuple[WriteOutcome, Rows]:
-        """Replace a row if it has `version`; after a conflict, return the current row.
+        """Apply all writes or none of them; after a conflict, return the current rows.
 
         Raises
         ------
--- a/damaskproxy/directory/tests/test_following.py
+++ b/damaskproxy/directory/tests/test_following.py
@@ -49,6 +49,7 @@
         self.is_feed_open = False
         self.wants_store = True
         self.eras = []
+        self.restored_era = 0
 
     async def wait_until_store_wanted(self):
         return
@@ -78,6 +79,14 @@
     def is_members_poll_due(self):
         return True
 
+    @property
+    def must_restore_members(self):
+        return max(self.eras, default=0) > self.restored_era
+
+    def members_restored(self, position):
+        self.members_position = position
+        self.restored_era = position.era
+
 
 class SyncTests(unittest.IsolatedAsyncioTestCase):
     """Guards against a view of the mesh that does not catch up with the store."""
--- a/damaskproxy/platform/messages.py
+++ b/damaskproxy/platform/messages.py
@@ -5,12 +5,13 @@
 """
 
 import base64
+from collections.abc import Iterable
 from typing import Annotated, Any
 
 import msgspec
 
 from damaskproxy.directory import Configuration, RecordError, Route, ServiceEntry
-from damaskproxy.directory.rows import Row, Rows, StorePosition
+from damaskproxy.directory.rows import Row, Rows, RowWrite, StorePosition
 from damaskproxy.forwarding import StatusReport
 from damaskproxy.http1 import ClientLimits
 
@@ -21,7 +22,7 @@
     "decode_configuration",
     "decode_feed",
     "decode_report",
-    "encode_put",
+    "encode_writes",
     "to_rows",
 ]
 
@@ -208,28 +209,29 @@
     return _decode(encoded, FeedBody)
 
 
-def encode_put(table: str, key: str, version: int, value: bytes | None) -> bytes:
-    """Encode a transaction that replaces a row if it has a known version.
+def encode_writes(table: str, writes: Iterable[RowWrite]) -> bytes:
+    """Encode a transaction of conditional writes.
 
     Parameters
     ----------
-    table, key : str
-        Table and key of the row; its part is empty.
-    version : int
-        Expected version of the row, 0 for an absent one.
-    value : bytes or None
-        New value; None deletes the row.
+    table : str
+        Table of the rows; their part is empty.
+    writes : iterable of RowWrite
+        Writes, of which either all are applied or none.
     """
-    name = {"table": table, "part": "", "key": key}
-    body: dict[str, Any] = {
-        "precondition": [{**name, "ver": version}],
+    body: dict[str, list[dict[str, Any]]] = {
+        "precondition": [],
         "puts": [],
         "drops": [],
     }
-    if value is None:
-        body["drops"] = [name]
-    else:
-        body["puts"] = [{**name, "value": base64.b64encode(value).decode()}]
+    for write in writes:
+        name = {"table": table, "part": "", "key": write.key}
+        body["precondition"].append({**name, "ver": write.version})
+        if write.value is None:
+            body["drops"].append(name)
+        else:
+            value = base64.b64encode(write.value).decode()
+            body["puts"].append({**name, "value": value})
     return msgspec.json.encode(body)
 
 
--- a/damaskproxy/platform/store.py
+++ b/damaskproxy/platform/store.py
@@ -1,12 +1,14 @@
 """Client of the platform's row store: reads, change feed and conditional writes."""
 
 import asyncio
+from collections.abc import Sequence
 from urllib.parse import quote
 
 from damaskproxy.directory import (
     HistoryLost,
     RecordError,
     Rows,
+    RowWrite,
     StoreError,
     WriteOutcome,
 )
@@ -22,7 +24,7 @@
 from damaskproxy.platform.messages import (
     FeedBody,
     decode_feed,
-    encode_put,
+    encode_writes,
     to_rows,
 )
 
@@ -107,17 +109,17 @@
             )
         return to_rows(_decode_response(response), _era(response))
 
-    async def put(
-        self, table: str, key: str, version: int, value: bytes | None
+    async def write(
+        self, table: str, writes: Sequence[RowWrite]
     ) -> tuple[WriteOutcome, Rows]:
-        """Replace a row if it has `version`; after a conflict, return the current row.
+        """Apply all writes or none of them; after a conflict, return the current rows.
 
         Raises
         ------
         StoreError
             If the outcome is unknown; the write may be applied, now or later.
         """
-        encoded = encode_put(table, key, version, value)
+        encoded = encode_writes(table, writes)
         response = await self._call(b"POST", "/api/rows-tx", encoded, READ_TIMEOUT_S)
         if response.status == 412:
             body = _decode_response(response, 412)
--- a/damaskproxy/platform/tests/test_store.py
+++ b/damaskproxy/platform/tests/test_store.py
@@ -6,7 +6,7 @@
 
 from nose2.tools import params
 
-from damaskproxy.directory import StoreError, StorePosition
+from damaskproxy.directory import RowWrite, StoreError, StorePosition
 from damaskproxy.http1 import DeadPeerLimits
 from damaskproxy.platform.standins import RowStoreStandIn
 from damaskproxy.platform.store import DEAD_PEER_LIMITS, READ_TIMEOUT_S, PlatformStore
@@ -96,8 +96,9 @@
         self.rows.restore(3)
         read = await self.store.read("op")
         changes = await self.store.changes("op", 2, 0)
-        _, written = await self.store.put("op", "row-9", 0, b"x")
-        _, conflict = await self.store.put("op", "row-9", 0, b"x")
+        write = RowWrite("row-9", 0, b"x")
+        _, written = await self.store.write("op", [write])
+        _, conflict = await self.store.write("op", [write])
         positions = [rows.position for rows in (read, changes, written, conflict)]
         versions = (3, 3, 4, 4)
         self.assertEqual(positions, [StorePosition(1, v) for v in versions])
--- a/damaskproxy/propagation/store_contact.py
+++ b/damaskproxy/propagation/store_contact.py
@@ -57,6 +57,13 @@
 20 s. A node that begins to follow reads sooner once."""
 
 
+RESTORE_TURN_S = 0.3
+"""Time between the nodes that write lost member rows again, one for each data centre.
+Usually the first one writes all of them and the others only compare. With six data
+centres the last one begins within the 2 s in which the rows have to be back."""
+RESTORE_RETRY_S = 0.5
+
+
 class StoreContact:
     """Contact with the store, own and reported; implements `directory.StorePlan`.
 
@@ -130,6 +137,8 @@
         self._check_at_s: float | None = None
         self._missed_change_s: float | None = None
         self._members_poll_due_s = 0.0
+        self._restored_era = UNKNOWN_ERA
+        self._restore_due_s = 0.0
         self._feed_stuck = asyncio.Event()
         self._store_wanted = asyncio.Event()
 
@@ -270,8 +279,11 @@
             return
         known, self.era = self.era, era
         if known == UNKNOWN_ERA:
+            self._restored_era = era
             return
         self.restores += 1
+        turn = self._data_centres().index(self._data_centre())
+        self._restore_due_s = self._now_s() + turn * RESTORE_TURN_S
         self._feed_stuck.set()
         log_event(
             logger,
@@ -293,7 +305,22 @@
     def is_members_poll_due(self) -> bool:
         """Tell whether to read the changes of the member rows now; at most once."""
         now_s = self._now_s()
-        if not self.is_first or now_s < self._members_poll_due_s:
+        if not self.is_first:
+            return False
+        if self.must_restore_members and now_s >= self._restore_due_s:
+            self._restore_due_s = now_s + RESTORE_RETRY_S
+            return True
+        if now_s < self._members_poll_due_s:
             return False
         self._members_poll_due_s = now_s + MEMBERS_POLL_S * len(self._data_centres())
         return True
+
+    @property
+    def must_restore_members(self) -> bool:
+        """Whether rows that the store has lost are to be written again."""
+        return self.era > self._restored_era
+
+    def members_restored(self, position: StorePosition) -> None:
+        """Record that all known members are in the store as of a position."""
+        self._restored_era = position.era
+        self.members_position = position
--- a/damaskproxy/propagation/tests/virtual_mesh.py
+++ b/damaskproxy/propagation/tests/virtual_mesh.py
@@ -122,9 +122,8 @@
         timeout_s = wait_ms / 1000 + FEED_GRACE_S
         return await self._within(timeout_s, self._changes(table, after, wait_ms))
 
-    async def put(self, table, key, version, value):
-        put = self._put(table, key, version, value)
-        return await self._within(READ_TIMEOUT_S, put)
+    async def write(self, table, writes):
+        return await self._within(READ_TIMEOUT_S, self._write(table, writes))
 
     async def check_path(self):
         if self._node_id in self._store.cut:
@@ -160,15 +159,16 @@
                 raise StoreError("down")
         return await self._respond(Rows(rows, store.position()))
 
-    async def _put(self, table, key, version, value):
-        await self._begin("put")
+    async def _write(self, table, writes):
+        await self._begin("write")
         store = self._store
-        known = store.rows.get((table, key))
-        current = known.version if known else 0
-        if current != version:
-            rows = Rows([known] if known else [], store.position())
+        known = [store.rows.get((table, write.key)) for write in writes]
+        versions = [row.version if row else 0 for row in known]
+        if versions != [write.version for write in writes]:
+            rows = Rows([row for row in known if row], store.position())
             return WriteOutcome.CONFLICT, await self._respond(rows)
-        store.put_row(table, key, value)
+        for write in writes:
+            store.put_row(table, write.key, write.value)
         rows = Rows([], store.position())
         return WriteOutcome.APPLIED, await self._respond(rows)
 
