Ask peers for a confirmed leave also when the store lacks the own row

A request ran at a backend server whose leave had been confirmed (DRAIN), after its node had restarted just after the store returned from a copy that was older than the row of the node.

Cause: a restarting node asked three peers for a leave only if the store had a row of it. After a restore the row may be missing while the peers know the leave. It now asks whenever it knows other members, for 0.1 s at most as before.

--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -183,18 +183,18 @@
 
 
 async def _restore_confirmed_leave(sidecar: Sidecar) -> None:
-    """Request from peers a leave that was confirmed while the store was unavailable.
+    """Request from peers a leave that was confirmed but is not in the store.
 
     Notes
     -----
-    The store does not have such a leave, but the peers that received it do. Calls are
-    refused until the record of the backend server is restored, so a node that has a
-    stored record waits for the first state frame, but only for a short time.
+    The store lacks a leave that was confirmed while it was unavailable, and has lost
+    one, or the whole row, if it returned from an older copy. The peers that received
+    the leave have it. Calls are refused until the record of the backend server is
+    restored, so a node waits for the first state frame, but only for a short time.
     """
-    row = sidecar.store_watcher.own_row
-    if row is None or row.value is None:
-        return
     peers = _other_members(sidecar)
+    if not peers:
+        return
     sidecar.rng.shuffle(peers)
     record_received = asyncio.Event()
     sidecar.on_own_record = record_received.set
