--- a/damaskproxy/directory/events.py
+++ b/damaskproxy/directory/events.py
@@ -43,8 +43,8 @@
     11010,
     "members-restored",
     logging.INFO,
-    "The store returned from an older copy; its member rows were compared with the known "
-    "records, and those that it had lost are written again.",
+    "The store returned from an older copy; its member rows were compared with the "
+    "known records, and those that it had lost are written again.",
 )
 CONFIGURATION_IN_FORCE = define(
     11006, "configuration-in-force", logging.INFO, "A new configuration is in force."
