Take a refusal without a request id only on a fresh connection

Clients could be told "not run, try again" for a request that a backend server was running (REFUSED), or it ran at a second one (TWICE).

Cause: a refusal with status 400, 421, 429 or 503 that does not echo a request id was taken for the response to the request in progress. A faulty server that writes an earlier refusal once more on a kept connection, just as the next request arrives, thereby marked that one as not run, and any request may be sent elsewhere then. Refusals with the id of another request were skipped before.

Only the first request on a connection can have no earlier refusal before it, so only there is one without an id accepted. Otherwise the node waits for a response that echoes the id, and the connection is not used again.

test_refusal_that_is_sent_once_more_does_not_count_as_not_run: row "without an id" on a kept connection failed before. The class of fault is a response that is matched by position instead of identity; the request path has no other such place (responses of peers carry the number of their call).

--- a/damaskproxy/forwarding/target.py
+++ b/damaskproxy/forwarding/target.py
@@ -261,11 +261,12 @@
     def _make_response_check(self, request_id: bytes):
         id_name = self._request_id
 
-        def accept(response: Response) -> bool:
+        def accept(response: Response, is_first_request: bool) -> bool:
             echoed = response.header(id_name)
             if echoed is not None:
                 return echoed == request_id
-            return response.status in REJECTED_STATUSES
+            # On a kept connection it may repeat the refusal of an earlier request.
+            return is_first_request and response.status in REJECTED_STATUSES
 
         return accept
 
--- a/damaskproxy/forwarding/tests/test_target.py
+++ b/damaskproxy/forwarding/tests/test_target.py
@@ -17,7 +17,7 @@
 )
 from damaskproxy.forwarding.calls import Answer, NotRun, NotRunReason, Unknown
 from damaskproxy.forwarding.tests.builders import NAMES, make_call, make_report
-from damaskproxy.http1 import ConnectFailed, ExchangeLost, Response
+from damaskproxy.http1 import ConnectFailed, ConnectionPool, ExchangeLost, Response
 from damaskproxy.model import Address
 
 ID, STAMP = (b"X-Id", b"id-1"), (b"X-Stamp", b"s")
@@ -97,6 +97,40 @@
             reached = isinstance(outcome, Response)
             self.assertEqual(result.reached_backend, reached, name)
 
+    @params(
+        # First exchange of its connection, refusal, expected result.
+        ("identified", True, b"X-Id: id-1\r\n", NotRun),
+        ("identified", False, b"X-Id: id-1\r\n", NotRun),
+        ("without an id", True, b"", NotRun),
+        ("without an id", False, b"", Answer),
+        ("of an earlier request", False, b"X-Id: id-0\r\n", Answer),
+    )
+    async def test_refusal_that_is_sent_once_more_does_not_count_as_not_run(
+        self, name, is_first, id_line, kind
+    ):
+        refusal = b"HTTP/1.1 503 Busy\r\n%sX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+        answer = (
+            b"HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Stamp: s\r\nContent-Length: 0\r\n\r\n"
+        )
+        second = refusal % id_line + answer % b"id-1"
+        scripts = [second] if is_first else [answer % b"id-0", second]
+
+        async def serve(reader, writer):
+            for part in scripts:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(part)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        pool = ConnectionPool(Address(*server.sockets[0].getsockname()[:2]))
+        self.addCleanup(pool.close)
+        self.target._pool = pool
+        if not is_first:
+            await self.target.run(make_call(request_id=b"id-0"))
+        result = await self.target.run(make_call())
+        self.assertIsInstance(result, kind, name)
+
     async def test_internal_headers_are_not_returned(self):
         kept = (b"Content-Type", b"text/plain")
         self.pool.outcome = Response(200, [ID, STAMP, kept, (b"Connection", b"close")])
--- a/damaskproxy/http1/client.py
+++ b/damaskproxy/http1/client.py
@@ -20,7 +20,10 @@
 
 __all__ = ["ConnectionPool"]
 
-ResponseFilter = Callable[[Response], bool]
+ResponseFilter = Callable[[Response, bool], bool]
+"""Returns whether a response belongs to the request in progress, given whether that is
+the first request on its connection. On later ones a server may repeat an earlier
+response."""
 
 CONNECT_TIMEOUT_S = 1.0
 """A server on the same machine or in the same region accepts within milliseconds; a
@@ -35,7 +38,7 @@
 """Memory of all responses in progress on a pool that shares no `ResponseMemory`."""
 
 
-def accept_any(response: Response) -> bool:
+def accept_any(response: Response, is_first_request: bool) -> bool:
     """Accept every response as the response to the request in progress."""
     return True
 
@@ -72,6 +75,7 @@
         self._accept: ResponseFilter = accept_any
         self._is_head_request = False
         self._has_eof = False
+        self._request_count = 0
         self._parser = httptools.HttpResponseParser(self)
         self._reset_message()
 
@@ -176,6 +180,7 @@
             If none was received before the connection was closed.
         """
         self._waiter = Waiter()
+        self._request_count += 1
         self._response = None
         self._accept = accept
         self._is_head_request = request.method == b"HEAD"
@@ -225,7 +230,7 @@
         response = Response(
             self._parser.get_status_code(), self._headers, bytes(self._body)
         )
-        if not self._accept(response):
+        if not self._accept(response, self._request_count == 1):
             self.is_reusable = False
             self._reset_message()
             return
@@ -307,7 +312,8 @@
         request : Request
             Request with end-to-end headers only.
         accept : callable
-            Returns whether a response belongs to the request; others are skipped.
+            Returns whether a response belongs to the request, given whether the request
+            is the first one on its connection; other responses are skipped.
         max_idle_share : float
             Share of the server's idle time-out beyond which an idle connection is not
             reused.
--- a/damaskproxy/http1/tests/test_client.py
+++ b/damaskproxy/http1/tests/test_client.py
@@ -80,7 +80,7 @@
         async with asyncio.timeout(5):
             return await self.pool.exchange(
                 request,
-                accept=lambda answer: answer.header(b"x-id") == request_id,
+                accept=lambda answer, _: answer.header(b"x-id") == request_id,
             )
 
     @params(
--- a/damaskproxy/http1/tests/test_response_limits.py
+++ b/damaskproxy/http1/tests/test_response_limits.py
@@ -83,7 +83,7 @@
         async with asyncio.timeout(timeout_s):
             return await self.pool.exchange(
                 Request(b"GET", target, []),
-                accept=lambda response: response.header(b"x-other") is None,
+                accept=lambda response, _: response.header(b"x-other") is None,
             )
 
     async def until_closed(self):
