Do not take an interim response for complete when the connection ends

A caller could get an interim response (1xx) with a MAC and an empty body as the final one.

Cause: a response without a length ends with its connection if its head is complete, and the mark of a complete head stayed set after an interim response. It is now reset with the interim response.

test_head_that_ends_anywhere_is_no_response ends a head after each of its bytes, for three framings, alone and after an interim or a late response: the three cases of an end just after an interim response failed before, no other. The reported fault, a head that stops in the middle and is answered as 200 with an empty or short body, was not found in any of the cases.

--- a/damaskproxy/http1/client.py
+++ b/damaskproxy/http1/client.py
@@ -165,7 +165,10 @@
 
     def on_message_complete(self):
         """Finish the response, unless it is informational or already complete."""
-        if self._response is not None or self._parser.get_status_code() < 200:
+        if self._response is not None:
+            return
+        if self._parser.get_status_code() < 200:
+            self._reset_message()
             return
         if not self._parser.should_keep_alive():
             self.is_reusable = False
--- a/damaskproxy/http1/tests/test_client.py
+++ b/damaskproxy/http1/tests/test_client.py
@@ -144,6 +144,27 @@
         await asyncio.sleep(0.02)
         self.assertEqual(len(self.received), 1, name)
 
+    @params(
+        *[
+            (framing, before)
+            for framing in (
+                b"Content-Length: 2\r\n",
+                b"Transfer-Encoding: chunked\r\n",
+                b"Connection: close\r\n",
+            )
+            for before in (
+                b"",
+                b"HTTP/1.1 103 Early Hints\r\nX-Id: 1\r\n\r\n",
+                response(b"0"),
+            )
+        ]
+    )
+    async def test_head_that_ends_anywhere_is_no_response(self, framing, before):
+        head = b"HTTP/1.1 200 OK\r\nX-Id: 1\r\n%s\r\n" % framing
+        for end in range(len(head)):
+            with self.assertRaises(ExchangeLost, msg=head[:end]):
+                await self.exchange(b"1", before + head[:end], CLOSE)
+
     @params(
         ("in the same piece", [response(b"1") + response(b"0", b"extra")]),
         ("a moment later", [response(b"1"), response(b"0", b"extra")]),
