Refuse requests that a stopping node reads late in the grace time

In a planned stop, a request on a kept connection that was half read, or queued behind another one, when the node stopped accepting was passed on, however late in the grace time, and was cut without an answer when the process ended (LOST).

Cause: only the listener and idle connections were closed; requests that arrived afterwards on the other connections were handled like any other. From that moment the origin refuses new requests as not run, with Connection: close. Requests in flight still complete.

test_request_late_in_the_grace_time_is_refused_and_not_passed_on: both rows failed before (the late request ran).

--- a/damaskproxy/forwarding/origin.py
+++ b/damaskproxy/forwarding/origin.py
@@ -103,6 +103,12 @@
         Counters of requests and attempts.
     rng : random.Random
         Source of the jitter of Retry-After and of the samples of circuit breakers.
+
+    Attributes
+    ----------
+    is_stopping : bool
+        Whether new requests are refused because they might not complete before the
+        process ends.
     """
 
     def __init__(
@@ -121,6 +127,7 @@
         stats: RequestStats,
         rng: random.Random,
     ):
+        self.is_stopping = False
         self._node_id = node_id
         self._service = service
         self._configuration = configuration
@@ -150,6 +157,10 @@
         """Return the response to a request of a caller on this VM."""
         configuration = self._configuration.current
         request_id = request.header(self._request_id)
+        if self.is_stopping:
+            return self._refuse(
+                request_id or b"", NotRunReason.STOPPING, RETRY_AFTER_MIN_S
+            )
         if configuration is None:
             return self._refuse(
                 request_id or b"", NotRunReason.NO_CONFIGURATION, RETRY_AFTER_MIN_S
--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -343,7 +343,8 @@
 async def drain(sidecar: Sidecar) -> None:
     """Stop gracefully: announce the stop, serve for a while, finish what is in flight.
 
-    Requests are accepted until the platform has taken the node out of rotation; those
+    Requests are accepted until the platform has taken the node out of rotation. Those
+    that arrive later, on a connection that is still open, are refused as not run; those
     still in flight when the grace period ends are aborted.
     """
     start_s = boot_s()
@@ -360,6 +361,7 @@
         await asyncio.sleep(0.05)
         if boot_s() - start_s < STOP_ACCEPT_S:
             continue
+        sidecar.origin.is_stopping = True
         sidecar.servers["caller"].stop_accepting()
         busy = sidecar.servers["caller"].busy_count + sidecar.links.running_count
         if not busy:
--- a/damaskproxy/sidecar/tests/test_mesh.py
+++ b/damaskproxy/sidecar/tests/test_mesh.py
@@ -367,6 +367,34 @@
             await drain_task
         self.assertEqual((await pending).status, 504)
 
+    @params("half read", "pipelined")
+    async def test_request_late_in_the_grace_time_is_refused_and_not_passed_on(
+        self, kind
+    ):
+        one = await self.start("n1", "stores", bounds={"graceS": 6})
+        two = await self.start("n2")
+        await self.until_known(1)
+        two.backend.work_s = 0.4
+        head = (
+            b" /write/%d HTTP/1.1\r\nHost: shop\r\nX-Damaskproxy-Request-Id: %d\r\n\r\n"
+        )
+        late = b"DELETE" + head % (2, 2)
+        first = b"DELETE" + head % (1, 1) + late if kind == "pipelined" else late[:30]
+        address = to_address(one.sidecar.settings.listeners.caller)
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(first)
+        with mock.patch.object(lifecycle, "STOP_ACCEPT_S", 0.1):
+            drain_task = asyncio.create_task(drain(one.sidecar))
+            await asyncio.sleep(0.2)
+            if kind == "half read":
+                writer.write(late[30:])
+            received = await reader.read()
+            await drain_task
+        writer.close()
+        self.assertRegex(received, rb"(?s)HTTP/1.1 503 .*\r\nConnection: close\r\n")
+        self.assertEqual(received.count(b"HTTP/1.1 200"), kind == "pipelined")
+        self.assertNotIn(b"2", two.backend.runs)
+
     async def test_stopping_node_takes_no_calls_from_peers(self):
         one = await self.start("n1", "stores")
         two = await self.start("n2")
