Draw restores of the store in the random schedules

The schedules on virtual time let the store return from a copy of up to 10 s before, after an outage of 50 ms to 5 s, with the operator's row written again, a further change just after the return, and versions that pass the kept positions or not; some nodes reach it up to 3 s later. At the end each row has the newest record of its node. The drawn schedules of the existing tests are unchanged, since restores are drawn only on request.

--- a/damaskproxy/propagation/tests/test_schedules.py
+++ b/damaskproxy/propagation/tests/test_schedules.py
@@ -7,7 +7,8 @@
 
 from nose2.tools import params
 
-from damaskproxy.directory import BackendRecord
+from damaskproxy.directory import BackendRecord, decode_member
+from damaskproxy.directory.following import MEMBER_TABLE, OPERATOR_TABLE
 from damaskproxy.propagation.tests.virtual_mesh import (
     RESTART_S,
     STORE_S,
@@ -56,7 +57,14 @@
         Broken limits.
     """
 
-    def __init__(self, mesh, seed, *, is_store_silent_at_times=False):
+    def __init__(
+        self,
+        mesh,
+        seed,
+        *,
+        is_store_silent_at_times=False,
+        is_store_restored_at_times=False,
+    ):
         self.mesh = mesh
         self.actions = [
             self._kill,
@@ -72,10 +80,12 @@
         ]
         if is_store_silent_at_times:
             self.actions += [self._store_silent] * 5
+        if is_store_restored_at_times:
+            self.actions += [self._store_restored] * 4
         self.rng = random.Random(seed)
         self.problems = []
         self.store_troubled_s = float("-inf")
-        self.changes = 0
+        self.changes = self.unchecked_restores = 0
         self.starts = len(mesh.nodes)
         self._checks = []
 
@@ -170,6 +180,32 @@
         self.mesh.store.is_silent = False
         self.store_troubled_s = now_s()
 
+    async def _store_restored(self, victims, duration_s):
+        # Some nodes reach the store later, when its versions may have passed theirs.
+        store = self.mesh.store
+        cut = {n.node_id for n in victims} if self.rng.random() < 0.5 else set()
+        store.cut |= cut
+        store.is_down = True
+        await asyncio.sleep(duration_s / self.rng.choice([1, 2, 10]))
+        store.restore(self.rng.choice([0.0, 0.5, 2.0, 5.0, 10.0]))
+        store.is_down = False
+        store.put_row(OPERATOR_TABLE, "config", b"%d" % self.mesh.version)
+        version = self.mesh.configure()
+        for _ in range(self.rng.choice([0, 1, 20])):
+            store.put_row("other", "row", b"")
+        self.store_troubled_s = now_s()
+        await asyncio.sleep(self.rng.choice([0.0, 1.0, 3.0]))
+        for node in victims:
+            if node.node_id in cut:
+                self._reconnect(node)
+        await asyncio.sleep(STORE_S)
+        since_s = now_s()
+        # A further change would make up for one that was missed.
+        self.unchecked_restores += 1
+        await asyncio.sleep(STABLE_S)
+        self.unchecked_restores -= 1
+        self._check_version(version, since_s)
+
     async def _store_refuses(self, victims, duration_s):
         names = {n.node_id for n in victims}
         self.mesh.store.refused |= names
@@ -204,7 +240,8 @@
         ]
 
     def _change(self):
-        if self.mesh.store.is_down or self.mesh.store.is_silent:
+        store = self.mesh.store
+        if store.is_down or store.is_silent or self.unchecked_restores:
             return
         self.changes += 1
         version = self.mesh.configure()
@@ -213,6 +250,10 @@
     async def _check_in_force(self, version):
         since_s = now_s() - STABLE_S
         await asyncio.sleep(CONFIGURATION_S)
+        self._check_version(version, since_s)
+
+    def _check_version(self, version, since_s):
+        """Check the nodes that have been in touch since a moment."""
         if not self._is_store_stable(since_s):
             return
         for node in self._in_touch(since_s):
@@ -246,6 +287,10 @@
         for node in mesh.behind(mesh.version):
             self.problems.append(f"end: {node.node_id} lacks the configuration")
         expected = {n.node_id: n.record.order for n in mesh.running()}
+        for name, order in expected.items():
+            row = mesh.store.rows.get((MEMBER_TABLE, name))
+            if row is None or decode_member(row.value).order < order:
+                self.problems.append(f"end: the row of {name} is missing or older")
         for node in mesh.running():
             found = {r.node_id: r.order for r in node.directory.records()}
             if any(found.get(name) != order for name, order in expected.items()):
@@ -300,6 +345,19 @@
     def test_limits_hold_with_hundreds_of_nodes(self):
         self.assertEqual(play(300, 6, 1, 10.0).problems, [])
 
+    @params(
+        *[(6, 1 + seed % 3, seed, 25.0) for seed in range(24)],
+        *[(60, 6, seed, 25.0) for seed in range(3)],
+        (300, 6, 1, 10.0),
+    )
+    def test_limits_hold_with_a_store_that_returns_from_older_copies(
+        self, count, data_centres, seed, duration_s
+    ):
+        schedule = play(
+            count, data_centres, seed, duration_s, is_store_restored_at_times=True
+        )
+        self.assertEqual(schedule.problems, [])
+
 
 class CutOffTests(QuietLogs):
     """Guards against reliance on first nodes that were cut off from the store."""
