Let Hypothesis parse the modules before the first test

Cause: Hypothesis parses the modules of a new checkout when it first uses one of their constants, which it does for one draw in 20.

--- a/tools/hypothesis_setup.py
+++ b/tools/hypothesis_setup.py
@@ -3,26 +3,35 @@
 from hypothesis import HealthCheck, given, settings, strategies
 from nose2 import events
 
-__all__ = ["HypothesisSetup"]
+__all__ = ["HypothesisSetup", "draw"]
 
+EXAMPLES = 300
+"""Numbers to draw. Hypothesis uses a constant of the modules for one draw in 20, and
+parses the modules when it does so for the first time."""
 
-@settings(max_examples=1, database=None, suppress_health_check=[HealthCheck.too_slow])
+
+@settings(
+    max_examples=EXAMPLES,
+    database=None,
+    suppress_health_check=[HealthCheck.too_slow],
+    deadline=None,
+)
 @given(strategies.integers())
-def draw_once(number):
-    """Draw one number."""
+def draw(number):
+    """Draw a number."""
 
 
 class HypothesisSetup(events.Plugin):
-    """Draws once after all test modules are loaded.
+    """Draws after all test modules are loaded.
 
-    Hypothesis parses the modules of a new checkout at the first draw. That takes about
-    a second, which would count towards the time limit of the health check of whichever
-    test draws first.
+    Hypothesis parses the modules of a new checkout when it first needs constants. That
+    takes a second or more, which would count towards the time limit of the health check
+    of whichever test draws then.
     """
 
     alwaysOn = True
     configSection = "hypothesis-setup"
 
     def startTestRun(self, event):  # noqa: N802 (name of the nose2 hook)
-        """Draw once."""
-        draw_once()
+        """Draw some numbers."""
+        draw()
