--- a/damaskproxy/directory/rows.py
+++ b/damaskproxy/directory/rows.py
@@ -88,9 +88,9 @@
     Parameters
     ----------
     era : int
-        Rises each time that the store returns from an older copy. What was written after
-        the copy is lost, and its versions are given out again, so versions of different
-        eras cannot be compared.
+        Rises each time that the store returns from an older copy. What was written
+        after the copy is lost, and its versions are given out again, so versions of
+        different eras cannot be compared.
     version : int
         Version of the store within the era, 0 if it is not known.
     """
--- a/damaskproxy/sidecar/tests/mesh.py
+++ b/damaskproxy/sidecar/tests/mesh.py
@@ -135,6 +135,8 @@
             return
         for task in member.tasks:
             task.cancel()
+        # A process that has ended does not look for other sources.
+        member.sidecar.propagation._is_started = False
         await stop(member.sidecar)
         member.sidecar = None
 
