Take all ports of a test's node in one call

Likely cause, not proved for that run: the test took the port of its metrics listener in one call of free_ports and the other four in a second one, while the first was not bound yet, so that both could return the same port (4 in 17,768). Forced to do so, the test failed with the same error. All five now come from one call.

--- a/damaskproxy/sidecar/tests/mesh.py
+++ b/damaskproxy/sidecar/tests/mesh.py
@@ -92,12 +92,14 @@
         await self.stack.aclose()
 
     async def start(
-        self, name, service="orders", data_centre="a", metrics=None, **settings
+        self, name, service="orders", data_centre="a", has_metrics=False, **settings
     ):
         """Start a sidecar and a backend server that reports to it."""
         member = Member(name, service)
         address = await member.backend.open()
-        listeners = ("caller", "peer", "readiness", "control")
+        listeners = ["caller", "peer", "readiness", "control"]
+        if has_metrics:
+            listeners.append("metrics")
         body = {
             "node_id": name,
             "data_centre": data_centre,
@@ -112,8 +114,6 @@
             "bounds": {"graceS": 2},
             **settings,
         }
-        if metrics is not None:
-            body["listeners"]["metrics"] = metrics
         member.path = self.folder / f"{name}.json"
         member.path.write_text(json.dumps(body), encoding="utf-8")
         self.members.append(member)
--- a/damaskproxy/sidecar/tests/test_metrics.py
+++ b/damaskproxy/sidecar/tests/test_metrics.py
@@ -15,7 +15,6 @@
 from damaskproxy.sidecar import format_top
 from damaskproxy.sidecar.settings import to_address
 from damaskproxy.sidecar.tests.mesh import MeshTestCase
-from demo.processes import free_ports
 
 
 class StatsTests(unittest.TestCase):
@@ -54,9 +53,8 @@
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
-        (port,) = free_ports(1)
-        self.address = f"127.0.0.1:{port}"
-        self.member = await self.start("n1", metrics=self.address)
+        self.member = await self.start("n1", has_metrics=True)
+        self.address = self.member.sidecar.settings.listeners.metrics
         await self.until_known(1)
 
     async def fetch(self, target, method=b"GET"):
