--- a/damaskproxy/platform/store.py
+++ b/damaskproxy/platform/store.py
@@ -81,9 +81,10 @@
                 target += f"&from={quote(first)}"
             response = await self._call(b"GET", target, b"", READ_TIMEOUT_S)
             body = _decode_response(response)
-            if era is not None and _era(response) != era:
+            page_era = _era(response)
+            if era is not None and page_era != era:
                 raise StoreError(f"the store was restored while {table} was read")
-            era = _era(response)
+            era = page_era
             rows += body.rows
             if not body.truncated or not body.rows:
                 return to_rows(FeedBody(rows, body.ver), era)
@@ -107,7 +108,7 @@
             raise HistoryLost(
                 f"the store no longer has the changes of {table} after {after}"
             )
-        return to_rows(_decode_response(response), _era(response))
+        return _decode_rows(response)
 
     async def write(
         self, table: str, writes: Sequence[RowWrite]
@@ -122,10 +123,8 @@
         encoded = encode_writes(table, writes)
         response = await self._call(b"POST", "/api/rows-tx", encoded, READ_TIMEOUT_S)
         if response.status == 412:
-            body = _decode_response(response, 412)
-            return WriteOutcome.CONFLICT, to_rows(body, _era(response))
-        body = _decode_response(response)
-        return WriteOutcome.APPLIED, to_rows(body, _era(response))
+            return WriteOutcome.CONFLICT, _decode_rows(response, 412)
+        return WriteOutcome.APPLIED, _decode_rows(response)
 
     async def check_path(self) -> None:
         """Open a connection to the store and close it.
@@ -184,6 +183,10 @@
         raise StoreError(f"invalid era {value[:20]!r}") from error
 
 
+def _decode_rows(response: Response, status: int = 200) -> Rows:
+    return to_rows(_decode_response(response, status), _era(response))
+
+
 def _decode_response(response: Response, status: int = 200) -> FeedBody:
     if response.status != status:
         raise StoreError(f"status {response.status}")
