--- a/review/standins/instance.py
+++ b/review/standins/instance.py
@@ -31,6 +31,8 @@
         Time for which it runs a request.
     body_bytes : int
         Size of its answers.
+    read_bytes_per_s : float, optional
+        How fast it reads the body of a request; as fast as possible when left out.
 
     Attributes
     ----------
@@ -56,6 +58,7 @@
         slots: int = 72,
         work_s: float = 0.02,
         body_bytes: int = 400,
+        read_bytes_per_s: float | None = None,
     ):
         self.instance_id = instance_id
         self.service = service
@@ -69,6 +72,7 @@
         self._record = record
         self._slots = slots
         self._body = b"x" * body_bytes
+        self._read_bytes_per_s = read_bytes_per_s
         self._busy = 0
         self._sequence = 0
         self._born_ms = int(time.time() * 1000)
@@ -165,7 +169,7 @@
         self._writers.add(writer)
         try:
             while True:
-                request = await read_message(reader)
+                request = await read_message(reader, bytes_per_s=self._read_bytes_per_s)
                 answer = await self._answer(request)
                 writer.write(answer)
                 await writer.drain()
--- a/review/standins/mesh.py
+++ b/review/standins/mesh.py
@@ -45,6 +45,11 @@
 _given_ports: set[int] = set()
 
 
+def _free_listeners() -> dict[str, str]:
+    names = ("caller", "peer", "readiness", "control", "metrics")
+    return {name: f"{HOST}:{free_port()}" for name in names}
+
+
 def free_port() -> int:
     """Return a new port that nobody listens on, below those of outgoing connections."""
     while True:
@@ -109,7 +114,6 @@
             await self.store.open(HOST)
         server = Instance(f"i-{name}", service, zone, self.record, **instance)
         await server.open(HOST)
-        names = ("caller", "peer", "readiness", "control", "metrics")
         settings = {
             "node_id": f"sidecar-{name}",
             "data_centre": zone,
@@ -117,7 +121,7 @@
             "service": service,
             "backend_address": server.address,
             "heartbeat_interval_ms": 1500,
-            "listeners": {listener: f"{HOST}:{free_port()}" for listener in names},
+            "listeners": _free_listeners(),
             "store_address": self.store.address,
             "seeds": [],
             "is_first_start": True,
@@ -130,15 +134,24 @@
 
     async def start_all(self) -> None:
         """Start the whole system for the first time and wait until it is ready."""
-        for machine in self.machines:
-            await self.start(machine)
-            machine.instance.start_reports(machine.control)
+        async with asyncio.timeout(READY_WITHIN_S):
+            await asyncio.gather(*(self._start_first(m) for m in self.machines))
         for machine in self.machines:
             await self.wait_until_ready(machine)
             # Only the first start of the whole system has it.
             machine.settings["is_first_start"] = False
         self.record.add("all-ready")
 
+    async def _start_first(self, machine: Machine) -> None:
+        """Start a node; with other ports if another program has just taken one."""
+        await self.start(machine)
+        while not await _ask(machine.settings["listeners"]["readiness"]):
+            await asyncio.sleep(0.1)
+            if machine.process.returncode is not None:
+                machine.settings["listeners"] = _free_listeners()
+                await self.start(machine)
+        machine.instance.start_reports(machine.control)
+
     async def start(self, machine: Machine) -> None:
         """Start the node of a machine with the command of the deploy file."""
         machine.path.write_text(json.dumps(machine.settings), encoding="utf-8")
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -27,13 +27,13 @@
     peak_mb = 0.0
     while True:
         await asyncio.sleep(CHECK_S)
-        resident_mb = _resident_mb(machine.process.pid)
-        if resident_mb > peak_mb + 10:
-            peak_mb = resident_mb
-            mesh.record.add("memory", node=machine.name, mb=f"{resident_mb:.0f}")
-        if resident_mb <= limit_mb:
+        most_mb = _peak_mb(machine.process.pid)
+        if most_mb > peak_mb + 10:
+            peak_mb = most_mb
+            mesh.record.add("memory", node=machine.name, mb=f"{most_mb:.0f}")
+        if most_mb <= limit_mb:
             continue
-        mesh.record.add("memory-exceeded", node=machine.name, mb=f"{resident_mb:.0f}")
+        mesh.record.add("memory-exceeded", node=machine.name, mb=f"{most_mb:.0f}")
         mesh.signal(machine, signal.SIGKILL)
         await mesh.wait_until_ended(machine)
         await asyncio.sleep(RESTART_DELAY_S)
@@ -41,12 +41,12 @@
         peak_mb = 0.0
 
 
-def _resident_mb(pid: int) -> float:
+def _peak_mb(pid: int) -> float:
     try:
         lines = Path(f"/proc/{pid}/status").read_text(encoding="ascii").splitlines()
     except OSError:
         return 0.0
     for line in lines:
-        if line.startswith("VmRSS:"):
+        if line.startswith("VmHWM:"):
             return int(line.split()[1]) / 1024
     return 0.0
