--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""DRAIN: a leave that a restarted node confirms before it knows its instance."""
+"""DRAIN: a leave that a starting node confirms before it knows its instance."""
 
 import asyncio
 import signal
@@ -27,11 +27,11 @@
     },
     ("orders", "catalogue"),
 )
-STORE_DOWN_S = 4.5
-LEAVES_AFTER_START_S = 1.0
+DOWN_S = 0.9
+INSTANCES, LEAVING = 12, 3
 SERVE_AFTER_CONFIRMATION_S = 14.0
-REQUESTS_PER_S = 20
-TRAFFIC_S = 22.0
+REQUESTS_PER_S = 40
+TRAFFIC_S = 14.0
 
 
 async def case(record, folder: Path, has_trouble: bool) -> bool:
@@ -44,27 +44,38 @@
 
 
 async def play(mesh: Mesh, record, has_trouble: bool) -> bool:
-    """Restart the node of a leaving instance, with or without the store."""
-    leaving = await mesh.add("a-1", "tbilisi-a", "orders")
-    await mesh.add("b-1", "tbilisi-b", "orders")
+    """Let a quarter of the instances leave, while all nodes are killed or not."""
+    orders = [
+        await mesh.add(f"{'ab'[n % 2]}-{n}", f"tbilisi-{'ab'[n % 2]}", "orders")
+        for n in range(INSTANCES)
+    ]
+    leaving = orders[:LEAVING]
     callers = [
-        await mesh.add("a-2", "tbilisi-a", "catalogue"),
-        await mesh.add("b-2", "tbilisi-b", "catalogue"),
+        await mesh.add("a-c", "tbilisi-a", "catalogue"),
+        await mesh.add("b-c", "tbilisi-b", "catalogue"),
     ]
     mesh.store.put("op", "config", CONFIGURATION)
     await mesh.start_all()
     await asyncio.sleep(5.0)
 
-    # Planned: the node is restarted alone, and its instance begins to leave just after.
-    mesh.signal(leaving, signal.SIGTERM)
-    await mesh.wait_until_ended(leaving)
-    down_s = None
     if has_trouble:
-        mesh.store.go_down()
-        down_s = record.add("store-down")
-    # The instance reports every 1.5 s; the next report comes after it began to leave.
-    await leaving.instance.reported.wait()
-    await mesh.start(leaving)
+        for machine in mesh.machines:
+            mesh.signal(machine, signal.SIGKILL)
+        for machine in mesh.machines:
+            await mesh.wait_until_ended(machine)
+    # The instances begin to leave before the nodes are back.
+    leaves = [
+        asyncio.create_task(
+            machine.instance.leave_without_draining(
+                machine.control, SERVE_AFTER_CONFIRMATION_S
+            )
+        )
+        for machine in leaving
+    ]
+    await asyncio.sleep(DOWN_S)
+    if has_trouble:
+        for machine in mesh.machines:
+            await mesh.start(machine)
     outcomes: list = []
     for number in range(int(TRAFFIC_S * REQUESTS_PER_S)):
         for caller in callers:
@@ -78,28 +89,18 @@
                 method=method,
                 deadline_s=3.0,
             )
-    await asyncio.sleep(LEAVES_AFTER_START_S)
-    leave = asyncio.create_task(
-        leaving.instance.leave_without_draining(
-            leaving.control, SERVE_AFTER_CONFIRMATION_S
-        )
-    )
-    back_s = None
-    if has_trouble:
-        await asyncio.sleep(down_s + STORE_DOWN_S - record.now_s())
-        mesh.store.come_back()
-        back_s = record.add("store-back")
     await mesh.wait_for_clients()
-    await leave
-    return judge(record, leaving.instance, outcomes, back_s)
+    await asyncio.gather(*leaves)
+    verdicts = [judge(record, machine.instance, outcomes) for machine in leaving]
+    return any(verdicts)
 
 
-def judge(record, instance, outcomes: list, back_s: float | None) -> bool:
+def judge(record, instance, outcomes: list) -> bool:
     """Count the requests that reached the instance too late, by machines in touch."""
     if instance.confirmed_s is None:
         raise RuntimeError("the leave was not confirmed")
-    started_s = max(s for s, line in record.times("node-started"))
-    in_touch_s = max(started_s, back_s or 0.0) + BOUNDS["stableWindowMs"] / 1000
+    started_s = max(at_s for at_s, _ in record.times("node-started"))
+    in_touch_s = started_s + BOUNDS["stableWindowMs"] / 1000
     bound_s = instance.confirmed_s + BOUNDS["drainMs"] / 1000
     sent = {outcome.request_id: outcome.sent_s for outcome in outcomes}
     late = [(s, i) for s, i in instance.run_times if s > bound_s]
@@ -109,6 +110,7 @@
     served = sum(outcome.status == 200 for outcome in outcomes)
     record.add(
         "verdict",
+        instance=instance.instance_id,
         confirmed=f"{instance.confirmed_s:.3f}",
         bound=f"{bound_s:.3f}",
         in_touch=f"{in_touch_s:.3f}",
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -104,7 +104,7 @@
     """Count the requests that reached the instance too late, by machines in touch."""
     if instance.confirmed_s is None:
         raise RuntimeError("the leave was not confirmed")
-    started_s = max(s for s, line in record.times("node-started"))
+    started_s = max(at_s for at_s, _ in record.times("node-started"))
     in_touch_s = max(started_s, back_s or 0.0) + BOUNDS["stableWindowMs"] / 1000
     bound_s = instance.confirmed_s + BOUNDS["drainMs"] / 1000
     sent = {outcome.request_id: outcome.sent_s for outcome in outcomes}
