Log why a request got no response, and what a process held before its end

The log could not tell whether a lost request's node had ended and why, had closed its connection, had not sent its response before a planned end, or whether nobody had answered.

No decision changes.

--- a/damaskproxy/forwarding/link.py
+++ b/damaskproxy/forwarding/link.py
@@ -169,6 +169,11 @@
         """Whether calls to the peer are in flight."""
         return bool(self._calls_in_flight)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of frames that the kernel has not taken yet."""
+        return self._transport.get_write_buffer_size() if self.is_open else 0
+
     @property
     def running_count(self) -> int:
         """Calls of the peer that run on this node."""
--- a/damaskproxy/forwarding/links.py
+++ b/damaskproxy/forwarding/links.py
@@ -62,6 +62,11 @@
         """Calls of other nodes that run here."""
         return sum(link.running_count for link in self._links)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of frames that the kernel has not taken yet."""
+        return sum(link.unsent_bytes for link in self._links)
+
     @property
     def port(self) -> int:
         """Port on which connections of other nodes are accepted."""
--- a/damaskproxy/http1/events.py
+++ b/damaskproxy/http1/events.py
@@ -4,7 +4,7 @@
 
 from damaskproxy.events import define
 
-__all__ = ["REQUEST_FAILED", "REQUEST_MALFORMED"]
+__all__ = ["REQUEST_FAILED", "REQUEST_MALFORMED", "RESPONSE_CUT"]
 
 REQUEST_MALFORMED = define(
     10001,
@@ -18,3 +18,10 @@
     logging.ERROR,
     "Handling a request raised an unexpected exception.",
 )
+RESPONSE_CUT = define(
+    10003,
+    "response-cut",
+    logging.WARNING,
+    "This node closed a connection with a request that it had not answered, or with an "
+    "answer that it had not sent completely; the reason is given.",
+)
--- a/damaskproxy/http1/server.py
+++ b/damaskproxy/http1/server.py
@@ -104,6 +104,16 @@
         for connection in list(self.connections):
             connection.enforce_timeouts(now_s, limits)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of responses that the kernel has not taken yet."""
+        return sum(connection.unsent_bytes for connection in self.connections)
+
+    @property
+    def partly_read_count(self) -> int:
+        """Number of connections on which a request has been read in part."""
+        return sum(connection.is_partly_read for connection in self.connections)
+
     def stop_accepting(self) -> None:
         """Accept no more connections and requests; complete those already read."""
         self.is_closing = True
@@ -117,7 +127,7 @@
         if self._server is not None:
             self._server.close()
         for connection in list(self.connections):
-            connection.abort()
+            connection.abort("the node has stopped")
 
 
 class ServerConnection(asyncio.Protocol):
@@ -144,6 +154,16 @@
         """Whether a request is in progress or queued."""
         return self._fiber is not None or bool(self._pending)
 
+    @property
+    def is_partly_read(self) -> bool:
+        """Whether a request has been read in part."""
+        return self._message_started_s is not None
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of responses that the kernel has not taken yet."""
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
+
     def connection_made(self, transport):
         """Register an accepted connection."""
         # Clients are on the same machine, so no dead peer detection is set up. Its
@@ -261,16 +281,26 @@
             self._transport.close()
 
     def _close_idle(self) -> None:
-        if self._transport.get_write_buffer_size():
-            # The client has not read its response within the idle time-out.
-            self._transport.abort()
+        if self.unsent_bytes:
+            self.abort("the client has not read its response within the idle time-out")
         else:
             self._transport.close()
 
-    def abort(self) -> None:
-        """Close the connection at once."""
-        if self._transport is not None:
-            self._transport.abort()
+    def abort(self, reason: str) -> None:
+        """Close the connection at once, and log the requests that this cuts."""
+        if self._transport is None:
+            return
+        if self.is_busy or self.is_partly_read or self.unsent_bytes:
+            log_event(
+                logger,
+                events.RESPONSE_CUT,
+                listener=self._server.name,
+                reason=reason,
+                in_progress=int(self._fiber is not None) + len(self._pending),
+                is_partly_read=self.is_partly_read,
+                unsent_bytes=self.unsent_bytes,
+            )
+        self._transport.abort()
 
     def _reset_message(self) -> None:
         self._target = b""
--- a/damaskproxy/http1/tests/test_server.py
+++ b/damaskproxy/http1/tests/test_server.py
@@ -215,6 +215,22 @@
         with self.assertRaises(ConnectionRefusedError):
             await asyncio.open_connection("127.0.0.1", self.port)
 
+    @params(
+        (GET.replace(b"/a", b"/slow") + b"\r\n", "in_progress", 1),
+        (POST + b"Content-Length: 3\r\n\r\na", "is_partly_read", True),
+        (GET.replace(b"/a", b"/large") + b"\r\n", "unsent_bytes", None),
+    )
+    async def test_request_that_the_server_cuts_is_logged(self, sent, field, value):
+        self.writer.write(sent)
+        await self.writer.drain()
+        await asyncio.sleep(0.1)
+        with self.assertLogs("damaskproxy.http1.server", "WARNING") as logs:
+            await self.server.close()
+        fields = logs.records[0].fields
+        self.assertEqual(fields["reason"], "the node has stopped")
+        self.assertEqual(fields[field], fields[field] if value is None else value)
+        self.assertTrue(fields[field])
+
 
 class EndToEndTests(unittest.TestCase):
     """Guards against hop-by-hop headers that are forwarded."""
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -103,6 +103,7 @@
     started_s: float
     dropped_log_lines: Callable[[], int]
     backend_reported: asyncio.Event
+    response_memory: ResponseMemory
     on_own_record: Callable[[], None] | None = None
     connect_tasks: set[asyncio.Task] = field(default_factory=set)
     is_ready: bool = False
@@ -147,6 +148,15 @@
         self.connect_tasks.add(task)
         task.add_done_callback(self.connect_tasks.discard)
 
+    def held_bytes(self) -> dict[str, int]:
+        """Return the bytes that requests and responses hold, by purpose."""
+        return {
+            "request_body_bytes": self.servers["caller"].held_bytes,
+            "response_bytes": self.response_memory.total_bytes,
+            "unsent_response_bytes": self.servers["caller"].unsent_bytes,
+            "unsent_link_bytes": self.links.unsent_bytes,
+        }
+
     def encoded_state(self) -> bytes:
         """Return the encoded configuration and members for a node that starts."""
         records = list(self.directory.records())
@@ -214,14 +224,15 @@
 
     backend = Backend(settings.heartbeat_interval_ms, backend_changed)
     responses = settings.responses
+    response_memory = ResponseMemory(
+        int((settings.memory_limit_mb << 20) * responses.memory_share)
+    )
     pool = ConnectionPool(
         to_address(settings.backend_address),
         limits=ResponseLimits(
             responses.max_head_bytes, responses.max_fields, responses.max_body_bytes
         ),
-        memory=ResponseMemory(
-            int((settings.memory_limit_mb << 20) * responses.memory_share)
-        ),
+        memory=response_memory,
     )
     parent_requests = ParentRequests()
     stats = RequestStats()
@@ -345,6 +356,7 @@
         started_s=boot_s(),
         dropped_log_lines=dropped_log_lines,
         backend_reported=backend_reported,
+        response_memory=response_memory,
     )
     if settings.listeners.metrics is not None:
         servers["metrics"] = HttpServer("metrics", make_metrics_handler(sidecar))
--- a/damaskproxy/sidecar/events.py
+++ b/damaskproxy/sidecar/events.py
@@ -6,8 +6,10 @@
 
 __all__ = [
     "FIRST_ROW_NOT_WRITTEN",
+    "MEMORY_HIGH",
     "NO_PEER_ANSWERED",
     "OWN_ROW_UNREADABLE",
+    "PROCESS_FAILED",
     "SETTINGS_KEPT",
     "SETTINGS_RELOADED",
     "SIDECAR_READY",
@@ -33,7 +35,8 @@
     12004,
     "sidecar-stopped",
     logging.INFO,
-    "The node exits; the field cut counts the aborted requests.",
+    "The node exits; the fields count the requests that it aborts, those that it has "
+    "read in part, and the bytes of answers that it has not sent.",
 )
 SETTINGS_RELOADED = define(
     12005, "settings-reloaded", logging.INFO, "The settings file was reloaded."
@@ -71,3 +74,16 @@
     "A restarted node asked its peers whether it had confirmed a leave of its backend "
     "server; none responded in time.",
 )
+PROCESS_FAILED = define(
+    12011,
+    "process-failed",
+    logging.CRITICAL,
+    "The process ends because of an unexpected exception.",
+)
+MEMORY_HIGH = define(
+    12012,
+    "memory-high",
+    logging.WARNING,
+    "The memory of the process has come close to its limit, above which the platform "
+    "kills it; the fields name what it holds.",
+)
--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -25,6 +25,7 @@
 from damaskproxy.platform import decode_bounds
 from damaskproxy.sidecar import events
 from damaskproxy.sidecar.compose import Sidecar, compose
+from damaskproxy.sidecar.memory import MemoryWatch
 from damaskproxy.sidecar.settings import (
     SidecarSettings,
     SidecarSettingsError,
@@ -85,6 +86,16 @@
     dropped_log_lines : callable
         Returns how many log lines were dropped because of a slow reader.
     """
+    try:
+        await _run(settings, path, dropped_log_lines)
+    except Exception:
+        log_event(logger, events.PROCESS_FAILED, exc_info=True)
+        raise
+
+
+async def _run(
+    settings: SidecarSettings, path: str, dropped_log_lines: Callable[[], int]
+) -> None:
     sidecar = compose(settings, dropped_log_lines=dropped_log_lines)
     stopping = asyncio.Event()
     reload = asyncio.Event()
@@ -302,8 +313,10 @@
 
 
 async def _run_maintenance(sidecar: Sidecar) -> None:
+    memory = MemoryWatch(sidecar.settings.memory_limit_mb << 20, sidecar.held_bytes)
     while True:
         await asyncio.sleep(MAINTENANCE_INTERVAL_S)
+        memory.check()
         for server in sidecar.servers.values():
             server.enforce_timeouts()
         sidecar.pool.close_idle()
@@ -366,10 +379,13 @@
         busy = sidecar.servers["caller"].busy_count + sidecar.links.running_count
         if not busy:
             break
+    caller = sidecar.servers["caller"]
     log_event(
         logger,
         events.SIDECAR_STOPPED,
-        cut=sidecar.servers["caller"].busy_count + sidecar.links.running_count,
+        cut=caller.busy_count + sidecar.links.running_count,
+        partly_read=caller.partly_read_count,
+        unsent_bytes=caller.unsent_bytes + sidecar.links.unsent_bytes,
     )
 
 
--- a/damaskproxy/sidecar/metrics.py
+++ b/damaskproxy/sidecar/metrics.py
@@ -8,6 +8,7 @@
 from damaskproxy.common.clock import boot_s
 from damaskproxy.forwarding import LATENCY_BUCKETS_S
 from damaskproxy.http1 import Request, Response
+from damaskproxy.sidecar.memory import peak_memory_bytes
 
 if TYPE_CHECKING:
     from damaskproxy.sidecar.compose import Sidecar
@@ -40,6 +41,8 @@
         "load": None if load is None else msgspec.structs.asdict(load),
         "in_flight": sidecar.target.in_flight,
         "held_bytes": sidecar.servers["caller"].held_bytes,
+        "held": sidecar.held_bytes(),
+        "peak_memory_bytes": peak_memory_bytes(),
         "connections": len(sidecar.servers["caller"].connections),
         "links": len(sidecar.links.open_links()),
         "members": [_member(record) for record in sidecar.directory.records()],
@@ -130,6 +133,9 @@
             "damask_concurrency_limit": load.limit if load else 0,
             "damask_admission_level": load.level if load else 0,
             "damask_held_bytes": sidecar.servers["caller"].held_bytes,
+            "damask_unsent_response_bytes": sidecar.servers["caller"].unsent_bytes,
+            "damask_unsent_link_bytes": sidecar.links.unsent_bytes,
+            "damask_peak_memory_bytes": peak_memory_bytes(),
             "damask_links": len(sidecar.links.open_links()),
             "damask_log_lines_dropped": sidecar.dropped_log_lines(),
         }
