Compare the member rows with the known records once when a store was restored

After each transaction of 50 rows all records were compared and encoded again, so the work grew with the square of the number of members. Now the writes are determined once, and after a conflict only those of the conflicting transaction are determined again.

The tests of lost rows and of restored stores pass unchanged.

--- a/damaskproxy/directory/lost_rows.py
+++ b/damaskproxy/directory/lost_rows.py
@@ -1,6 +1,6 @@
 """Writes the member rows again that the store has lost with its newest writes."""
 
-from collections.abc import Collection, Iterator
+from collections.abc import Iterable
 
 from damaskproxy.directory.members import (
     Directory,
@@ -27,24 +27,28 @@
 CONFLICTS_MAX = 5
 
 
-def lost_writes(directory: Directory, rows: Collection[Row]) -> Iterator[RowWrite]:
+def lost_writes(directory: Directory, rows: Iterable[Row]) -> list[RowWrite]:
     """Return the writes of the known records that rows of the store are older than.
 
     Parameters
     ----------
     directory : Directory
         Known records.
-    rows : collection of Row
+    rows : iterable of Row
         All member rows of the store.
     """
-    stored_rows = {row.key: row for row in rows}
-    for record in directory.records():
-        row = stored_rows.get(record.node_id)
-        if row is None or row.value is None:
-            if not record.is_removed:
-                yield RowWrite(record.node_id, 0, encode_member(record))
-        elif _is_lost(record, row.value):
-            yield RowWrite(record.node_id, row.version, encode_member(record))
+    stored = {row.key: row for row in rows}
+    writes = [_lost_write(r, stored.get(r.node_id)) for r in directory.records()]
+    return [write for write in writes if write is not None]
+
+
+def _lost_write(record: MemberRecord, row: Row | None) -> RowWrite | None:
+    """Return the write of a record, None if its row is up to date or not needed."""
+    if row is None or row.value is None:
+        is_lost, version = not record.is_removed, 0
+    else:
+        is_lost, version = _is_lost(record, row.value), row.version
+    return RowWrite(record.node_id, version, encode_member(record)) if is_lost else None
 
 
 def _is_lost(known: MemberRecord, value: bytes) -> bool:
@@ -86,32 +90,30 @@
     StoreError
         If not all could be written.
     """
-    rows = {row.key: row for row in read.rows}
+    pending = lost_writes(directory, read.rows)
     written = conflicts = 0
-    while batch := _first_batch(lost_writes(directory, rows.values())):
+    while pending:
+        batch = _first_batch(pending)
         outcome, body = await store.write(table, batch)
         if outcome is WriteOutcome.APPLIED:
             written += len(batch)
-            version = body.position.version
-            rows |= {w.key: Row(w.key, version, w.value) for w in batch}
+            del pending[: len(batch)]
             continue
         conflicts += 1
         if conflicts == CONFLICTS_MAX:
             raise StoreError(f"{conflicts} conflicts with other writers")
-        for write in batch:
-            rows.pop(write.key, None)
-        rows |= {row.key: row for row in body.rows}
+        current = {row.key: row for row in body.rows}
+        retried = [_lost_write(directory.get(w.key), current.get(w.key)) for w in batch]
+        pending[: len(batch)] = [write for write in retried if write is not None]
     return written
 
 
-def _first_batch(writes: Iterator[RowWrite]) -> list[RowWrite]:
+def _first_batch(writes: Iterable[RowWrite]) -> list[RowWrite]:
     batch: list[RowWrite] = []
     size_bytes = 0
     for write in writes:
         size_bytes += len(write.value or b"")
-        if batch and size_bytes > CALL_MAX_BYTES:
+        if len(batch) == WRITES_PER_CALL or (batch and size_bytes > CALL_MAX_BYTES):
             break
         batch.append(write)
-        if len(batch) == WRITES_PER_CALL:
-            break
     return batch
