Keep a link between nodes open while a call on it is in flight

A link was closed 120 s after the start of its last call. Only calls of the peer that run here kept it open, so a call that took longer ended as unknown: its caller got 502, and a request that may not be repeated had no result.

The check now also asks for calls in flight to the peer. test_idle_link_is_kept_while_a_call_on_it_is_in_flight failed before (the call had ended as unknown) and passes now; one run each.

--- a/damaskproxy/forwarding/links.py
+++ b/damaskproxy/forwarding/links.py
@@ -139,7 +139,8 @@
         """Close connections without calls for `IDLE_CLOSE_S`."""
         idle_before_s = boot_s() - IDLE_CLOSE_S
         for link in self._outgoing.values():
-            if link.last_used_s < idle_before_s and not link.running_count:
+            is_busy = link.running_count or link.has_calls_in_flight
+            if link.last_used_s < idle_before_s and not is_busy:
                 link.close()
 
     async def close(self) -> None:
--- a/damaskproxy/forwarding/tests/test_links.py
+++ b/damaskproxy/forwarding/tests/test_links.py
@@ -24,7 +24,7 @@
 )
 from damaskproxy.forwarding.frames import encode_frame
 from damaskproxy.forwarding.link import PING_AFTER_S, PONG_TIMEOUT_S
-from damaskproxy.forwarding.links import CONNECT_TIMEOUT_S
+from damaskproxy.forwarding.links import CONNECT_TIMEOUT_S, IDLE_CLOSE_S
 from damaskproxy.forwarding.tests.builders import make_call, make_member
 
 LOAD = LoadReport(1, 2, 3, 4, 5)
@@ -146,6 +146,17 @@
         self.two.results = [RESULTS[0]]
         self.assertEqual(await self.one.links.run(self.member, make_call()), RESULTS[0])
 
+    async def test_idle_link_is_kept_while_a_call_on_it_is_in_flight(self):
+        task = asyncio.create_task(self.one.links.run(self.member, make_call()))
+        await self.until(lambda: self.two.waiters)
+        for link in self.one.links.open_links():
+            link.last_used_s -= IDLE_CLOSE_S + 1
+        self.one.links.close_idle()
+        await asyncio.sleep(0.05)
+        self.assertFalse(task.done())
+        self.two.waiters[0].set_result(RESULTS[0])
+        self.assertEqual(await task, RESULTS[0])
+
     async def test_lost_connection_makes_calls_unknown_and_cancels_their_runs(self):
         tasks = [
             asyncio.create_task(self.one.links.run(self.member, make_call()))
