Do not count a client that still reads its response as idle

The idle time-out counted from the moment at which the response was handed to the connection. A client that took longer than idleTimeoutMs to read a large response got only a part of it and the connection was reset.

A connection is idle now since its client has last taken bytes of the response. A client that takes none is closed as before (test_client_that_does_not_read_is_closed_after_the_idle_time). test_client_that_reads_slowly_gets_its_whole_response failed before, 2 of 2 runs, and passes now, 3 of 3.

--- a/damaskproxy/http1/server.py
+++ b/damaskproxy/http1/server.py
@@ -147,6 +147,7 @@
         self._refusal_status = 0
         self._is_reading_paused = False
         self._held_bytes = 0
+        self._checked_unsent_bytes = 0
         self._reset_message()
 
     @property
@@ -265,6 +266,8 @@
         if self._is_refused or self.is_busy:
             return
         if self._message_started_s is None:
+            if self._has_sent_since_last_check():
+                self._last_activity_s = now_s
             if (now_s - self._last_activity_s) * 1000 > limits.idle_timeout_ms:
                 self._close_idle()
             return
@@ -280,6 +283,13 @@
         if not self.is_busy and self._message_started_s is None and self._transport:
             self._transport.close()
 
+    def _has_sent_since_last_check(self) -> bool:
+        before, self._checked_unsent_bytes = (
+            self._checked_unsent_bytes,
+            self.unsent_bytes,
+        )
+        return self._checked_unsent_bytes < before
+
     def _close_idle(self) -> None:
         if self.unsent_bytes:
             self.abort("the client has not read its response within the idle time-out")
--- a/damaskproxy/http1/tests/test_server.py
+++ b/damaskproxy/http1/tests/test_server.py
@@ -181,6 +181,18 @@
                 await asyncio.sleep(0.05)
                 self.server.enforce_timeouts()
 
+    async def test_client_that_reads_slowly_gets_its_whole_response(self):
+        self.writer.write(b"GET /large HTTP/1.1\r\nHost: x\r\n\r\n")
+        received = b""
+        async with asyncio.timeout(30):
+            while len(received) < 20_000_000:
+                # The server sends more only after the client has read for some time.
+                data = await self.reader.readexactly(1_000_000)
+                received += data
+                await asyncio.sleep(0.03)
+                self.server.enforce_timeouts()
+        self.assertEqual(received[-1_000_000:], b"x" * 1_000_000)
+
     async def test_bodies_beyond_held_max_bytes_are_refused(self):
         self.server.held_max_bytes = 30
         slow = b"POST /slow HTTP/1.1\r\nHost: x\r\nContent-Length: 20\r\n\r\n"
