Free a failed request at once instead of at the next garbage collection

Nodes were killed over their memory while backend servers broke off requests with bodies: every exchange that failed or was cancelled stayed in memory with its body. All requests in progress at such a node were lost.

Cause: reference cycles. A raised exception refers, through its traceback, to the frames that it passed. Waiter kept the exception that it raised, Fiber._step kept the exception that it threw into the coroutine, and both were among those frames, like the frame of the request. Only a collection freed them, and collections are rare (GC_THRESHOLD), since requests were taken not to create cycles. Ruled out: the connection pool and the buffers of the transport; requests that succeed leave nothing behind.

--- a/damaskproxy/common/fibers.py
+++ b/damaskproxy/common/fibers.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import copy
 from collections.abc import Callable, Coroutine
 
 __all__ = ["BackgroundTask", "Fiber", "Waiter", "current_fiber"]
@@ -58,7 +59,9 @@
                 self._fiber = _current
                 yield self
         if self._error is not None:
-            raise self._error
+            # A copy, since the traceback refers to the frames that hold the original,
+            # and such a cycle keeps a request in memory until a collection.
+            raise copy.copy(self._error)
         return self._value
 
     def _finish(self) -> None:
@@ -142,6 +145,8 @@
             self._on_error(unhandled)
         finally:
             _current = outer
+            # The traceback of the exception refers to this frame.
+            error = None
 
     def _wait(self, awaited: Waiter | asyncio.Future | None) -> None:
         if isinstance(awaited, Waiter):
--- a/damaskproxy/common/tests/test_fibers.py
+++ b/damaskproxy/common/tests/test_fibers.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import gc
 import unittest
+import weakref
 
 from nose2.tools import params
 
@@ -166,3 +168,50 @@
         await asyncio.sleep(0.03)
         waiter.set_result(7)
         self.assertEqual((self.log, self.errors), ([expected], []))
+
+
+class Body:
+    """Large object of a request."""
+
+
+class MemoryTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against failed requests that stay in memory until a collection."""
+
+    def setUp(self):
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+
+    @params("fails", "fails when awaited late", "cancelled", "handled", "unhandled")
+    async def test_fiber_that_failed_frees_its_objects_at_once(self, end):
+        waiter = Waiter()
+        body = Body()
+        reference = weakref.ref(body)
+
+        async def exchange(body):
+            try:
+                return await waiter
+            finally:
+                self.assertIsInstance(body, Body)
+
+        async def run(body):
+            try:
+                await exchange(body)
+            except asyncio.CancelledError:
+                if end != "handled":
+                    raise
+            except ValueError as error:
+                if end == "unhandled":
+                    raise RuntimeError("expected by the test") from error
+
+        if end == "fails when awaited late":
+            waiter.set_exception(ValueError("bad"))
+        fiber = Fiber(run(body), lambda error: None)
+        del body
+        if end in ("cancelled", "handled"):
+            fiber.cancel()
+        else:
+            waiter.set_exception(ValueError("bad"))
+        self.assertTrue(fiber.is_done)
+        del fiber
+        self.assertIsNone(reference())
--- a/damaskproxy/http1/tests/test_client.py
+++ b/damaskproxy/http1/tests/test_client.py
@@ -1,12 +1,15 @@
 """Responses that are late, truncated, unframed, malformed or followed by more bytes."""
 
 import asyncio
+import gc
 import socket
 import struct
 import unittest
+import weakref
 
 from nose2.tools import params
 
+from damaskproxy.common.fibers import Fiber
 from damaskproxy.http1 import (
     ConnectFailed,
     ConnectionPool,
@@ -221,3 +224,39 @@
         await self.server.wait_closed()
         with self.assertRaises(ConnectFailed):
             await self.exchange(b"1")
+
+    @params(
+        ("closed", [CLOSE]),
+        ("reset", [RESET]),
+        ("malformed", [b"x\r\n\r\n"]),
+        ("truncated", [response(b"1")[:-1], CLOSE]),
+        ("cancelled", [b""]),
+    )
+    async def test_failed_exchange_frees_its_request_at_once(self, name, parts):
+        class TrackedRequest(Request):
+            """Request that can be referred to weakly."""
+
+        async def run(request):
+            try:
+                await self.pool.exchange(request)
+            except ExchangeLost:
+                pass
+            finally:
+                ended.set()
+
+        self.scripts.append(parts)
+        ended = asyncio.Event()
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        request = TrackedRequest(b"GET", b"/", [])
+        reference = weakref.ref(request)
+        fiber = Fiber(run(request), self.fail)
+        del request
+        if name == "cancelled":
+            while not self.received:  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+            fiber.cancel()
+        await ended.wait()
+        await asyncio.sleep(0.02)
+        self.assertIsNone(reference())
