Let the stand-in of a backend server cut its connections again

ServerConnection.abort has a parameter for the reason since responses that a node cuts are logged. The stand-in did not pass it, so its fault "cut" raised an exception and answered 502 instead of closing its connections; the tests that use it passed all the same.

--- a/damaskproxy/platform/standins/stamped.py
+++ b/damaskproxy/platform/standins/stamped.py
@@ -76,7 +76,7 @@
             raise
         if fault == "cut":
             for connection in list(self.server.connections):
-                connection.abort()
+                connection.abort("the test cuts the response")
         if fault == "endless":
             return Response(200, [echo, (b"X-Endless", b"x" * ENDLESS_BYTES)])
         stamp = (b"X-Damaskproxy-Server-Stamp", b"stamp-" + self.instance_id.encode())
