Read and write large bodies without copies

A request or response was written as one byte string with its head, so a server or client that reads slowly made the node hold a second copy of the body. A body that arrives in parts was kept as a list of parts and joined, which takes twice its size for a moment, and a list of tiny chunks takes far more than their bytes.

A body above 64 KiB is now written beside its head. Further parts of a body go to a buffer whose content becomes the body. Small messages are written as before, in one piece.

--- a/damaskproxy/http1/client.py
+++ b/damaskproxy/http1/client.py
@@ -8,11 +8,13 @@
 
 from damaskproxy.common.clock import boot_s
 from damaskproxy.common.fibers import Waiter
+from damaskproxy.common.memory import add_part, join_parts
 from damaskproxy.http1.errors import ConnectFailed, ExchangeLost, ResponseTooLarge
 from damaskproxy.http1.messages import (
     Request,
     Response,
-    format_request,
+    format_request_head,
+    write_message,
 )
 from damaskproxy.http1.response_limits import ResponseLimits, ResponseMemory
 from damaskproxy.http1.sockets import DeadPeerLimits, enable_dead_peer_detection
@@ -161,7 +163,7 @@
     def on_body(self, body):
         """Collect a part of the body."""
         self._body_bytes += len(body)
-        self._body += body
+        self._body = add_part(self._body, body) if self._body else body
 
     def on_message_complete(self):
         """Finish the response, unless it is informational or already complete."""
@@ -189,7 +191,7 @@
         self._is_head_request = request.method == b"HEAD"
         self._received_bytes = self._body_bytes = self._field_count = 0
         self._reset_message()
-        self.transport.write(format_request(request))
+        write_message(self.transport, format_request_head(request), request.body)
         try:
             return await self._waiter
         except asyncio.CancelledError:
@@ -231,7 +233,7 @@
 
     def _finish_response(self) -> None:
         response = Response(
-            self._parser.get_status_code(), self._headers, bytes(self._body)
+            self._parser.get_status_code(), self._headers, join_parts(self._body)
         )
         if not self._accept(response, self._request_count == 1):
             self.is_reusable = False
@@ -258,7 +260,7 @@
 
     def _reset_message(self) -> None:
         self._headers = []
-        self._body = bytearray()
+        self._body = b""
         self._is_head_complete = False
 
 
--- a/damaskproxy/http1/messages.py
+++ b/damaskproxy/http1/messages.py
@@ -1,5 +1,6 @@
 """Complete HTTP/1.1 messages and their serialisation."""
 
+from asyncio import WriteTransport
 from dataclasses import dataclass, field
 
 __all__ = [
@@ -7,8 +8,9 @@
     "Request",
     "Response",
     "end_to_end",
-    "format_request",
-    "format_response",
+    "format_request_head",
+    "format_response_head",
+    "write_message",
 ]
 
 Headers = list[tuple[bytes, bytes]]
@@ -30,6 +32,8 @@
 )
 """Hop-by-hop headers, and headers that the sender of a message generates itself."""
 
+LARGE_BODY_BYTES = 64 << 10
+"""Size above which a body is written without a copy."""
 BODY_METHODS = frozenset({b"POST", b"PUT", b"PATCH"})
 BODILESS_STATUSES = frozenset({204, 304})
 
@@ -117,17 +121,25 @@
     return [header for lower, header in zip(lowered, headers) if lower not in left_out]
 
 
-def format_request(request: Request) -> bytes:
-    """Serialise `request`, which must have end-to-end headers only."""
+def write_message(transport: WriteTransport, head: bytes, body: bytes) -> None:
+    """Write a head and a body; a large body is not copied."""
+    if len(body) > LARGE_BODY_BYTES:
+        transport.writelines((head, body))
+    else:
+        transport.write(head + body)
+
+
+def format_request_head(request: Request) -> bytes:
+    """Serialise the head of `request`, which must have end-to-end headers only."""
     lines = [request.method + b" " + request.target + b" HTTP/1.1"]
     lines += [name + b": " + value for name, value in request.headers]
     if request.body or request.method in BODY_METHODS:
         lines.append(b"Content-Length: %d" % len(request.body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+    return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
-def format_response(response: Response, *, is_last: bool, is_head: bool) -> bytes:
-    """Serialise `response`.
+def format_response_head(response: Response, *, is_last: bool) -> bytes:
+    """Serialise the head of `response`.
 
     Parameters
     ----------
@@ -135,8 +147,6 @@
         Response with end-to-end headers only.
     is_last : bool
         Whether the connection is closed after the response.
-    is_head : bool
-        Whether the request method is HEAD, so no body is sent.
     """
     status = response.status
     lines = [b"HTTP/1.1 %d %s" % (status, REASONS.get(status, b""))]
@@ -145,5 +155,4 @@
         lines.append(b"Content-Length: %d" % len(response.body))
     if is_last:
         lines.append(b"Connection: close")
-    body = b"" if is_head or status in BODILESS_STATUSES else response.body
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+    return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/damaskproxy/http1/server.py
+++ b/damaskproxy/http1/server.py
@@ -10,9 +10,16 @@
 
 from damaskproxy.common.clock import boot_s
 from damaskproxy.common.fibers import BackgroundTask, Fiber
+from damaskproxy.common.memory import add_part, join_parts
 from damaskproxy.events import log_event
 from damaskproxy.http1 import events
-from damaskproxy.http1.messages import Request, Response, format_response
+from damaskproxy.http1.messages import (
+    BODILESS_STATUSES,
+    Request,
+    Response,
+    format_response_head,
+    write_message,
+)
 
 __all__ = ["ClientLimits", "HttpServer", "ServerConnection"]
 
@@ -243,7 +250,7 @@
         if self._body_bytes > self._limits.max_body_bytes:
             self._refusal_status = 413
             raise ValueError("the body is too large")
-        self._body.append(body)
+        self._body = add_part(self._body, body) if self._body else body
 
     def on_message_complete(self):
         """Queue a complete request."""
@@ -251,7 +258,7 @@
             self._parser.get_method(),
             self._target,
             self._headers,
-            b"".join(self._body),
+            join_parts(self._body),
         )
         is_last = not self._parser.should_keep_alive() or self._parser.should_upgrade()
         self._reset_message()
@@ -315,7 +322,7 @@
     def _reset_message(self) -> None:
         self._target = b""
         self._headers = []
-        self._body = []
+        self._body = b""
         self._body_bytes = 0
         self._field_bytes = 0
         self._unparsed_bytes = 0
@@ -357,9 +364,10 @@
         if self._transport.is_closing():
             return
         is_last = is_last or (self._server.is_closing and not self._pending)
-        self._transport.write(
-            format_response(response, is_last=is_last, is_head=is_head)
-        )
+        is_bodiless = is_head or response.status in BODILESS_STATUSES
+        body = b"" if is_bodiless else response.body
+        head = format_response_head(response, is_last=is_last)
+        write_message(self._transport, head, body)
         self._last_activity_s = boot_s()
         if is_last:
             self._pending.clear()
@@ -391,7 +399,7 @@
             status=self._refusal_status,
         )
         response = Response(self._refusal_status)
-        self._transport.write(format_response(response, is_last=True, is_head=False))
+        self._transport.write(format_response_head(response, is_last=True))
         if self._transport.can_write_eof():
             self._transport.write_eof()
         self._server.loop.call_later(LINGER_S, self._transport.close)
