Bound the responses that clients have not read

A response was handed to the transport without flow control, and nothing counted what waited there. Clients that read large answers slowly drove the node over the memory of its machine; it was killed, and requests on kept connections that had run ended without an answer.

A connection counts its response in full while the transport holds more than its high-water mark, and starts no other request until the client has read it. The body of a refused request is not counted any more at once, and a 503 for lack of memory has a Retry-After.

--- a/damaskproxy/http1/response_limits.py
+++ b/damaskproxy/http1/response_limits.py
@@ -1,8 +1,9 @@
 """Limits on the responses that a client reads, and the memory they may hold."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 
+from damaskproxy.common.memory import LargestHolders, MemoryAccount, MemoryBudget
+
 __all__ = ["ResponseLimits", "ResponseMemory"]
 
 
@@ -35,6 +36,8 @@
     ----------
     limit_bytes : int
         Bytes that the responses in progress may hold together.
+    budget : MemoryBudget, optional
+        Budget of the node, which this memory is a part of.
 
     Notes
     -----
@@ -42,25 +45,14 @@
     sends without end does not cut the responses to other requests.
     """
 
-    def __init__(self, limit_bytes: int):
-        self._limit_bytes = limit_bytes
-        self._held_bytes: dict[Callable[[], None], int] = {}
-        self._total_bytes = 0
+    def __init__(self, limit_bytes: int, budget: MemoryBudget | None = None):
+        self.account = MemoryAccount(limit_bytes, budget)
+        holders = LargestHolders(self.account)
+        # Functions, since they are called for each part of a response.
+        self.add = holders.add
+        self.release = holders.release
 
     @property
     def total_bytes(self) -> int:
         """Bytes that all responses in progress hold."""
-        return self._total_bytes
-
-    def add(self, abort: Callable[[], None], count: int) -> None:
-        """Count `count` more bytes for the response that `abort` aborts."""
-        self._held_bytes[abort] = self._held_bytes.get(abort, 0) + count
-        self._total_bytes += count
-        while self._total_bytes > self._limit_bytes:
-            largest = max(self._held_bytes, key=self._held_bytes.__getitem__)
-            self.release(largest)
-            largest()
-
-    def release(self, abort: Callable[[], None]) -> None:
-        """Stop counting a response that is complete or aborted."""
-        self._total_bytes -= self._held_bytes.pop(abort, 0)
+        return self.account.held_bytes
--- a/damaskproxy/http1/server.py
+++ b/damaskproxy/http1/server.py
@@ -10,7 +10,13 @@
 
 from damaskproxy.common.clock import boot_s
 from damaskproxy.common.fibers import BackgroundTask, Fiber
-from damaskproxy.common.memory import add_part, join_parts
+from damaskproxy.common.memory import (
+    LargestHolders,
+    MemoryAccount,
+    MemoryBudget,
+    add_part,
+    join_parts,
+)
 from damaskproxy.events import log_event
 from damaskproxy.http1 import events
 from damaskproxy.http1.messages import (
@@ -31,7 +37,9 @@
 """Time for which the rest of a refused request is read and discarded. Closing at once
 would reset the connection, and the client could lose the response."""
 HELD_DEFAULT_BYTES = 64 << 20
-"""A fifth of the memory of the smallest common machine size."""
+"""Default limit on the request bodies and on the unsent responses of a listener."""
+RETRY_AFTER_S = 0.3
+"""Retry-After of a request that is refused because of the bodies in progress."""
 HEADER_OVERHEAD_BYTES = 4
 """Colon, space and line break of a header."""
 READ_AHEAD_BYTES = 262144
@@ -66,6 +74,19 @@
     held_max_bytes : int
         Total size of the bodies of requests that are being read or are in progress. A
         request that would exceed it is refused and has not run.
+    unsent_max_bytes : int
+        Total size of the responses that clients have not read. If it is exceeded, the
+        connection with the largest one is cut.
+    budget : MemoryBudget, optional
+        Budget of the node, which both are a part of.
+
+    Attributes
+    ----------
+    bodies : MemoryAccount
+        Bodies of requests that are being read or are in progress.
+    unsent : LargestHolders
+        Responses of which the transport holds more than its high-water mark; a
+        response counts in full until it has been sent.
     """
 
     def __init__(
@@ -75,13 +96,16 @@
         limits: Callable[[], ClientLimits] = ClientLimits,
         run: type[Fiber] | type[BackgroundTask] = BackgroundTask,
         held_max_bytes: int = HELD_DEFAULT_BYTES,
+        unsent_max_bytes: int = HELD_DEFAULT_BYTES,
+        budget: MemoryBudget | None = None,
     ):
         self.name = name
         self.handle = handle
         self.limits = limits
         self.run = run
-        self.held_max_bytes = held_max_bytes
-        self.held_bytes = 0
+        budget = budget or MemoryBudget(held_max_bytes + unsent_max_bytes)
+        self.bodies = MemoryAccount(held_max_bytes, budget)
+        self.unsent = LargestHolders(MemoryAccount(unsent_max_bytes, budget))
         self.connections: set[ServerConnection] = set()
         self.is_closing = False
         self.loop: asyncio.AbstractEventLoop | None = None
@@ -99,6 +123,11 @@
         """Port on which the server is listening."""
         return self._server.sockets[0].getsockname()[1]
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the bodies of requests that are being read or are in progress."""
+        return self.bodies.held_bytes
+
     @property
     def busy_count(self) -> int:
         """Number of connections with a request in progress."""
@@ -153,6 +182,8 @@
         self._is_refused = False
         self._refusal_status = 0
         self._is_reading_paused = False
+        self._is_writing_paused = False
+        self._written_bytes = 0
         self._held_bytes = 0
         self._checked_unsent_bytes = 0
         self._reset_message()
@@ -184,10 +215,25 @@
         """Cancel the request in progress, because the client has disconnected."""
         self._server.connections.discard(self)
         self._release_body(self._held_bytes)
+        self._server.unsent.release(self._cut_unsent)
         self._pending.clear()
         if self._fiber is not None:
             self._fiber.cancel()
 
+    def pause_writing(self):
+        """Count the response that the client does not read, and start no other one."""
+        self._is_writing_paused = True
+        unsent_bytes = max(self._written_bytes, self.unsent_bytes)
+        self._server.unsent.add(self._cut_unsent, unsent_bytes)
+
+    def resume_writing(self):
+        """Start the next request after the client has read the response."""
+        self._is_writing_paused = False
+        self._server.unsent.release(self._cut_unsent)
+        if self._fiber is None and self._pending:
+            self._start_next()
+            self._resume_reading()
+
     def data_received(self, data):
         """Parse a part of a request."""
         if self._is_refused:
@@ -241,15 +287,17 @@
 
     def on_body(self, body):
         """Collect a part of the body."""
-        self._body_bytes += len(body)
-        self._held_bytes += len(body)
-        self._server.held_bytes += len(body)
-        if self._server.held_bytes > self._server.held_max_bytes:
-            self._refusal_status = 503
-            raise ValueError("the bodies in progress are too large")
-        if self._body_bytes > self._limits.max_body_bytes:
+        size = len(body)
+        if self._body_bytes + size > self._limits.max_body_bytes:
             self._refusal_status = 413
             raise ValueError("the body is too large")
+        bodies = self._server.bodies
+        if not bodies.fits(size):
+            self._refusal_status = 503
+            raise ValueError("the bodies in progress are too large")
+        self._body_bytes += size
+        self._held_bytes += size
+        bodies.hold(size)
         self._body = add_part(self._body, body) if self._body else body
 
     def on_message_complete(self):
@@ -270,12 +318,20 @@
 
     def enforce_timeouts(self, now_s: float, limits: ClientLimits) -> None:
         """Close the connection or refuse its request after a time-out."""
-        if self._is_refused or self.is_busy:
+        if self._fiber is not None:
+            return
+        if self._has_sent_since_last_check():
+            self._last_activity_s = now_s
+        is_idle = (now_s - self._last_activity_s) * 1000 > limits.idle_timeout_ms
+        if self._is_writing_paused or (self._is_refused and self.unsent_bytes):
+            # Also with queued requests, which wait until the response has been read.
+            if is_idle:
+                self._close_idle()
+            return
+        if self._is_refused or self._pending:
             return
         if self._message_started_s is None:
-            if self._has_sent_since_last_check():
-                self._last_activity_s = now_s
-            if (now_s - self._last_activity_s) * 1000 > limits.idle_timeout_ms:
+            if is_idle:
                 self._close_idle()
             return
         # A body may take longer than the headers, as long as bytes keep arriving.
@@ -319,6 +375,9 @@
             )
         self._transport.abort()
 
+    def _cut_unsent(self) -> None:
+        self.abort("the responses that clients have not read exceed their memory limit")
+
     def _reset_message(self) -> None:
         self._target = b""
         self._headers = []
@@ -329,7 +388,7 @@
         self._is_head_complete = False
 
     def _start_next(self) -> None:
-        while self._pending and self._fiber is None:
+        while self._pending and self._fiber is None and not self._is_writing_paused:
             request, is_last = self._pending.popleft()
             fiber = self._server.run(self._serve(request, is_last), self._report_error)
             if not fiber.is_done:
@@ -349,8 +408,10 @@
 
     def _release_body(self, size: int) -> None:
         size = min(size, self._held_bytes)
+        if not size:
+            return
         self._held_bytes -= size
-        self._server.held_bytes -= size
+        self._server.bodies.release(size)
 
     def _report_error(self, error: BaseException) -> None:
         log_event(
@@ -366,6 +427,7 @@
         is_last = is_last or (self._server.is_closing and not self._pending)
         is_bodiless = is_head or response.status in BODILESS_STATUSES
         body = b"" if is_bodiless else response.body
+        self._written_bytes = len(body)
         head = format_response_head(response, is_last=is_last)
         write_message(self._transport, head, body)
         self._last_activity_s = boot_s()
@@ -376,6 +438,10 @@
             self._start_next()
         elif self._refusal_status:
             self._write_refusal()
+        if self._is_reading_paused:
+            self._resume_reading()
+
+    def _resume_reading(self) -> None:
         if self._is_reading_paused and not self._pending:
             self._is_reading_paused = False
             self._transport.resume_reading()
@@ -386,6 +452,8 @@
             return
         self._is_refused = True
         self._refusal_status = status
+        self._release_body(self._body_bytes)
+        self._reset_message()
         if not self.is_busy:
             self._write_refusal()
 
@@ -399,6 +467,8 @@
             status=self._refusal_status,
         )
         response = Response(self._refusal_status)
+        if self._refusal_status == 503:
+            response.headers.append((b"Retry-After", b"%.2f" % RETRY_AFTER_S))
         self._transport.write(format_response_head(response, is_last=True))
         if self._transport.can_write_eof():
             self._transport.write_eof()
--- a/damaskproxy/http1/tests/test_server.py
+++ b/damaskproxy/http1/tests/test_server.py
@@ -194,7 +194,7 @@
         self.assertEqual(received[-1_000_000:], b"x" * 1_000_000)
 
     async def test_bodies_beyond_held_max_bytes_are_refused(self):
-        self.server.held_max_bytes = 30
+        self.server.bodies.limit_bytes = 30
         slow = b"POST /slow HTTP/1.1\r\nHost: x\r\nContent-Length: 20\r\n\r\n"
         self.writer.write(slow + b"a" * 20)
         await asyncio.sleep(0.05)
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -12,6 +12,7 @@
 from damaskproxy.admission.settings import AdmissionSettings
 from damaskproxy.common.clock import boot_s
 from damaskproxy.common.fibers import Fiber
+from damaskproxy.common.memory import MemoryBudget
 from damaskproxy.directory import (
     CurrentConfiguration,
     Directory,
@@ -62,9 +63,20 @@
 request are counted at the node that sends them, which may have no retry tokens; with
 0.85 they exceeded the retry budget of a service at the end of long call chains by
 1 %."""
-HELD_MEMORY_SHARE = 0.25
-"""Share of the memory limit for request bodies; each body is also buffered by the
-connection to another node while it is sent, and the process itself needs some 30 MB."""
+HELD_MEMORY_SHARE = 0.5
+"""Share of the memory limit for all bytes that the node holds for clients, backend
+servers and other nodes together (`MemoryBudget`). The rest is for the process, which
+needs 30 to 80 MB, and for what is not counted: up to 64 KiB of unsent or partly read
+data for each connection, the other listeners and the client of the store. Work that
+has not run yet gets four fifths of the budget; the other fifth is for the answers of
+work that has run."""
+ACCOUNT_MEMORY_SHARE = 0.25
+"""Share of the memory limit for each purpose: request bodies of clients, bodies of
+calls of other nodes, results of other nodes that are being read, responses that clients
+have not read, frames that other nodes have not read. Responses of the backend server
+that are being read have a share of their own in the settings. Responses that clients
+have not read may exceed their share, but no new ones are begun then; if the budget is
+exceeded, the connection with the largest of them is cut."""
 RETRY_SLACK_SHARE = 0.6
 """Share of the platform's retry slack that the retry budgets of all nodes may hold."""
 RETRY_CAPACITY_MIN, RETRY_CAPACITY_MAX = 1.0, 2.0
@@ -104,6 +116,7 @@
     dropped_log_lines: Callable[[], int]
     backend_reported: asyncio.Event
     response_memory: ResponseMemory
+    memory: MemoryBudget
     on_own_record: Callable[[], None] | None = None
     connect_tasks: set[asyncio.Task] = field(default_factory=set)
     is_ready: bool = False
@@ -150,11 +163,15 @@
 
     def held_bytes(self) -> dict[str, int]:
         """Return the bytes that requests and responses hold, by purpose."""
+        caller = self.servers["caller"]
         return {
-            "request_body_bytes": self.servers["caller"].held_bytes,
+            "request_body_bytes": caller.held_bytes,
             "response_bytes": self.response_memory.total_bytes,
-            "unsent_response_bytes": self.servers["caller"].unsent_bytes,
+            "unread_response_bytes": caller.unsent.account.held_bytes,
+            "unsent_response_bytes": caller.unsent_bytes,
             "unsent_link_bytes": self.links.unsent_bytes,
+            "budget_bytes": self.memory.held_bytes,
+            "budget_limit_bytes": self.memory.limit_bytes,
         }
 
     def encoded_state(self) -> bytes:
@@ -224,9 +241,11 @@
 
     backend = Backend(settings.heartbeat_interval_ms, backend_changed)
     responses = settings.responses
-    response_memory = ResponseMemory(
-        int((settings.memory_limit_mb << 20) * responses.memory_share)
-    )
+    limit_bytes = settings.memory_limit_mb << 20
+    memory = MemoryBudget(int(limit_bytes * HELD_MEMORY_SHARE))
+    account_bytes = int(limit_bytes * ACCOUNT_MEMORY_SHARE)
+    response_memory = ResponseMemory(int(limit_bytes * responses.memory_share), memory)
+
     pool = ConnectionPool(
         to_address(settings.backend_address),
         limits=ResponseLimits(
@@ -321,11 +340,14 @@
             origin.handle,
             configuration.client_limits,
             Fiber,
-            int(settings.memory_limit_mb * HELD_MEMORY_SHARE) << 20,
+            account_bytes,
+            memory.limit_bytes,
+            memory,
         ),
         "readiness": HttpServer("readiness", readiness),
         "control": HttpServer("control", control),
     }
+    memory.on_shortage(servers["caller"].unsent.give_up_largest)
     peer = to_address(settings.listeners.peer)
     sidecar = Sidecar(
         settings=settings,
@@ -357,6 +379,7 @@
         dropped_log_lines=dropped_log_lines,
         backend_reported=backend_reported,
         response_memory=response_memory,
+        memory=memory,
     )
     if settings.listeners.metrics is not None:
         servers["metrics"] = HttpServer("metrics", make_metrics_handler(sidecar))
