Bound what connections between nodes hold

Bodies of calls from other nodes were read and held without a limit, in up to three copies while a frame was decoded and in two while one was encoded. Backend servers that read slowly drove their node over the memory of its machine; it was killed, and requests on kept connections that had run ended without an answer. Frames for a node that does not read were held without a limit as well, and a message that is too long for a frame made its receiver close the connection, so that all calls on it were lost.

A large body goes straight to the buffer that becomes the body, and is written without a copy; frames are the same bytes as before. Room for it is reserved when its length is known. A body without room is discarded while it is read, so that the frames behind it never wait, and its call is not run (reason memory; overload for peers of earlier releases). Calls and answers for a peer that does not read are not sent beyond a limit: the call is not run, the answer becomes unknown, each alone. The same holds for what is too long for a frame.

--- a/damaskproxy/forwarding/__init__.py
+++ b/damaskproxy/forwarding/__init__.py
@@ -15,6 +15,7 @@
     StateRequestFrame,
 )
 from damaskproxy.forwarding.headers import HeaderNames
+from damaskproxy.forwarding.large_frames import LinkMemory
 from damaskproxy.forwarding.link import LinkHandlers
 from damaskproxy.forwarding.links import Links
 from damaskproxy.forwarding.member_selection import MemberSelector
@@ -37,6 +38,7 @@
     "HelloFrame",
     "ParentRequests",
     "LinkHandlers",
+    "LinkMemory",
     "Links",
     "Origin",
     "RequestStats",
--- a/damaskproxy/forwarding/calls.py
+++ b/damaskproxy/forwarding/calls.py
@@ -7,6 +7,7 @@
 from damaskproxy.common import Priority
 
 __all__ = [
+    "DISCARDED_BODY",
     "Answer",
     "Call",
     "LoadReport",
@@ -23,6 +24,10 @@
 twice per call."""
 
 
+DISCARDED_BODY = b"discarded"
+"""Body of a call or answer that had no room in the memory; compared by identity."""
+
+
 class NotRunReason(StrEnum):
     """Reason why a call was not run; label of ``damask_refusals_total``."""
 
@@ -41,6 +46,7 @@
     NO_MEMBER = "no-member"
     NO_CONFIGURATION = "no-configuration"
     RETRY_BUDGET = "retry-budget"
+    MEMORY = "memory"
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
--- a/damaskproxy/forwarding/frames.py
+++ b/damaskproxy/forwarding/frames.py
@@ -7,9 +7,18 @@
 
 import msgspec
 
-from damaskproxy.common import DamaskError
 from damaskproxy.directory import UNKNOWN_ERA, MemberRecord
 from damaskproxy.forwarding.calls import LoadReport, NotRunReason
+from damaskproxy.forwarding.large_frames import (
+    EMPTY_BIN,
+    HEAD_MAX_BYTES,
+    LARGE_BYTES,
+    FrameError,
+    LargeFrame,
+    LinkMemory,
+    body_position,
+    large_bin_header,
+)
 
 __all__ = [
     "STATE_PATH",
@@ -34,6 +43,8 @@
     "UnknownFrame",
     "UnsubscribeFrame",
     "encode_frame",
+    "encode_large_frame",
+    "fits_frame",
 ]
 
 STATE_PATH = b"/damask/state"
@@ -41,6 +52,8 @@
 LENGTH_BYTES = 4
 FRAME_MAX_BYTES = 80 << 20
 """Larger than the largest body that the limits of a configuration usually allow."""
+COPIED_MAX_BYTES = 4096
+"""Length up to which it is faster to copy a frame than to create a view of it."""
 TABLE_MAX = 512
 """Entries in the string table of each direction of a connection, and in its header
 table."""
@@ -50,10 +63,6 @@
 HeaderItem = int | bytes | tuple[Item, bytes]
 
 
-class FrameError(DamaskError):
-    """A peer sent an invalid frame."""
-
-
 class HelloFrame(msgspec.Struct, array_like=True, tag=0):
     """First frame that each side of a connection sends.
 
@@ -266,6 +275,13 @@
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Frame)
 
+CALL_TAG, ANSWER_TAG = 1, 2
+BODY_INDICES = {
+    CALL_TAG: RunFrame.__struct_fields__.index("body") + 1,
+    ANSWER_TAG: AnswerFrame.__struct_fields__.index("body") + 1,
+}
+"""Index of the body in the array that the frames are encoded as."""
+
 
 def encode_frame(frame: Frame) -> bytes:
     """Return `frame` with its length prefix."""
@@ -273,11 +289,46 @@
     return len(data).to_bytes(LENGTH_BYTES) + data
 
 
+def encode_large_frame(frame: RunFrame | AnswerFrame) -> tuple[bytes, bytes, bytes]:
+    """Return the parts of a frame with a large body, which is not copied."""
+    body, frame.body = frame.body, b""
+    data = _encoder.encode(frame)
+    frame.body = body
+    position = body_position(data, BODY_INDICES)
+    head = data[:position] + large_bin_header(len(body))
+    tail = data[position + len(EMPTY_BIN) :]
+    length = len(head) + len(body) + len(tail)
+    return length.to_bytes(LENGTH_BYTES) + head, body, tail
+
+
+def fits_frame(headers: list[tuple[bytes, bytes]], body: bytes) -> bool:
+    """Tell whether a peer accepts a frame with these headers and a large body.
+
+    Notes
+    -----
+    This has to be known before the headers are packed, since that changes the tables of
+    a connection.
+    """
+    head_bytes = sum(len(name) + len(value) for name, value in headers)
+    return (
+        2 * head_bytes <= HEAD_MAX_BYTES
+        and len(body) + 2 * HEAD_MAX_BYTES <= FRAME_MAX_BYTES
+    )
+
+
 class FrameDecoder:
-    """Incremental decoder of a stream of frames."""
+    """Incremental decoder of a stream of frames.
 
-    def __init__(self):
+    Parameters
+    ----------
+    memory : LinkMemory, optional
+        Accounts that partly read frames are counted in.
+    """
+
+    def __init__(self, memory: LinkMemory | None = None):
+        self._memory = memory or LinkMemory()
         self._buffer = bytearray()
+        self._large: LargeFrame | None = None
 
     def feed(self, data: bytes) -> list[Frame]:
         """Return the frames that `data` completes.
@@ -287,27 +338,67 @@
         FrameError
             If a frame is invalid or too long.
         """
-        buffer = self._buffer
-        buffer += data
         frames = []
-        start = 0
-        while len(buffer) - start >= LENGTH_BYTES:
-            length = int.from_bytes(buffer[start : start + LENGTH_BYTES])
+        if self._large is not None:
+            data = self._feed_large(memoryview(data), frames)
+            if self._large is not None:
+                return frames
+        buffer = self._buffer
+        if buffer:
+            buffer += data
+            data = buffer
+        start, size = 0, len(data)
+        while size - start >= LENGTH_BYTES:
+            length = int.from_bytes(data[start : start + LENGTH_BYTES])
             if length > FRAME_MAX_BYTES:
                 raise FrameError(f"frame of {length} bytes is too long")
             end = start + LENGTH_BYTES + length
-            if len(buffer) < end:
+            if size < end:
+                if length > LARGE_BYTES:
+                    self._large = LargeFrame(
+                        length, BODY_INDICES, CALL_TAG, self._memory
+                    )
+                    self._feed_large(memoryview(data)[start + LENGTH_BYTES :], frames)
+                    start = size
                 break
-            try:
-                frames.append(
-                    _decoder.decode(bytes(buffer[start + LENGTH_BYTES : end]))
-                )
-            except msgspec.MsgspecError as error:
-                raise FrameError(str(error)) from error
+            start += LENGTH_BYTES
+            if length <= COPIED_MAX_BYTES:
+                frames.append(_decode(data[start:end]))
+            else:
+                frames.append(_decode(memoryview(data)[start:end]))
             start = end
-        del buffer[:start]
+        if data is buffer:
+            del buffer[:start]
+        elif start < size:
+            buffer += data[start:]
         return frames
 
+    def close(self) -> None:
+        """Stop counting a frame that has been read in part."""
+        if self._large is not None:
+            self._large.close()
+            self._large = None
+
+    def _feed_large(self, data: memoryview, frames: list[Frame]) -> memoryview:
+        """Add the frame if it is complete, and return the bytes after it."""
+        large = self._large
+        own_bytes = large.missing_bytes
+        large.feed(data[:own_bytes])
+        if not large.missing_bytes:
+            frame = _decode(large.take_rest())
+            if large.body is not None:
+                frame.body = large.body
+            frames.append(frame)
+            self.close()
+        return data[own_bytes:]
+
+
+def _decode(data: memoryview | bytes | bytearray) -> Frame:
+    try:
+        return _decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise FrameError(str(error)) from error
+
 
 class StringTable:
     """Table of the strings and headers sent in one direction of a connection.
--- a/damaskproxy/forwarding/link.py
+++ b/damaskproxy/forwarding/link.py
@@ -8,9 +8,11 @@
 
 from damaskproxy.common.clock import boot_s
 from damaskproxy.common.fibers import Fiber, Waiter
+from damaskproxy.common.memory import UnsentWrites
 from damaskproxy.events import log_event
 from damaskproxy.forwarding import events
 from damaskproxy.forwarding.calls import (
+    DISCARDED_BODY,
     Answer,
     Call,
     NotRun,
@@ -34,7 +36,10 @@
     StringTable,
     UnknownFrame,
     encode_frame,
+    encode_large_frame,
+    fits_frame,
 )
+from damaskproxy.forwarding.large_frames import LARGE_BYTES, LinkMemory
 from damaskproxy.http1.sockets import enable_dead_peer_detection
 
 __all__ = ["DelayMeter", "Link", "LinkHandlers"]
@@ -54,6 +59,11 @@
 """Covers several round trips between regions and the delay of a busy event loop.
 Together with the time before the ping, it leaves a call of typical latency enough time
 to run elsewhere."""
+UNSENT_CALLS_SHARE = 0.5
+"""Share of the memory for unsent frames up to which a call is sent on one connection
+that its peer does not read."""
+WIRE_REASONS = {NotRunReason.MEMORY: NotRunReason.OVERLOAD}
+"""Reasons that peers of earlier releases do not know, and what is sent instead."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,6 +129,8 @@
         First frame to send.
     on_open, on_lost : callable
         Called with the link after the connection was opened or lost.
+    memory : LinkMemory, optional
+        Accounts that the bytes of all links are counted in.
 
     Attributes
     ----------
@@ -137,6 +149,7 @@
         hello: HelloFrame,
         on_open: Callable[["Link"], None],
         on_lost: Callable[["Link"], None],
+        memory: LinkMemory | None = None,
     ):
         self.peer_id = ""
         self.peer_incarnation: int | None = None
@@ -149,7 +162,10 @@
         self._on_open = on_open
         self._on_lost = on_lost
         self._transport: asyncio.Transport | None = None
-        self._decoder = FrameDecoder()
+        self._memory = memory or LinkMemory()
+        self._decoder = FrameDecoder(self._memory)
+        self._is_writing_paused = False
+        self._unsent_writes = UnsentWrites()
         self._sent_strings, self._received_strings = (
             StringTable(volatile),
             StringTable(volatile),
@@ -190,6 +206,8 @@
     def connection_lost(self, exc):
         """End the calls in both directions after the loss of the connection."""
         self.is_open = False
+        self._decoder.close()
+        self.resume_writing()
         log_event(
             logger,
             events.LINK_LOST,
@@ -216,6 +234,15 @@
             log_event(logger, events.LINK_LOST, peer=self.peer_id, reason=str(error))
             self._transport.abort()
 
+    def pause_writing(self):
+        """Count what is written from now on, because the peer does not read."""
+        self._is_writing_paused = True
+
+    def resume_writing(self):
+        """Stop counting what has been written."""
+        self._is_writing_paused = False
+        self._memory.unsent.release(self._unsent_writes.clear())
+
     def is_to_earlier_incarnation(self, incarnation: int) -> bool:
         """Tell whether the incarnation of the peer is known to be an earlier one."""
         known = self.peer_incarnation
@@ -225,7 +252,10 @@
         """Send a frame; False if the connection is closed or closing."""
         if not self.is_open or self._transport.is_closing():
             return False
-        self._transport.write(encode_frame(frame))
+        data = encode_frame(frame)
+        self._transport.write(data)
+        if self._is_writing_paused:
+            self._count_unsent(len(data))
         return True
 
     def close(self) -> None:
@@ -237,7 +267,11 @@
         """Run `call` on the peer; cancellation is passed on to it."""
         call_id = next(self._call_ids)
         self.last_used_s = boot_s()
-        if not self.write(self._run_frame(call_id, call)):
+        is_large = len(call.body) > LARGE_BYTES
+        if (is_large or self._is_writing_paused) and not self._may_send(call):
+            return NotRun(NotRunReason.MEMORY)
+        frame = self._run_frame(call_id, call)
+        if not (self._write_large(frame) if is_large else self.write(frame)):
             return NotRun(NotRunReason.PEER_UNREACHABLE)
         waiter = Waiter()
         if not self._calls_in_flight:
@@ -253,6 +287,9 @@
         finally:
             self._calls_in_flight.pop(call_id, None)
             self._idempotent_ids.discard(call_id)
+            if is_large and self._is_writing_paused:
+                # Until here, the body has been counted with the request.
+                self._count_unsent(len(call.body))
 
     def check_liveness(self, now_s: float) -> None:
         """Ping a peer that owes results, or mark it as unresponsive.
@@ -289,6 +326,58 @@
                     Unknown("the node does not react on an open connection")
                 )
 
+    def _may_send(self, call: Call) -> bool:
+        """Tell whether a call has room among the unsent frames."""
+        size = len(call.body)
+        if size > LARGE_BYTES and not fits_frame(call.headers, call.body):
+            return False
+        max_bytes = UNSENT_CALLS_SHARE * self._memory.unsent.limit_bytes
+        return not self._is_writing_paused or self.unsent_bytes + size <= max_bytes
+
+    def _write_large(self, frame: RunFrame | AnswerFrame) -> bool:
+        """Send a frame with a large body; False if the connection is closed."""
+        if not self.is_open or self._transport.is_closing():
+            return False
+        self._transport.writelines(encode_large_frame(frame))
+        return True
+
+    def _write_answer(self, call_id: int, answer: Answer) -> None:
+        size = len(answer.body)
+        is_large = size > LARGE_BYTES
+        if (is_large or self._is_writing_paused) and not self._may_send_answer(answer):
+            detail = "the answer does not fit in the memory"
+            self.write(UnknownFrame(call_id, detail, answer.load))
+            return
+        frame = self._result_frame(call_id, answer)
+        if not is_large:
+            self.write(frame)
+        elif self._write_large(frame) and self._is_writing_paused:
+            self._count_unsent(size)
+
+    def _may_send_answer(self, answer: Answer) -> bool:
+        """Tell whether an answer has room among the unsent frames."""
+        size = len(answer.body)
+        if size > LARGE_BYTES and not fits_frame(answer.headers, answer.body):
+            return False
+        unsent = self._memory.unsent
+        return (
+            unsent.held_bytes + size <= unsent.limit_bytes
+            and unsent.budget.make_room(size)
+        )
+
+    def _count_unsent(self, size: int) -> None:
+        unsent = self._memory.unsent
+        unsent.hold(self._unsent_writes.add(size, self.unsent_bytes))
+        if unsent.held_bytes > unsent.limit_bytes:
+            log_event(
+                logger,
+                events.LINK_LOST,
+                peer=self.peer_id,
+                reason="the frames that peers have not read exceed their memory limit",
+                unsent_bytes=self.unsent_bytes,
+            )
+            self._transport.abort()
+
     def _run_frame(self, call_id: int, call: Call) -> RunFrame:
         pack = self._sent_strings.pack
         return RunFrame(
@@ -364,7 +453,10 @@
             result = Unknown(f"internal error: {error}")
         finally:
             self._running.pop(frame.call_id, None)
-        self.write(self._result_frame(frame.call_id, result))
+        if isinstance(result, Answer):
+            self._write_answer(frame.call_id, result)
+        else:
+            self.write(self._result_frame(frame.call_id, result))
 
     def _log_error(self, error: BaseException) -> None:
         log_event(logger, events.CALL_FAILED, exc_info=error, peer=self.peer_id)
@@ -380,7 +472,7 @@
             return NotRunFrame(
                 call_id,
                 version,
-                result.reason,
+                WIRE_REASONS.get(result.reason, result.reason),
                 result.reached_backend,
                 result.retry_after_ms,
                 result.load,
@@ -392,6 +484,9 @@
             # Unpacked even if nobody awaits the result, to keep the tables in step.
             headers = self._received_strings.unpack_headers(frame.headers)
             result = Answer(frame.status, headers, frame.body, frame.load)
+            if frame.body is DISCARDED_BODY:
+                detail = "the answer does not fit in the memory of this node"
+                result = Unknown(detail, frame.load)
             self._request_newer_configuration(frame.configuration_version)
         elif isinstance(frame, NotRunFrame):
             result = NotRun(
--- a/damaskproxy/forwarding/links.py
+++ b/damaskproxy/forwarding/links.py
@@ -10,6 +10,7 @@
 from damaskproxy.forwarding import events
 from damaskproxy.forwarding.calls import Call, NotRun, NotRunReason, Result
 from damaskproxy.forwarding.frames import HelloFrame
+from damaskproxy.forwarding.large_frames import LinkMemory
 from damaskproxy.forwarding.link import Link, LinkHandlers
 
 __all__ = ["Links"]
@@ -37,6 +38,8 @@
         Lower-case names of headers whose values differ in each message.
     on_open : callable
         Called with the id of a node after a connection to it was opened.
+    memory : LinkMemory, optional
+        Accounts that the bytes of all connections are counted in.
     """
 
     def __init__(
@@ -45,7 +48,9 @@
         handlers: LinkHandlers,
         volatile: frozenset[bytes],
         on_open: Callable[[str], None] = lambda node_id: None,
+        memory: LinkMemory | None = None,
     ):
+        self._memory = memory or LinkMemory()
         self._on_open = on_open
         self._hello = hello
         self._handlers = handlers
@@ -159,6 +164,7 @@
             self._hello(),
             on_open=self._links.add,
             on_lost=self._links.discard,
+            memory=self._memory,
         )
 
     def _schedule_check(self) -> None:
--- a/damaskproxy/forwarding/target.py
+++ b/damaskproxy/forwarding/target.py
@@ -2,18 +2,20 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 
 from damaskproxy.admission import AdmissionController, Permit, Ticket
 from damaskproxy.common import Outcome, Refusal, RefusalReason, ordinal_of
 from damaskproxy.common.clock import boot_s
+from damaskproxy.common.memory import MemoryAccount
 from damaskproxy.directory import BackendRecord
 from damaskproxy.events import log_event
 from damaskproxy.forwarding import events
 from damaskproxy.forwarding.backend import Backend
 from damaskproxy.forwarding.calls import (
+    DISCARDED_BODY,
     Answer,
     Call,
     LoadReport,
@@ -52,6 +54,7 @@
 break within a round trip."""
 CRASH_PROBE_TIMEOUT_S = 0.3
 
+BODIES_DEFAULT_BYTES = 64 << 20
 LEAVING = b"1"
 """Value of the header in which a backend server says that it leaves."""
 REJECTED_STATUSES = frozenset({400, 421, 429, 503})
@@ -79,6 +82,9 @@
     max_connections : callable
         Returns how many connections the backend servers of a service accept, None
         while that is unknown. Each call in flight takes one.
+    bodies : MemoryAccount, optional
+        Memory for the bodies of calls of other nodes. A call whose body has no room is
+        not run.
 
     Attributes
     ----------
@@ -98,6 +104,7 @@
         make_admission: Callable[[int], AdmissionController],
         stats: RequestStats,
         max_connections: Callable[[str], int | None] = lambda service: None,
+        bodies: MemoryAccount | None = None,
     ):
         self.in_flight = 0
         self.is_stopping = False
@@ -109,6 +116,7 @@
         self._make_admission = make_admission
         self._stats = stats
         self._max_connections = max_connections
+        self._bodies = bodies or MemoryAccount(BODIES_DEFAULT_BYTES)
         self._admission: AdmissionController | None = None
         self._incarnation: tuple = ()
         self._lost_calls: list[Call] = []
@@ -129,6 +137,22 @@
             self._log_failure(call, result)
         return result
 
+    def run_remote(self, call: Call) -> Awaitable[Result]:
+        """Run a call of another node; this node holds its body until it has ended."""
+        return self._run_holding_body(call) if call.body else self.run(call)
+
+    async def _run_holding_body(self, call: Call) -> Result:
+        size = len(call.body)
+        if call.body is DISCARDED_BODY or not self._bodies.fits(size):
+            refusal = self._not_run(call, NotRunReason.MEMORY)
+            self._log_failure(call, refusal)
+            return refusal
+        self._bodies.hold(size)
+        try:
+            return await self.run(call)
+        finally:
+            self._bodies.release(size)
+
     async def _run(self, call: Call) -> Result:
         deadline_s = boot_s() + call.deadline_ms / MS_PER_S
         refusal = self._refusal(call)
--- a/damaskproxy/forwarding/tests/test_target.py
+++ b/damaskproxy/forwarding/tests/test_target.py
@@ -8,6 +8,7 @@
 from damaskproxy.admission import AdmissionController
 from damaskproxy.admission.settings import AdmissionSettings
 from damaskproxy.common.clock import boot_s
+from damaskproxy.common.memory import MemoryAccount
 from damaskproxy.forwarding import (
     Backend,
     ParentRequests,
@@ -15,7 +16,13 @@
     RequestStats,
     Target,
 )
-from damaskproxy.forwarding.calls import Answer, NotRun, NotRunReason, Unknown
+from damaskproxy.forwarding.calls import (
+    DISCARDED_BODY,
+    Answer,
+    NotRun,
+    NotRunReason,
+    Unknown,
+)
 from damaskproxy.forwarding.tests.builders import NAMES, make_call, make_report
 from damaskproxy.http1 import ConnectFailed, ConnectionPool, ExchangeLost, Response
 from damaskproxy.model import Address
@@ -131,6 +138,33 @@
         result = await self.target.run(make_call())
         self.assertIsInstance(result, kind, name)
 
+    async def test_body_of_a_call_of_another_node_counts_until_the_call_ends(self):
+        self.target._bodies = bodies = MemoryAccount(10)
+        self.pool.work_s = WORK_S
+        calls = [make_call(body=b"12345678"), make_call(body=b"123")]
+        running = asyncio.create_task(self.target.run_remote(calls[0]))
+        await asyncio.sleep(0)
+        self.assertEqual(bodies.held_bytes, 8)
+        refused = await self.target.run_remote(calls[1])
+        self.assertEqual(refused.reason, NotRunReason.MEMORY)
+        self.assertIsInstance(await running, Answer)
+        self.assertEqual(bodies.held_bytes, 0)
+        self.assertIsInstance(await self.target.run_remote(calls[1]), Answer)
+        discarded = make_call(body=DISCARDED_BODY)
+        refused = await self.target.run_remote(discarded)
+        self.assertEqual(refused.reason, NotRunReason.MEMORY)
+        self.assertEqual(len(self.pool.requests), 2)
+
+    async def test_body_of_a_cancelled_call_is_not_counted_any_more(self):
+        self.target._bodies = bodies = MemoryAccount(10)
+        self.pool.work_s = 60.0
+        call = make_call(body=b"12345678")
+        running = asyncio.create_task(self.target.run_remote(call))
+        await asyncio.sleep(0.01)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        self.assertEqual(bodies.held_bytes, 0)
+
     async def test_internal_headers_are_not_returned(self):
         kept = (b"Content-Type", b"text/plain")
         self.pool.outcome = Response(200, [ID, STAMP, kept, (b"Connection", b"close")])
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -4,7 +4,7 @@
 import random
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 
 import msgspec
 
@@ -12,7 +12,7 @@
 from damaskproxy.admission.settings import AdmissionSettings
 from damaskproxy.common.clock import boot_s
 from damaskproxy.common.fibers import Fiber
-from damaskproxy.common.memory import MemoryBudget
+from damaskproxy.common.memory import MemoryAccount, MemoryBudget
 from damaskproxy.directory import (
     CurrentConfiguration,
     Directory,
@@ -25,6 +25,7 @@
     Backend,
     HelloFrame,
     LinkHandlers,
+    LinkMemory,
     Links,
     MemberSelector,
     Origin,
@@ -117,6 +118,7 @@
     backend_reported: asyncio.Event
     response_memory: ResponseMemory
     memory: MemoryBudget
+    link_memory: LinkMemory
     on_own_record: Callable[[], None] | None = None
     connect_tasks: set[asyncio.Task] = field(default_factory=set)
     is_ready: bool = False
@@ -163,11 +165,14 @@
 
     def held_bytes(self) -> dict[str, int]:
         """Return the bytes that requests and responses hold, by purpose."""
-        caller = self.servers["caller"]
+        caller, links = self.servers["caller"], self.link_memory
         return {
             "request_body_bytes": caller.held_bytes,
+            "call_body_bytes": links.calls.held_bytes,
             "response_bytes": self.response_memory.total_bytes,
+            "link_result_bytes": links.results.held_bytes,
             "unread_response_bytes": caller.unsent.account.held_bytes,
+            "unread_link_bytes": links.unsent.held_bytes,
             "unsent_response_bytes": caller.unsent_bytes,
             "unsent_link_bytes": self.links.unsent_bytes,
             "budget_bytes": self.memory.held_bytes,
@@ -244,6 +249,9 @@
     limit_bytes = settings.memory_limit_mb << 20
     memory = MemoryBudget(int(limit_bytes * HELD_MEMORY_SHARE))
     account_bytes = int(limit_bytes * ACCOUNT_MEMORY_SHARE)
+    link_memory = LinkMemory(
+        *(MemoryAccount(account_bytes, memory) for _ in fields(LinkMemory))
+    )
     response_memory = ResponseMemory(int(limit_bytes * responses.memory_share), memory)
 
     pool = ConnectionPool(
@@ -266,18 +274,20 @@
         ),
         stats,
         configuration.max_connections,
+        link_memory.calls,
     )
     configuration.on_change(lambda _: target.apply_backend_state())
     links = Links(
         lambda: HelloFrame(settings.node_id, sidecar.record.incarnation),
         LinkHandlers(
-            target.run,
+            target.run_remote,
             lambda: configuration.version,
             lambda link, frame: propagation.handle(link, frame),
             lambda link: propagation.lost(link),
         ),
         VOLATILE_HEADERS,
         member_selector.clear_backoff,
+        link_memory,
     )
     origin = Origin(
         settings.node_id,
@@ -380,6 +390,7 @@
         backend_reported=backend_reported,
         response_memory=response_memory,
         memory=memory,
+        link_memory=link_memory,
     )
     if settings.listeners.metrics is not None:
         servers["metrics"] = HttpServer("metrics", make_metrics_handler(sidecar))
