Refuse requests whose answer has no room before they run

A node knew the size of an answer only after its request had run, so that it could but cut connections when its memory was used up.

Origin and target now expect the largest of the recent answers of a route and reserve room for it before the request runs. Without room the origin answers 503 with Retry-After, and the target says that the call was not run. The results of attempts are recorded without large bodies.

--- a/damaskproxy/forwarding/__init__.py
+++ b/damaskproxy/forwarding/__init__.py
@@ -5,6 +5,7 @@
 the call. A link is a connection between two nodes.
 """
 
+from damaskproxy.forwarding.answer_sizes import AnswerSizes
 from damaskproxy.forwarding.backend import Backend, StatusReport
 from damaskproxy.forwarding.frames import (
     STATE_PATH,
@@ -31,6 +32,7 @@
     "StateRequestFrame",
     "ControlFrame",
     "RecordRequestFrame",
+    "AnswerSizes",
     "Backend",
     "MemberSelector",
     "PoisonRequestDetector",
--- a/damaskproxy/forwarding/attempts.py
+++ b/damaskproxy/forwarding/attempts.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+import msgspec
+
 from damaskproxy.directory import Route
 from damaskproxy.forwarding.breaker import RouteBreaker
 from damaskproxy.forwarding.calls import (
@@ -16,6 +18,8 @@
 
 __all__ = ["Attempts"]
 
+KEPT_BODY_BYTES = 4096
+
 
 @dataclass(slots=True)
 class Attempts:
@@ -36,7 +40,8 @@
     failure : Answer or None
         Newest response with a status of 500 or above.
     history : list of tuple
-        Node id and result of each attempt; None as result of a cancelled one.
+        Node id and result of each attempt, without the large body of an answer; None
+        as result of a cancelled one.
     end : str
         Why no retry was made, for the log.
     """
@@ -56,6 +61,12 @@
     parent: Parent | None = None
     breaker: RouteBreaker | None = None
 
+    def record(self, node_id: str, result: Result | None) -> None:
+        """Record the result of an attempt."""
+        if isinstance(result, Answer) and len(result.body) > KEPT_BODY_BYTES:
+            result = msgspec.structs.replace(result, body=b"")
+        self.history.append((node_id, result))
+
     def describe_results(self) -> list[str]:
         """Return a description of the result of each attempt, for the log."""
         return [f"{node_id}: {_describe(result)}" for node_id, result in self.history]
--- a/damaskproxy/forwarding/origin.py
+++ b/damaskproxy/forwarding/origin.py
@@ -14,6 +14,7 @@
 from damaskproxy.directory import CurrentConfiguration, Directory, MemberRecord, Route
 from damaskproxy.events import log_event
 from damaskproxy.forwarding import events
+from damaskproxy.forwarding.answer_sizes import AnswerSizes
 from damaskproxy.forwarding.attempts import Attempts
 from damaskproxy.forwarding.breaker import RouteBreaker
 from damaskproxy.forwarding.calls import (
@@ -103,6 +104,9 @@
         Counters of requests and attempts.
     rng : random.Random
         Source of the jitter of Retry-After and of the samples of circuit breakers.
+    answer_sizes : AnswerSizes, optional
+        Memory for answers that clients do not read. A request whose answer is expected
+        to have no room is refused.
 
     Attributes
     ----------
@@ -126,6 +130,7 @@
         names: HeaderNames,
         stats: RequestStats,
         rng: random.Random,
+        answer_sizes: AnswerSizes | None = None,
     ):
         self.is_stopping = False
         self._node_id = node_id
@@ -145,6 +150,7 @@
         self._request_id = names.lower("request_id")
         self._deadline_ms = names.lower("deadline_ms")
         self._rng = rng
+        self._answer_sizes = answer_sizes or AnswerSizes(lambda count: True, 0)
         self._splitter = TrafficSplitter()
         self._loop: asyncio.AbstractEventLoop | None = None
         self._reserved_headers = frozenset(
@@ -182,9 +188,15 @@
         )
         if self._loop is None:
             self._loop = asyncio.get_running_loop()
+        reserved = self._answer_sizes.reserve(route.name)
+        if reserved is None:
+            return self._refuse(request_id, NotRunReason.MEMORY, RETRY_AFTER_MIN_S)
+        answer_bytes = None
         deadline = Deadline(self._loop, budget_ms / MS_PER_S)
         try:
             response = await self._attempt_all(attempts)
+            if response.status < 400:
+                answer_bytes = len(response.body)
         except asyncio.CancelledError:
             if not deadline.is_expired():
                 raise
@@ -192,6 +204,7 @@
             response = Response(504)
         finally:
             deadline.close()
+            self._answer_sizes.finish(route.name, reserved, answer_bytes)
         elapsed_s = budget_ms / MS_PER_S - (attempts.deadline_s - boot_s())
         service = attempts.call.service
         self._stats.request_ended(service, response.status, elapsed_s)
@@ -332,7 +345,7 @@
                 is_timed_out=attempts.deadline_s - ended_s < RETRY_MIN_S,
             )
             self._record_level(attempts, result)
-            attempts.history.append((member.node_id, result))
+            attempts.record(member.node_id, result)
         return result
 
     def _breaker(self, attempts: Attempts) -> RouteBreaker | None:
--- a/damaskproxy/forwarding/target.py
+++ b/damaskproxy/forwarding/target.py
@@ -13,6 +13,7 @@
 from damaskproxy.directory import BackendRecord
 from damaskproxy.events import log_event
 from damaskproxy.forwarding import events
+from damaskproxy.forwarding.answer_sizes import AnswerSizes
 from damaskproxy.forwarding.backend import Backend
 from damaskproxy.forwarding.calls import (
     DISCARDED_BODY,
@@ -85,6 +86,8 @@
     bodies : MemoryAccount, optional
         Memory for the bodies of calls of other nodes. A call whose body has no room is
         not run.
+    answer_sizes : AnswerSizes, optional
+        Memory for answers. A call whose answer is expected to have no room is not run.
 
     Attributes
     ----------
@@ -105,6 +108,7 @@
         stats: RequestStats,
         max_connections: Callable[[str], int | None] = lambda service: None,
         bodies: MemoryAccount | None = None,
+        answer_sizes: AnswerSizes | None = None,
     ):
         self.in_flight = 0
         self.is_stopping = False
@@ -117,6 +121,9 @@
         self._stats = stats
         self._max_connections = max_connections
         self._bodies = bodies or MemoryAccount(BODIES_DEFAULT_BYTES)
+        self._answer_sizes = answer_sizes or AnswerSizes(
+            lambda count: True, BODIES_DEFAULT_BYTES
+        )
         self._admission: AdmissionController | None = None
         self._incarnation: tuple = ()
         self._lost_calls: list[Call] = []
@@ -258,6 +265,10 @@
             (names.target_instance, record.instance_id.encode()),
         ]
         request = Request(call.method, call.target, headers, call.body)
+        reserved = self._answer_sizes.reserve(call.route)
+        if reserved is None:
+            return NotRun(NotRunReason.MEMORY)
+        answer_bytes = None
         self.in_flight += 1
         sent_s = boot_s()
         self._parent_requests.call_started(call)
@@ -267,6 +278,8 @@
                 accept=self._make_response_check(call.request_id),
                 max_idle_share=1.0 if call.is_idempotent else NON_IDEMPOTENT_IDLE_SHARE,
             )
+            if response.status < 400:
+                answer_bytes = len(response.body)
         except ConnectFailed:
             self._backend.connection_refused()
             return NotRun(NotRunReason.BACKEND_UNREACHABLE)
@@ -279,6 +292,7 @@
         finally:
             self.in_flight -= 1
             self._parent_requests.call_ended(call)
+            self._answer_sizes.finish(call.route, reserved, answer_bytes)
         self._record_server_state(response, record, sent_s)
         return self._classify(response)
 
--- a/damaskproxy/forwarding/tests/test_target.py
+++ b/damaskproxy/forwarding/tests/test_target.py
@@ -10,6 +10,7 @@
 from damaskproxy.common.clock import boot_s
 from damaskproxy.common.memory import MemoryAccount
 from damaskproxy.forwarding import (
+    AnswerSizes,
     Backend,
     ParentRequests,
     PoisonRequestDetector,
@@ -165,6 +166,21 @@
         await asyncio.gather(running, return_exceptions=True)
         self.assertEqual(bodies.held_bytes, 0)
 
+    async def test_call_whose_answer_has_no_room_is_not_run(self):
+        sizes = AnswerSizes(lambda count: count <= 300_000, 1_000_000)
+        self.target._answer_sizes = sizes
+        self.pool.outcome = Response(200, [ID, STAMP], b"x" * 200_000)
+        self.pool.work_s = WORK_S
+        self.assertIsInstance(await self.target.run(make_call()), Answer)
+        results = await asyncio.gather(
+            self.target.run(make_call()),
+            self.target.run(make_call()),
+            self.target.run(make_call(route="other")),
+        )
+        self.assertEqual([type(r) for r in results], [Answer, NotRun, Answer])
+        self.assertEqual(results[1].reason, NotRunReason.MEMORY)
+        self.assertEqual(sizes.reserved_bytes, 0)
+
     async def test_internal_headers_are_not_returned(self):
         kept = (b"Content-Type", b"text/plain")
         self.pool.outcome = Response(200, [ID, STAMP, kept, (b"Connection", b"close")])
--- a/damaskproxy/platform/standins/stamped.py
+++ b/damaskproxy/platform/standins/stamped.py
@@ -31,6 +31,8 @@
     faults : dict
         Faults by path: ``shed``, ``error``, ``hang``, ``encoded``, ``unstamped``,
         ``cut``, ``endless``.
+    answer_bytes : dict
+        Sizes of bodies by path, other than that of the usual body.
     extra_headers : list of tuple of bytes
         Headers that are added to all responses to executed requests.
     """
@@ -43,6 +45,7 @@
         self.cancelled = 0
         self.requests: list[Request] = []
         self.faults: dict[bytes, str] = {}
+        self.answer_bytes: dict[bytes, int] = {}
         self.extra_headers: list[tuple[bytes, bytes]] = []
         self.work_s = 0.0
         self.server = HttpServer("stamped backend", self._handle)
@@ -87,4 +90,6 @@
         if fault == "unstamped":
             headers.remove(stamp)
         status = 500 if fault == "error" else 200
-        return Response(status, headers, b"from " + self.instance_id.encode())
+        size = self.answer_bytes.get(request.target)
+        body = b"from " + self.instance_id.encode() if size is None else b"x" * size
+        return Response(status, headers, body)
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -12,7 +12,7 @@
 from damaskproxy.admission.settings import AdmissionSettings
 from damaskproxy.common.clock import boot_s
 from damaskproxy.common.fibers import Fiber
-from damaskproxy.common.memory import MemoryAccount, MemoryBudget
+from damaskproxy.common.memory import NEW_WORK_SHARE, MemoryAccount, MemoryBudget
 from damaskproxy.directory import (
     CurrentConfiguration,
     Directory,
@@ -22,6 +22,7 @@
     apply_encoded_configuration,
 )
 from damaskproxy.forwarding import (
+    AnswerSizes,
     Backend,
     HelloFrame,
     LinkHandlers,
@@ -254,6 +255,20 @@
     )
     response_memory = ResponseMemory(int(limit_bytes * responses.memory_share), memory)
 
+    def has_room_for_responses(count: int) -> bool:
+        # Room is reserved for the responses that are being read, so these don't count.
+        responses_account, unsent = response_memory.account, link_memory.unsent
+        others = memory.held_bytes - responses_account.held_bytes
+        return (
+            count <= responses_account.limit_bytes
+            and unsent.held_bytes + count <= unsent.limit_bytes
+            and others + count <= NEW_WORK_SHARE * memory.limit_bytes
+        )
+
+    def has_room_for_unread(count: int) -> bool:
+        unread = servers["caller"].unsent.account
+        return unread.held_bytes + count <= account_bytes and unread.fits(count)
+
     pool = ConnectionPool(
         to_address(settings.backend_address),
         limits=ResponseLimits(
@@ -275,6 +290,7 @@
         stats,
         configuration.max_connections,
         link_memory.calls,
+        AnswerSizes(has_room_for_responses, response_memory.account.limit_bytes // 2),
     )
     configuration.on_change(lambda _: target.apply_backend_state())
     links = Links(
@@ -303,6 +319,7 @@
         HEADERS,
         stats,
         rng,
+        AnswerSizes(has_room_for_unread, account_bytes // 2),
     )
     propagation = Propagation(
         lambda: sidecar.record,
