Limit the other listeners and the store to the memory that they need

The control, readiness and metrics listeners could hold 64 MB of bodies each, as could responses of the store, which together with the other limits is more than the memory of the smallest machines (200 MB).

--- a/damaskproxy/platform/store.py
+++ b/damaskproxy/platform/store.py
@@ -18,6 +18,8 @@
     HttpError,
     Request,
     Response,
+    ResponseLimits,
+    ResponseMemory,
 )
 from damaskproxy.model import Address
 from damaskproxy.platform.headers import STORE_ERA
@@ -43,6 +45,8 @@
 """Time-out of each attempt to open a connection. The kernel sends a lost packet again
 only after a second."""
 
+RESPONSES_MAX_BYTES = 8 << 20
+"""Limit on all responses together; a page of rows has some 1 MB."""
 DEAD_PEER_LIMITS = DeadPeerLimits(probe_after_s=1, probes=1, unacknowledged_max_ms=1500)
 """Limits for detecting that the store is an unresponsive peer.
 
@@ -61,7 +65,12 @@
 
     def __init__(self, address: Address):
         self._host = str(address).encode()
-        self._pool = ConnectionPool(address, dead_peer_limits=DEAD_PEER_LIMITS)
+        self._pool = ConnectionPool(
+            address,
+            dead_peer_limits=DEAD_PEER_LIMITS,
+            limits=ResponseLimits(max_body_bytes=RESPONSES_MAX_BYTES),
+            memory=ResponseMemory(RESPONSES_MAX_BYTES),
+        )
 
     async def read(self, table: str) -> Rows:
         """Return all rows of a table and the version of the store.
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -37,6 +37,7 @@
     Target,
 )
 from damaskproxy.http1 import (
+    ClientLimits,
     ConnectionPool,
     HttpServer,
     ResponseLimits,
@@ -79,6 +80,12 @@
 that are being read have a share of their own in the settings. Responses that clients
 have not read may exceed their share, but no new ones are begun then; if the budget is
 exceeded, the connection with the largest of them is cut."""
+CONTROL_LIMITS = ClientLimits(max_body_bytes=64 << 10)
+CONTROL_HELD_BYTES, CONTROL_UNSENT_BYTES = 1 << 20, 4 << 20
+"""A status report has some 300 bytes; the state for a node that starts has some 100 KB
+for 300 members."""
+PROBE_LIMITS = ClientLimits(max_body_bytes=4 << 10)
+PROBE_HELD_BYTES, PROBE_UNSENT_BYTES = 64 << 10, 1 << 20
 RETRY_SLACK_SHARE = 0.6
 """Share of the platform's retry slack that the retry budgets of all nodes may hold."""
 RETRY_CAPACITY_MIN, RETRY_CAPACITY_MAX = 1.0, 2.0
@@ -371,8 +378,14 @@
             memory.limit_bytes,
             memory,
         ),
-        "readiness": HttpServer("readiness", readiness),
-        "control": HttpServer("control", control),
+        "readiness": _make_probe_server("readiness", readiness),
+        "control": HttpServer(
+            "control",
+            control,
+            lambda: CONTROL_LIMITS,
+            held_max_bytes=CONTROL_HELD_BYTES,
+            unsent_max_bytes=CONTROL_UNSENT_BYTES,
+        ),
     }
     memory.on_shortage(servers["caller"].unsent.give_up_largest)
     peer = to_address(settings.listeners.peer)
@@ -410,5 +423,18 @@
         link_memory=link_memory,
     )
     if settings.listeners.metrics is not None:
-        servers["metrics"] = HttpServer("metrics", make_metrics_handler(sidecar))
+        servers["metrics"] = _make_probe_server(
+            "metrics", make_metrics_handler(sidecar)
+        )
     return sidecar
+
+
+def _make_probe_server(name: str, handle) -> HttpServer:
+    """Return a listener for requests without bodies."""
+    return HttpServer(
+        name,
+        handle,
+        lambda: PROBE_LIMITS,
+        held_max_bytes=PROBE_HELD_BYTES,
+        unsent_max_bytes=PROBE_UNSENT_BYTES,
+    )
--- a/damaskproxy/sidecar/tests/test_memory.py
+++ b/damaskproxy/sidecar/tests/test_memory.py
@@ -4,11 +4,18 @@
 import socket
 import unittest
 
+from nose2.tools import params
+
+from damaskproxy.http1 import ConnectionPool, Request
+from damaskproxy.platform.store import RESPONSES_MAX_BYTES
 from damaskproxy.sidecar.settings import to_address
 from damaskproxy.sidecar.tests.mesh import MeshTestCase
 
 MB = 1 << 20
 REPORT_BYTES = 12 * MB
+PROCESS_MB = 80
+"""Memory of a node in a large mesh that holds nothing for others."""
+SMALLEST_MACHINE_MB = 200
 GET = b"GET %s HTTP/1.1\r\nHost: shop\r\nX-Damaskproxy-Request-Id: 1\r\n\r\n"
 
 
@@ -70,3 +77,38 @@
                 peak_bytes = max(peak_bytes, memory.held_bytes)
         self.assertGreaterEqual(peak_bytes, 4 * REPORT_BYTES)
         self.assertLessEqual(peak_bytes, memory.limit_bytes)
+
+    @params(("control", 65 << 10), ("readiness", 5 << 10), ("metrics", 5 << 10))
+    async def test_other_listeners_refuse_bodies_that_they_do_not_need(
+        self, listener, size
+    ):
+        one = await self.start("n1", has_metrics=True)
+        address = getattr(one.sidecar.settings.listeners, listener)
+        pool = ConnectionPool(to_address(address))
+        self.addCleanup(pool.close)
+        body = b"x" * size
+        answer = await pool.exchange(Request(b"PUT", b"/", [(b"Host", b"r")], body))
+        self.assertEqual(answer.status, 413)
+        limit_bytes = one.sidecar.servers[listener].bodies.limit_bytes
+        self.assertLessEqual(limit_bytes, MB)
+
+    @params(SMALLEST_MACHINE_MB, 300, 552)
+    async def test_all_limits_together_leave_room_for_the_process(self, limit_mb):
+        one = await self.start("n1", memory_limit_mb=limit_mb, has_metrics=True)
+        sidecar = one.sidecar
+        others = [s for name, s in sidecar.servers.items() if name != "caller"]
+        limit_bytes = sidecar.memory.limit_bytes + RESPONSES_MAX_BYTES
+        limit_bytes += sum(
+            s.bodies.limit_bytes + s.unsent.account.limit_bytes for s in others
+        )
+        self.assertLessEqual(limit_bytes, (limit_mb - PROCESS_MB) * MB)
+        shared = [
+            sidecar.response_memory.account,
+            sidecar.servers["caller"].bodies,
+            sidecar.servers["caller"].unsent.account,
+            sidecar.link_memory.calls,
+            sidecar.link_memory.results,
+            sidecar.link_memory.unsent,
+        ]
+        for account in shared:
+            self.assertIs(account.budget, sidecar.memory)
