--- a/damaskproxy/sidecar/metrics.py
+++ b/damaskproxy/sidecar/metrics.py
@@ -112,6 +112,12 @@
         )
         restores.add_metric([], self._sidecar.propagation.contact.restores)
         yield restores
+        held = GaugeMetricFamily(
+            "damask_memory_held_bytes", "Bytes held for others", labels=["purpose"]
+        )
+        for name, count in self._sidecar.held_bytes().items():
+            held.add_metric([name.removesuffix("_bytes")], count)
+        yield held
         for name, value in self._gauges().items():
             family = GaugeMetricFamily(name, name.replace("_", " "))
             family.add_metric([], value)
--- a/damaskproxy/sidecar/settings.py
+++ b/damaskproxy/sidecar/settings.py
@@ -60,7 +60,8 @@
     max_body_bytes : int
         Bytes of the body of a response.
     memory_share : float
-        Share of `memory_limit_mb` that all responses in progress may hold together.
+        Share of `memory_limit_mb` that all responses in progress may hold together. All
+        that a node holds for others has half of `memory_limit_mb` at most.
     """
 
     max_head_bytes: Annotated[int, msgspec.Meta(ge=1024, le=1 << 24)] = 64 << 10
--- a/damaskproxy/sidecar/tests/test_metrics.py
+++ b/damaskproxy/sidecar/tests/test_metrics.py
@@ -90,6 +90,17 @@
         self.assertEqual(samples["damask_ready",], 1)
         self.assertEqual(samples["damask_members",], 1)
 
+    async def test_memory_that_is_held_is_shown_by_purpose(self):
+        memory = self.member.sidecar.link_memory
+        memory.calls.hold(1000)
+        samples = await self.samples()
+        self.assertEqual(samples["damask_memory_held_bytes", "call_body"], 1000)
+        self.assertEqual(samples["damask_memory_held_bytes", "unread_response"], 0)
+        self.assertEqual(samples["damask_memory_held_bytes", "budget"], 1000)
+        self.assertEqual(samples["damask_memory_held_bytes", "budget_limit"], 150 << 20)
+        status = json.loads((await self.fetch(b"/status")).body)
+        self.assertEqual(status["held"]["call_body_bytes"], 1000)
+
     async def test_metrics_before_the_first_status_report(self):
         self.member.sidecar.target._admission = None
         self.member.sidecar.backend.record = None
