Answer what has arrived when an HTTP server stops accepting

A server that stopped closed its listening socket and its idle connections at once. The kernel resets a connection that waits to be accepted, and one that is closed while received bytes are unread; a reset also discards the part of the last response that the kernel has not sent. Callers saw their connection reset: with a request that was never read, or within a response. A request behind the last response, partly read, got no answer.

The queue of accepted connections is emptied before the listener closes. A connection with unread bytes is not closed, so its request is handled. After the last response the connection is shut down for writing only, and what the client sends is discarded until it closes. unfinished_count says which connections still have something to answer or to send, as far as the client's kernel has not acknowledged it; a connection that is merely open does not count.

--- a/damaskproxy/http1/server.py
+++ b/damaskproxy/http1/server.py
@@ -13,6 +13,11 @@
 from damaskproxy.events import log_event
 from damaskproxy.http1 import events
 from damaskproxy.http1.messages import Request, Response, format_response
+from damaskproxy.http1.sockets import (
+    accept_queued,
+    unacknowledged_bytes,
+    unread_bytes,
+)
 
 __all__ = ["ClientLimits", "HttpServer", "ServerConnection"]
 
@@ -23,6 +28,9 @@
 LINGER_S = 1.0
 """Time for which the rest of a refused request is read and discarded. Closing at once
 would reset the connection, and the client could lose the response."""
+FIRST_REQUEST_S = 0.1
+"""Time for which a server that stops waits for the first request of a connection that
+was just opened."""
 HELD_DEFAULT_BYTES = 64 << 20
 """A fifth of the memory of the smallest common machine size."""
 HEADER_OVERHEAD_BYTES = 4
@@ -79,6 +87,7 @@
         self.is_closing = False
         self.loop: asyncio.AbstractEventLoop | None = None
         self._server: asyncio.Server | None = None
+        self._accepting: set[asyncio.Task] = set()
 
     async def open(self, host: str, port: int) -> None:
         """Start listening on `host` and `port`."""
@@ -114,14 +123,42 @@
         """Number of connections on which a request has been read in part."""
         return sum(connection.is_partly_read for connection in self.connections)
 
+    @property
+    def unfinished_count(self) -> int:
+        """Number of connections with a request to answer or an answer to send."""
+        connections = self.connections
+        unfinished = sum(connection.is_unfinished for connection in connections)
+        return unfinished + len(self._accepting)
+
     def stop_accepting(self) -> None:
-        """Accept no more connections and requests; complete those already read."""
+        """Accept no more connections, and close those with nothing unfinished.
+
+        Notes
+        -----
+        Requests that are still read are handled, so the handler has to refuse them if
+        they might not be completed. To be called again until `unfinished_count` is 0.
+        """
         self.is_closing = True
-        if self._server is not None:
+        if self._server is not None and self._server.is_serving():
+            accepting = accept_queued(self._server, lambda: ServerConnection(self))
+            self._accepting.update(accepting)
+            for task in accepting:
+                task.add_done_callback(self._accepted)
             self._server.close()
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    def _accepted(self, task: asyncio.Task) -> None:
+        self._accepting.discard(task)
+        if not task.cancelled():
+            # A connection may be lost before its protocol has it.
+            task.exception()
+
+    def refuse_partly_read(self) -> None:
+        """Refuse the requests that have not been read completely."""
+        for connection in list(self.connections):
+            connection.refuse_partly_read()
+
     async def close(self) -> None:
         """Stop listening and close all connections."""
         if self._server is not None:
@@ -141,9 +178,12 @@
         self._pending: deque[tuple[Request, bool]] = deque()
         self._fiber: Fiber | BackgroundTask | None = None
         self._last_activity_s = boot_s()
+        self._is_new = True
         self._message_started_s: float | None = None
         self._is_head_complete = False
         self._is_refused = False
+        self._is_discarding = False
+        self._is_answered = False
         self._refusal_status = 0
         self._is_reading_paused = False
         self._held_bytes = 0
@@ -157,14 +197,33 @@
 
     @property
     def is_partly_read(self) -> bool:
-        """Whether a request has been read in part."""
-        return self._message_started_s is not None
+        """Whether a request has been read in part and is not refused."""
+        return self._message_started_s is not None and not self._is_refused
 
     @property
     def unsent_bytes(self) -> int:
         """Bytes of responses that the kernel has not taken yet."""
         return 0 if self._transport is None else self._transport.get_write_buffer_size()
 
+    @property
+    def is_unfinished(self) -> bool:
+        """Whether there is a request to answer or an answer to send.
+
+        Notes
+        -----
+        Answers count until the client has acknowledged them. A connection that the
+        client merely keeps open does not count.
+        """
+        return (
+            self.is_busy
+            or self.is_partly_read
+            or self._is_discarding
+            or self.unsent_bytes > 0
+            or unacknowledged_bytes(self._transport) > 0
+            or (not self._is_answered and unread_bytes(self._transport) > 0)
+            or (self._is_new and boot_s() - self._last_activity_s < FIRST_REQUEST_S)
+        )
+
     def connection_made(self, transport):
         """Register an accepted connection."""
         # Clients are on the same machine, so no dead peer detection is set up. Its
@@ -186,6 +245,7 @@
         if self._is_refused:
             return
         self._last_activity_s = boot_s()
+        self._is_new = False
         if self._message_started_s is None:
             self._message_started_s = self._last_activity_s
         try:
@@ -279,10 +339,20 @@
             self._refuse(408)
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is in progress or partly read."""
-        if not self.is_busy and self._message_started_s is None and self._transport:
+        """Close the connection unless something is unfinished.
+
+        Notes
+        -----
+        After its last response it is left to the client to close it.
+        """
+        if not self._is_answered and not self.is_unfinished:
             self._transport.close()
 
+    def refuse_partly_read(self) -> None:
+        """Refuse the request that has been read in part, if there is one."""
+        if self.is_partly_read:
+            self._refuse(503)
+
     def _has_sent_since_last_check(self) -> bool:
         before, self._checked_unsent_bytes = (
             self._checked_unsent_bytes,
@@ -356,14 +426,14 @@
     def _write(self, response: Response, is_last: bool, is_head: bool) -> None:
         if self._transport.is_closing():
             return
-        is_last = is_last or (self._server.is_closing and not self._pending)
+        is_last = is_last or self._must_end()
         self._transport.write(
             format_response(response, is_last=is_last, is_head=is_head)
         )
         self._last_activity_s = boot_s()
         if is_last:
             self._pending.clear()
-            self._transport.close()
+            self._end()
         elif self._pending:
             self._start_next()
         elif self._refusal_status:
@@ -372,6 +442,27 @@
             self._is_reading_paused = False
             self._transport.resume_reading()
 
+    def _must_end(self) -> bool:
+        """Tell whether the server closes and no further request has arrived."""
+        return (
+            self._server.is_closing
+            and not self._pending
+            and not self.is_partly_read
+            and not self._refusal_status
+            and not unread_bytes(self._transport)
+        )
+
+    def _end(self) -> None:
+        """Close the connection after its last response."""
+        if not self._server.is_closing:
+            self._transport.close()
+            return
+        # Whatever the client still sends would reset a closed connection, and the
+        # client could lose the response. It is read until the client closes.
+        self._is_refused = self._is_answered = True
+        self._message_started_s = None
+        self._transport.write_eof()
+
     def _refuse(self, status: int) -> None:
         """Refuse the request being read, after the responses to earlier requests."""
         if self._is_refused:
@@ -394,4 +485,5 @@
         self._transport.write(format_response(response, is_last=True, is_head=False))
         if self._transport.can_write_eof():
             self._transport.write_eof()
+        self._is_discarding = True
         self._server.loop.call_later(LINGER_S, self._transport.close)
--- a/damaskproxy/http1/sockets.py
+++ b/damaskproxy/http1/sockets.py
@@ -1,10 +1,22 @@
-"""Socket options of the TCP connections that a node opens."""
+"""Options and kernel buffers of the TCP connections of a node."""
 
 import asyncio
+import errno
+import fcntl
+import os
 import socket
+import sys
+import termios
+from collections.abc import Callable
 from dataclasses import dataclass
 
-__all__ = ["DeadPeerLimits", "enable_dead_peer_detection"]
+__all__ = [
+    "DeadPeerLimits",
+    "accept_queued",
+    "enable_dead_peer_detection",
+    "unacknowledged_bytes",
+    "unread_bytes",
+]
 
 KEEPALIVE_INTERVAL_S = 1
 """Shortest interval between keep-alive probes that the kernel supports."""
@@ -53,3 +65,66 @@
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limits.unacknowledged_max_ms
     )
+
+
+def unread_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return how many received bytes wait in the kernel; closing would discard them."""
+    return _queued_bytes(transport, termios.FIONREAD)
+
+
+def unacknowledged_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return how many bytes the kernel has taken and the peer has not acknowledged.
+
+    Notes
+    -----
+    The kernel sends them also after the process has ended, but it discards them if the
+    connection is reset, as when the peer sends something to a closed socket.
+    """
+    return _queued_bytes(transport, termios.TIOCOUTQ)
+
+
+def _queued_bytes(transport: asyncio.BaseTransport, request: int) -> int:
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return 0
+    try:
+        result = fcntl.ioctl(sock.fileno(), request, bytes(4))
+    except OSError:
+        return 0
+    return int.from_bytes(result, sys.byteorder)
+
+
+def accept_queued(
+    server: asyncio.Server, make_protocol: Callable[[], asyncio.Protocol]
+) -> list[asyncio.Task]:
+    """Accept the connections in the queue of a server that is about to be closed.
+
+    Notes
+    -----
+    Their peers count them as open and may have sent something; the kernel resets those
+    that are still in the queue when the listening socket is closed.
+
+    Returns
+    -------
+    list of asyncio.Task
+        One for each connection, which ends once its protocol has it.
+    """
+    loop = asyncio.get_running_loop()
+    tasks = []
+    for listener in server.sockets:
+        # The sockets of a server accept nothing themselves.
+        with socket.socket(fileno=os.dup(listener.fileno())) as sock:
+            sock.setblocking(False)
+            while (connection := _accept(sock)) is not None:
+                opening = loop.connect_accepted_socket(make_protocol, connection)
+                tasks.append(loop.create_task(opening))
+    return tasks
+
+
+def _accept(sock: socket.socket) -> socket.socket | None:
+    while True:
+        try:
+            return sock.accept()[0]
+        except OSError as error:
+            if error.errno != errno.ECONNABORTED:
+                return None
