--- a/damaskproxy/platform/standins/requests.py
+++ b/damaskproxy/platform/standins/requests.py
@@ -4,7 +4,7 @@
 
 from damaskproxy.http1 import Request
 
-__all__ = ["encode_configuration", "readiness_request", "report_request"]
+__all__ = ["ROUTES", "encode_configuration", "readiness_request", "report_request"]
 
 ROUTES = {
     "read": {"prefix": "/read/", "kind": "safe", "service": "orders"},
--- a/damaskproxy/platform/standins/stamped.py
+++ b/damaskproxy/platform/standins/stamped.py
@@ -33,6 +33,8 @@
         ``cut``, ``endless``.
     extra_headers : list of tuple of bytes
         Headers that are added to all responses to executed requests.
+    padding : bytes
+        Appended to the body of all responses to executed requests.
     """
 
     def __init__(self, instance_id: str, service: str):
@@ -44,6 +46,7 @@
         self.requests: list[Request] = []
         self.faults: dict[bytes, str] = {}
         self.extra_headers: list[tuple[bytes, bytes]] = []
+        self.padding = b""
         self.work_s = 0.0
         self.server = HttpServer("stamped backend", self._handle)
 
@@ -87,4 +90,5 @@
         if fault == "unstamped":
             headers.remove(stamp)
         status = 500 if fault == "error" else 200
-        return Response(status, headers, b"from " + self.instance_id.encode())
+        body = b"from " + self.instance_id.encode() + self.padding
+        return Response(status, headers, body)
