Let a planned stop send the confirmations that wait for the store

A confirmation of a leave waits up to 0.6 s for the store. A node that got SIGTERM did not wait for the requests of its control listener, so an instance that reported its leave shortly before saw its connection closed and its leave unconfirmed.

On the code before: ExchangeLost for DELETE and for a draining report in test_confirmation_that_waits_for_the_store_is_sent (store unresponsive); 200 now.

The other listeners are closed like that of the callers, once the callers and the other nodes have got everything, and 0.8 s before the end at the latest, so that a waiting confirmation ends within the grace time.

--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -64,6 +64,9 @@
 out of rotation after two failed health checks, one second apart. A request accepted
 later might not complete before the platform kills the process."""
 STOP_POLL_S = 0.02
+CONTROL_END_S = 0.8
+"""Time before the end in which the control listener accepts nothing more, a little
+longer than a confirmation may wait for the store."""
 PARTLY_READ_END_S = 0.2
 """Time before the end at which requests that are still partly read are refused."""
 STOP_MARGIN_S = 0.3
@@ -388,14 +391,25 @@
 
 
 async def _finish(sidecar: Sidecar, end_s: float) -> None:
-    """Wait until all is answered and sent, until `end_s` at the latest."""
-    caller = sidecar.servers["caller"]
+    """Wait until all is answered and sent, until `end_s` at the latest.
+
+    The other listeners stay open until the callers and the other nodes have got
+    everything.
+    """
+    servers = sidecar.servers
+    caller = servers["caller"]
+    others = [server for server in servers.values() if server is not caller]
     while boot_s() < end_s:
         caller.stop_accepting()
         await asyncio.sleep(STOP_POLL_S)
         if boot_s() > end_s - PARTLY_READ_END_S:
             caller.refuse_partly_read()
         unfinished = caller.unfinished_count + sidecar.links.running_count
+        if unfinished and boot_s() < end_s - CONTROL_END_S:
+            continue
+        for server in others:
+            server.stop_accepting()
+            unfinished += server.unfinished_count
         if not unfinished:
             return
 
--- a/damaskproxy/sidecar/tests/test_planned_stop.py
+++ b/damaskproxy/sidecar/tests/test_planned_stop.py
@@ -9,7 +9,7 @@
 
 from nose2.tools import params
 
-from damaskproxy.http1 import HttpError
+from damaskproxy.http1 import HttpError, Request
 from damaskproxy.platform.standins import ROUTES, encode_configuration
 from damaskproxy.sidecar import lifecycle
 from damaskproxy.sidecar.lifecycle import drain, stop
@@ -115,6 +115,25 @@
         self.assertRegex(await reader.read(), rb"^HTTP/1.1 503 ")
         self.assertLess(await ending, 2.0)
 
+    @params("DELETE", "draining report")
+    async def test_confirmation_that_waits_for_the_store_is_sent(self, kind):
+        one = await self.start("n1")
+        await self.start("n2")
+        await self.until_known(2)
+        await asyncio.sleep(0.3)
+        self.rows.status = 0
+        leave = Request(
+            b"DELETE", b"/api/instances/i-n1", [(b"Host", b"c")], b'{"born": 1000}'
+        )
+        is_delete = kind == "DELETE"
+        leaving = one.control(leave) if is_delete else one.report("draining")
+        pending = asyncio.create_task(leaving)
+        await asyncio.sleep(0.05)
+        duration_s = await self.end_process(one)
+        answer = await pending
+        self.assertEqual(answer.status if is_delete else answer, 200)
+        self.assertLess(duration_s, 2.0)
+
     async def test_open_connections_do_not_delay_the_end(self):
         one = await self.start("n1", "stores")
         two = await self.start("n2")
