Let a planned stop wait until its peers have received their results

A call that another node sent stops running when its result is handed to the transport of the link. A node that got SIGTERM ended then, and its event loop with it, so the rest of the result was never sent: the call was unknown at its origin. Callers got 502 for an unsafe request that had run.

A link knows up to which byte it has written results, and counts as unfinished until the peer has acknowledged these. Heartbeats behind them do not count, so an unreachable peer that is owed nothing delays no stop.

--- a/damaskproxy/forwarding/link.py
+++ b/damaskproxy/forwarding/link.py
@@ -35,7 +35,10 @@
     UnknownFrame,
     encode_frame,
 )
-from damaskproxy.http1.sockets import enable_dead_peer_detection
+from damaskproxy.http1.sockets import (
+    enable_dead_peer_detection,
+    unacknowledged_bytes,
+)
 
 __all__ = ["DelayMeter", "Link", "LinkHandlers"]
 
@@ -163,6 +166,8 @@
         self._typical_call_s = 0.0
         self._running: dict[int, Fiber] = {}
         self._requested_version = 0
+        self._written_bytes = 0
+        self._results_end_bytes = 0
 
     @property
     def has_calls_in_flight(self) -> bool:
@@ -179,6 +184,21 @@
         """Calls of the peer that run on this node."""
         return len(self._running)
 
+    @property
+    def is_unfinished(self) -> bool:
+        """Whether a call of the peer runs, or it has not acknowledged all results.
+
+        Notes
+        -----
+        Heartbeats behind the last result do not count.
+        """
+        if self._running:
+            return True
+        if not self.is_open:
+            return False
+        waiting_bytes = self.unsent_bytes + unacknowledged_bytes(self._transport)
+        return self._written_bytes - waiting_bytes < self._results_end_bytes
+
     def connection_made(self, transport):
         """Send the hello frame on the new connection."""
         self._transport = transport
@@ -225,7 +245,9 @@
         """Send a frame; False if the connection is closed or closing."""
         if not self.is_open or self._transport.is_closing():
             return False
-        self._transport.write(encode_frame(frame))
+        data = encode_frame(frame)
+        self._written_bytes += len(data)
+        self._transport.write(data)
         return True
 
     def close(self) -> None:
@@ -364,7 +386,8 @@
             result = Unknown(f"internal error: {error}")
         finally:
             self._running.pop(frame.call_id, None)
-        self.write(self._result_frame(frame.call_id, result))
+        if self.write(self._result_frame(frame.call_id, result)):
+            self._results_end_bytes = self._written_bytes
 
     def _log_error(self, error: BaseException) -> None:
         log_event(logger, events.CALL_FAILED, exc_info=error, peer=self.peer_id)
--- a/damaskproxy/forwarding/links.py
+++ b/damaskproxy/forwarding/links.py
@@ -62,6 +62,11 @@
         """Calls of other nodes that run here."""
         return sum(link.running_count for link in self._links)
 
+    @property
+    def unfinished_count(self) -> int:
+        """Connections with calls that run here, or results that were not received."""
+        return sum(link.is_unfinished for link in self._links)
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes of frames that the kernel has not taken yet."""
--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -404,7 +404,7 @@
         await asyncio.sleep(STOP_POLL_S)
         if boot_s() > end_s - PARTLY_READ_END_S:
             caller.refuse_partly_read()
-        unfinished = caller.unfinished_count + sidecar.links.running_count
+        unfinished = caller.unfinished_count + sidecar.links.unfinished_count
         if unfinished and boot_s() < end_s - CONTROL_END_S:
             continue
         for server in others:
--- a/damaskproxy/sidecar/tests/test_planned_stop.py
+++ b/damaskproxy/sidecar/tests/test_planned_stop.py
@@ -92,6 +92,23 @@
         writer.close()
         self.assertLess(await ending, 5.5)
 
+    async def test_result_that_a_peer_reads_slowly_is_sent_completely(self):
+        one = await self.start("n1", "stores")
+        two = await self.start("n2")
+        await self.until_known(1)
+        two.backend.padding = PADDING
+        for link in one.sidecar.links.open_links():
+            link._transport.pause_reading()
+        pending = asyncio.create_task(one.call(b"/write/1", method=b"POST"))
+        await self.until(lambda: two.sidecar.links.unsent_bytes > 0)
+        ending = asyncio.create_task(self.end_process(two))
+        await asyncio.sleep(0.8)
+        for link in one.sidecar.links.open_links():
+            link._transport.resume_reading()
+        answer = await pending
+        self.assertEqual((answer.status, len(answer.body) > len(PADDING)), (200, True))
+        self.assertLess(await ending, 3.0)
+
     async def test_request_that_is_partly_read_is_refused(self):
         one = await self.start("n1", "stores")
         two = await self.start("n2")
