Tell peers at a planned stop which of their calls have not run

A node that has got SIGTERM refuses calls, but one that reached it after it had stopped reading, or that waited in its accept queue, was lost with the connection. Its origin could not know that it had not run. Callers got 502 for an unsafe request that no server had seen, instead of a 503 or a try at another server.

The last frame of a node that stops says that calls without a result have not run. That is certain, since no call starts after SIGTERM, results are sent before on the same connection, and it is not sent on a link on which calls still run. The peer closes the connection then; the node waits for that, 0.15 s at most, within the margin before SIGKILL. The hello frame says who handles the frame, so nodes of earlier releases do not get it.

--- a/damaskproxy/forwarding/frames.py
+++ b/damaskproxy/forwarding/frames.py
@@ -20,6 +20,7 @@
     "Frame",
     "FrameDecoder",
     "FrameError",
+    "GoodbyeFrame",
     "HeartbeatFrame",
     "HelloFrame",
     "NotRunFrame",
@@ -63,10 +64,14 @@
         Id of the sender.
     incarnation : int
         Incarnation of the sender, which increases with each start of its process.
+    knows_goodbye : bool
+        Whether the sender handles `GoodbyeFrame`. Senders of earlier releases leave it
+        out.
     """
 
     node_id: str
     incarnation: int
+    knows_goodbye: bool = False
 
 
 class RunFrame(msgspec.Struct, array_like=True, tag=1):
@@ -234,6 +239,14 @@
     node_id: str
 
 
+class GoodbyeFrame(msgspec.Struct, array_like=True, tag=15):
+    """Last frame of a node that stops.
+
+    The sender has sent the results of all calls of this connection that it has run. The
+    others have not run and never will.
+    """
+
+
 Frame = (
     HelloFrame
     | RunFrame
@@ -250,6 +263,7 @@
     | HeartbeatFrame
     | RecordDigestsFrame
     | RecordRequestFrame
+    | GoodbyeFrame
 )
 
 ControlFrame = (
--- a/damaskproxy/forwarding/link.py
+++ b/damaskproxy/forwarding/link.py
@@ -25,6 +25,7 @@
     Frame,
     FrameDecoder,
     FrameError,
+    GoodbyeFrame,
     HelloFrame,
     NotRunFrame,
     PingFrame,
@@ -165,9 +166,12 @@
         self._ping_sent_s: float | None = None
         self._typical_call_s = 0.0
         self._running: dict[int, Fiber] = {}
+        self._cancelled_ids: set[int] = set()
         self._requested_version = 0
         self._written_bytes = 0
         self._results_end_bytes = 0
+        self._peer_knows_goodbye = False
+        self._is_goodbye_sent = False
 
     @property
     def has_calls_in_flight(self) -> bool:
@@ -250,6 +254,17 @@
         self._transport.write(data)
         return True
 
+    @property
+    def awaits_goodbye(self) -> bool:
+        """Whether the peer has to learn that its other calls have not run."""
+        may_know = self._peer_knows_goodbye or not self.hello_received.is_set()
+        return may_know and not self._running
+
+    def say_goodbye(self) -> None:
+        """Tell the peer that its calls without a result have not run, if that is so."""
+        if self._peer_knows_goodbye and not self._running and not self._is_goodbye_sent:
+            self._is_goodbye_sent = self.write(GoodbyeFrame())
+
     def close(self) -> None:
         """Close the connection once all frames have been sent."""
         if self._transport is not None:
@@ -339,6 +354,7 @@
         elif isinstance(frame, CancelFrame):
             fiber = self._running.get(frame.call_id)
             if fiber is not None:
+                self._cancelled_ids.add(frame.call_id)
                 fiber.cancel()
         elif isinstance(frame, ControlFrame):
             self.last_used_s = boot_s()
@@ -348,9 +364,12 @@
         elif isinstance(frame, PongFrame):
             # `data_received` has already recorded that the peer responds.
             pass
+        elif isinstance(frame, GoodbyeFrame):
+            self._end_calls_not_run()
         else:
             self.peer_id = frame.node_id
             self.peer_incarnation = frame.incarnation
+            self._peer_knows_goodbye = frame.knows_goodbye
             self.hello_received.set()
 
     def _start_call(self, frame: RunFrame) -> None:
@@ -380,15 +399,26 @@
         try:
             result = await self._handlers.run(call)
         except asyncio.CancelledError:
-            return
+            if frame.call_id in self._cancelled_ids:
+                return
+            # The peer would take a call without a result for one that has not run.
+            result = Unknown("the call was cancelled")
         except Exception as error:
             self._log_error(error)
             result = Unknown(f"internal error: {error}")
         finally:
             self._running.pop(frame.call_id, None)
+            self._cancelled_ids.discard(frame.call_id)
         if self.write(self._result_frame(frame.call_id, result)):
             self._results_end_bytes = self._written_bytes
 
+    def _end_calls_not_run(self) -> None:
+        """End the calls that the peer has not run, and accept no more."""
+        self._transport.close()
+        # A copy, since a resumed fiber removes its entry at once.
+        for waiter in list(self._calls_in_flight.values()):
+            waiter.set_result(NotRun(NotRunReason.STOPPING))
+
     def _log_error(self, error: BaseException) -> None:
         log_event(logger, events.CALL_FAILED, exc_info=error, peer=self.peer_id)
 
--- a/damaskproxy/forwarding/links.py
+++ b/damaskproxy/forwarding/links.py
@@ -11,6 +11,7 @@
 from damaskproxy.forwarding.calls import Call, NotRun, NotRunReason, Result
 from damaskproxy.forwarding.frames import HelloFrame
 from damaskproxy.forwarding.link import Link, LinkHandlers
+from damaskproxy.http1.sockets import accept_queued
 
 __all__ = ["Links"]
 
@@ -19,6 +20,7 @@
 CONNECT_TIMEOUT_S = 0.3
 """Several round trips between regions; a slower node counts as unreachable."""
 IDLE_CLOSE_S = 120.0
+LEAVE_POLL_S = 0.01
 LIVENESS_CHECK_S = 0.1
 """A third of the time after which a peer counts as unresponsive. Checks are no more
 frequent, since each of them wakes the process up."""
@@ -55,6 +57,7 @@
         self._opening: dict[str, asyncio.Task] = {}
         self._unreachable: set[str] = set()
         self._server: asyncio.Server | None = None
+        self._is_leaving = False
         self._liveness_timer: asyncio.TimerHandle | None = None
 
     @property
@@ -102,6 +105,8 @@
         connection, this returns None at once: the call runs elsewhere, and a connection
         for later calls is opened in the background.
         """
+        if self._is_leaving:
+            return None
         existing = self._outgoing.get(member.node_id)
         if existing is not None and existing.is_open:
             if existing.is_to_earlier_incarnation(member.incarnation):
@@ -148,6 +153,28 @@
             if link.last_used_s < idle_before_s and not is_busy:
                 link.close()
 
+    async def leave(self, timeout_s: float) -> None:
+        """Tell the peers which of their calls have not run.
+
+        To be called once no call can start here any more. Returns when the peers have
+        closed their connections, or after `timeout_s`; a call that a peer sent just
+        before it learned of the stop would otherwise end as unknown.
+        """
+        self._is_leaving = True
+        end_s = boot_s() + timeout_s
+        if self._server is not None and self._server.is_serving():
+            accepting = accept_queued(self._server, self._make_link)
+            self._server.close()
+            if accepting:
+                await asyncio.wait(accepting, timeout=timeout_s)
+        while boot_s() < end_s:
+            links = [link for link in self.open_links() if link.awaits_goodbye]
+            if not links:
+                return
+            for link in links:
+                link.say_goodbye()
+            await asyncio.sleep(LEAVE_POLL_S)
+
     async def close(self) -> None:
         """Close all connections."""
         if self._server is not None:
--- a/damaskproxy/forwarding/tests/test_links.py
+++ b/damaskproxy/forwarding/tests/test_links.py
@@ -22,7 +22,7 @@
     NotRunReason,
     Unknown,
 )
-from damaskproxy.forwarding.frames import encode_frame
+from damaskproxy.forwarding.frames import FrameDecoder, GoodbyeFrame, encode_frame
 from damaskproxy.forwarding.link import PING_AFTER_S, PONG_TIMEOUT_S
 from damaskproxy.forwarding.links import CONNECT_TIMEOUT_S, IDLE_CLOSE_S
 from damaskproxy.forwarding.tests.builders import make_call, make_member
@@ -56,8 +56,9 @@
             self.handle_control,
         )
         self.incarnation = 1
+        self.knows_goodbye = False
         self.links = Links(
-            lambda: HelloFrame(name, self.incarnation),
+            lambda: HelloFrame(name, self.incarnation, self.knows_goodbye),
             handlers,
             frozenset({b"x-stamp"}),
             self.connected.append,
@@ -171,6 +172,53 @@
         self.two.results = [RESULTS[0]]
         self.assertEqual(await self.one.links.run(self.member, make_call()), RESULTS[0])
 
+    async def test_unread_calls_to_a_node_that_stops_are_not_run(self):
+        self.one.knows_goodbye = True
+        answered = asyncio.create_task(self.one.links.run(self.member, make_call()))
+        await self.until(lambda: self.two.waiters)
+        for link in self.two.links.open_links():
+            link._transport.pause_reading()
+        unread = asyncio.create_task(self.one.links.run(self.member, make_call()))
+        await asyncio.sleep(0.02)
+        self.two.waiters[0].set_result(Answer(200, [], b"body", LOAD))
+        await self.two.links.leave(1.0)
+        self.assertEqual((await answered).status, 200)
+        self.assertEqual(await unread, NotRun(NotRunReason.STOPPING))
+        later = await self.one.links.run(self.member, make_call())
+        self.assertIsInstance(later, NotRun)
+        self.assertEqual(len(self.two.ran), 1)
+
+    async def test_calls_that_run_at_the_end_of_a_node_are_unknown(self):
+        self.one.knows_goodbye = True
+        pending = asyncio.create_task(self.one.links.run(self.member, make_call()))
+        await self.until(lambda: self.two.waiters)
+        await self.two.links.leave(0.1)
+        await self.two.links.close()
+        self.assertIsInstance(await pending, Unknown)
+
+    async def test_call_that_the_target_cancels_itself_is_unknown(self):
+        self.one.knows_goodbye = True
+        pending = asyncio.create_task(self.one.links.run(self.member, make_call()))
+        await self.until(lambda: self.two.waiters)
+        self.two.waiters[0].set_exception(asyncio.CancelledError())
+        await self.two.links.leave(1.0)
+        self.assertIsInstance(await pending, Unknown)
+
+    async def test_peer_of_an_earlier_release_gets_no_goodbye(self):
+        pending = asyncio.create_task(self.one.links.run(self.member, make_call()))
+        await self.until(lambda: self.two.waiters)
+        self.two.waiters[0].set_result(Answer(200, [], b"body", LOAD))
+        await pending
+        await self.two.links.leave(5.0)
+        self.assertTrue(self.one.links.open_links())
+
+    async def test_connection_in_the_accept_queue_gets_a_goodbye(self):
+        with socket.create_connection(("127.0.0.1", self.two.links.port)) as sock:
+            sock.sendall(encode_frame(HelloFrame("n3", 1, True)))
+            await self.two.links.leave(0.3)
+            received = FrameDecoder().feed(sock.recv(65536))
+        self.assertIsInstance(received[-1], GoodbyeFrame)
+
     async def test_call_to_a_node_without_listener_is_not_run(self):
         await self.two.links.close()
         result = await self.one.links.run(self.member, make_call())
--- a/damaskproxy/propagation/propagation.py
+++ b/damaskproxy/propagation/propagation.py
@@ -138,6 +138,10 @@
             self.sources.rank(record)
         self.tick()
 
+    def stop(self) -> None:
+        """Follow no more nodes, and replace none that is lost."""
+        self._is_started = False
+
     def tick(self) -> None:
         """Replace sources that are quiet, and send what is due."""
         if not self._is_started:
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -250,7 +250,7 @@
     )
     configuration.on_change(lambda _: target.apply_backend_state())
     links = Links(
-        lambda: HelloFrame(settings.node_id, sidecar.record.incarnation),
+        lambda: HelloFrame(settings.node_id, sidecar.record.incarnation, True),
         LinkHandlers(
             target.run,
             lambda: configuration.version,
--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -69,8 +69,11 @@
 longer than a confirmation may wait for the store."""
 PARTLY_READ_END_S = 0.2
 """Time before the end at which requests that are still partly read are refused."""
+GOODBYE_TIMEOUT_S = 0.15
+"""Three round trips between regions."""
 STOP_MARGIN_S = 0.3
-"""The node exits this long before the platform would kill it."""
+"""The node has nothing in progress this long before the platform would kill it. It then
+takes leave of the other nodes and exits."""
 GC_THRESHOLD = 20_000
 """Net allocations between garbage collections. A request creates no reference cycles,
 so the default of 700 would run several useless collections per hundred requests."""
@@ -388,6 +391,8 @@
         partly_read=sum(s.partly_read_count for s in sidecar.servers.values()),
         unsent_bytes=_unsent_bytes(sidecar),
     )
+    sidecar.propagation.stop()
+    await sidecar.links.leave(GOODBYE_TIMEOUT_S)
 
 
 async def _finish(sidecar: Sidecar, end_s: float) -> None:
--- a/damaskproxy/sidecar/tests/test_planned_stop.py
+++ b/damaskproxy/sidecar/tests/test_planned_stop.py
@@ -109,6 +109,18 @@
         self.assertEqual((answer.status, len(answer.body) > len(PADDING)), (200, True))
         self.assertLess(await ending, 3.0)
 
+    async def test_call_that_arrives_in_the_last_moment_is_not_run(self):
+        one = await self.start("n1", "stores")
+        two = await self.start("n2")
+        await self.until_known(1)
+        for link in two.sidecar.links.open_links():
+            link._transport.pause_reading()
+        pending = asyncio.create_task(one.call(b"/write/1", method=b"POST"))
+        await asyncio.sleep(0.1)
+        await self.end_process(two)
+        self.assertEqual((await pending).status, 503)
+        self.assertFalse(two.backend.runs)
+
     async def test_request_that_is_partly_read_is_refused(self):
         one = await self.start("n1", "stores")
         two = await self.start("n2")
