Play planned work on processes with open connections and slow readers

No test ran the real program through planned stops under load. The soak starts five processes with stand-ins of the store and the backend servers, and clients that keep connections, send requests in parts and read responses of 8 MiB slowly; it stops and starts nodes in series and overlapping, with repeated signals and some just after their listeners are open, reloads settings and changes the configuration, and ends with a stop of all nodes at once. It checks that no request is cut after it was passed on, that connections without an answer end at once, that nothing runs twice or after a refusal, that processes end only when told to, with status 0 and within the grace time, and that no error is logged.

--- /dev/null
+++ b/damaskproxy/sidecar/tests/test_process_soak.py
@@ -0,0 +1,542 @@
+"""Processes of the program with clients that keep connections, and planned work.
+
+More seeds by hand::
+
+    python -m damaskproxy.sidecar.tests.test_process_soak FIRST LAST [FOLDER]
+"""
+
+import asyncio
+import contextlib
+import json
+import random
+import signal
+import socket
+import sys
+import tempfile
+import time
+import unittest
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from nose2.tools import params
+
+from damaskproxy.http1 import ConnectionPool, HttpError
+from damaskproxy.platform.standins import (
+    ROUTES,
+    RowStoreStandIn,
+    StampedBackend,
+    encode_configuration,
+    readiness_request,
+    report_request,
+)
+from damaskproxy.sidecar.settings import to_address
+from demo.processes import Processes, free_ports
+
+GRACE_S = 6.0
+LOSS_SLACK_S = 0.2
+"""Time within which a connection may end after a request that was not passed on."""
+TIMEOUT_S = 5.0
+REPORT_S = 0.5
+START_S = 10.0
+DURATION_S = 10.0
+PADDING = b"x" * (8 << 20)
+CHUNK_BYTES = 65536
+SERVICES = ("orders", "orders", "files", "files", "stores")
+BIG_ROUTES = {
+    "big": {"prefix": "/big/", "kind": "safe", "service": "files"},
+    "bigger": {"prefix": "/bigger/", "kind": "unsafe", "service": "files"},
+}
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+ALLOWED_LEVELS = frozenset({"DEBUG", "INFO", "WARNING"})
+
+
+@dataclass(slots=True)
+class Node:
+    """Process of the program, and the backend server beside it."""
+
+    name: str
+    backend: StampedBackend
+    path: Path
+    settings: dict
+    is_running: bool = False
+    is_stopping: bool = False
+    sequence: int = 0
+
+    def address(self, listener: str) -> tuple[str, int]:
+        """Return host and port of a listener."""
+        address = to_address(self.settings["listeners"][listener])
+        return address.host, address.port
+
+
+@dataclass(slots=True)
+class Sent:
+    """Request of a client, and what it received.
+
+    Attributes
+    ----------
+    sent_s : float or None
+        Time at which its last byte was sent, None if the connection ended before.
+    """
+
+    request_id: bytes
+    node: str
+    is_safe: bool
+    sent_s: float | None = None
+    ended_s: float = 0.0
+    status: int | None = None
+    is_complete: bool = False
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What a play has shown."""
+
+    problems: list[str] = field(default_factory=list)
+    counts: Counter[str] = field(default_factory=Counter)
+    stop_s: list[float] = field(default_factory=list)
+
+
+class Play:
+    """Nodes, clients and planned work of one seed.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of all random choices.
+    folder : Path
+        Folder of the settings and logs.
+    duration_s : float
+        Time in which planned work is started.
+    """
+
+    def __init__(self, seed: int, folder: Path, duration_s: float):
+        self.outcome = Outcome()
+        self._rng = random.Random(seed)
+        self._folder = folder
+        self._duration_s = duration_s
+        self._rows = RowStoreStandIn()
+        self._processes = Processes(folder)
+        self._nodes: list[Node] = []
+        self._sent: list[Sent] = []
+        self._version = 1
+        self._has_ended = False
+        self._lags: list[tuple[float, float]] = []
+
+    async def run(self) -> Outcome:
+        """Play until all nodes have ended, and return what was seen."""
+        store_address = await self._rows.open()
+        self._put_configuration()
+        background: list[asyncio.Task] = []
+        try:
+            for number, service in enumerate(SERVICES):
+                await self._add(f"n{number}", service, store_address)
+            await asyncio.gather(*(self._start(node) for node in self._nodes))
+            background = self._background()
+            await asyncio.gather(*(self._until_ready(node) for node in self._nodes))
+            await asyncio.sleep(2 * REPORT_S)
+            await self._work()
+            await asyncio.gather(*(self._stop(node) for node in self._nodes))
+            self._has_ended = True
+            await asyncio.sleep(0.5)
+        finally:
+            for task in background:
+                task.cancel()
+            await asyncio.gather(*background, return_exceptions=True)
+            await self._processes.close()
+            for node in self._nodes:
+                await node.backend.close()
+            await self._rows.close()
+        self._judge()
+        return self.outcome
+
+    async def _add(self, name: str, service: str, store_address: str) -> None:
+        backend = StampedBackend(f"i-{name}", service)
+        backend.work_s = 0.03
+        backend.padding = PADDING if service == "files" else b""
+        names = ("caller", "peer", "readiness", "control")
+        settings = {
+            "node_id": name,
+            "data_centre": "abc"[len(self._nodes) % 3],
+            "region": "r",
+            "service": service,
+            "backend_address": await backend.open(),
+            "listeners": {
+                n: f"127.0.0.1:{port}" for n, port in zip(names, free_ports(4))
+            },
+            "store_address": store_address,
+            "bounds": {"graceS": GRACE_S},
+        }
+        path = self._folder / f"{name}.json"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        self._nodes.append(Node(name, backend, path, settings))
+
+    def _put_configuration(self) -> None:
+        routes = {
+            name: {**route, "timeoutMs": int(TIMEOUT_S * 1000)}
+            for name, route in {**ROUTES, **BIG_ROUTES}.items()
+        }
+        self._rows.put("op", "config", encode_configuration(self._version, routes))
+
+    def _background(self) -> list[asyncio.Task]:
+        jobs: list[Callable[[], Awaitable[None]]] = [self._measure_lag]
+        for node in self._nodes:
+            clients = [
+                Client(self, node, f"{node.name}-{number}", random.Random(seed))
+                for number, seed in enumerate(self._rng.sample(range(1 << 30), 6))
+            ]
+            jobs += [lambda node=node: self._report(node)]
+            jobs += [lambda node=node: self._keep_connection_open(node)]
+            jobs += [client.send_slowly for client in clients[:2]]
+            jobs += [client.read_slowly for client in clients[2:3]]
+            jobs += [client.send for client in clients[3:]]
+        return [asyncio.create_task(job()) for job in jobs]
+
+    # Processes
+
+    async def _start(self, node: Node) -> None:
+        """Start the process of a node and wait until its listeners are open."""
+        await self._processes.start(node.name, "damaskproxy.sidecar", node.path)
+        end_s = time.monotonic() + START_S
+        while not await _listens(node):
+            if time.monotonic() > end_s or self._processes.exit_status(node.name):
+                self._add_problem(f"{node.name} did not start")
+                return
+            await asyncio.sleep(0.02)
+        node.is_running = True
+        node.is_stopping = False
+
+    async def _until_ready(self, node: Node) -> None:
+        end_s = time.monotonic() + START_S
+        while await _status(node, "readiness", readiness_request()) != 200:
+            if time.monotonic() > end_s:
+                self._add_problem(f"{node.name} did not become ready")
+                return
+            await asyncio.sleep(0.05)
+
+    def _signal(self, node: Node, number: signal.Signals) -> None:
+        self._processes.send_signal(node.name, number)
+
+    async def _stop(self, node: Node) -> None:
+        """Stop a node as planned, sometimes with a second signal."""
+        if not node.is_running:
+            return
+        if self._processes.exit_status(node.name) is not None:
+            self._add_problem(f"{node.name} ended by itself")
+            return
+        node.is_stopping = True
+        start_s = time.monotonic()
+        self._signal(node, signal.SIGTERM)
+        if self._rng.random() < 0.3:
+            await asyncio.sleep(self._rng.uniform(0.0, 2.5))
+            self._signal(node, self._rng.choice([signal.SIGTERM, signal.SIGHUP]))
+        status = await self._processes.wait(node.name, GRACE_S + 1.0)
+        stop_s = time.monotonic() - start_s
+        self.outcome.stop_s.append(stop_s)
+        if status != 0:
+            self._add_problem(f"{node.name} ended with {status} after {stop_s:.2f} s")
+        if stop_s > GRACE_S + self._lag_s(start_s, time.monotonic()):
+            self._add_problem(f"{node.name} took {stop_s:.2f} s to end")
+        node.is_running = False
+
+    # Planned work
+
+    async def _work(self) -> None:
+        tasks = []
+        end_s = time.monotonic() + self._duration_s
+        kinds = [self._stop_and_start] * 3 + [self._reload, self._change]
+        while time.monotonic() < end_s:
+            tasks.append(asyncio.create_task(self._rng.choice(kinds)()))
+            await asyncio.sleep(self._rng.uniform(0.1, 1.0))
+        await asyncio.gather(*tasks)
+
+    async def _stop_and_start(self) -> None:
+        calm = [n for n in self._nodes if n.is_running and not n.is_stopping]
+        if len(calm) < 3:
+            return
+        node = self._rng.choice(calm)
+        await self._stop(node)
+        await asyncio.sleep(self._rng.uniform(0.0, 0.3))
+        await self._start(node)
+        if self._rng.random() < 0.2:
+            await self._stop(node)
+            await self._start(node)
+
+    async def _reload(self) -> None:
+        for node in self._rng.sample(self._nodes, 2):
+            if not node.is_running or node.is_stopping:
+                continue
+            settings = {
+                **node.settings,
+                "log_level": self._rng.choice(["INFO", "WARNING"]),
+            }
+            if self._rng.random() < 0.5:
+                node.path.write_text(json.dumps(settings), encoding="utf-8")
+            self._signal(node, signal.SIGHUP)
+
+    async def _change(self) -> None:
+        for _ in range(self._rng.choice([1, 1, 3])):
+            self._version += 1
+            self._put_configuration()
+            await asyncio.sleep(0.05)
+
+    # Background
+
+    async def _report(self, node: Node) -> None:
+        while True:
+            node.sequence += 1
+            request = report_request(
+                node.backend.instance_id,
+                node.settings["backend_address"],
+                node.backend.service,
+                slots=32,
+                born_ms=1000,
+                sequence=node.sequence,
+            )
+            await _status(node, "control", request)
+            await asyncio.sleep(REPORT_S)
+
+    async def _keep_connection_open(self, node: Node) -> None:
+        """Keep a connection without requests until the node closes it."""
+        while True:
+            with contextlib.suppress(OSError):
+                reader, writer = await asyncio.open_connection(*node.address("caller"))
+                with contextlib.closing(writer):
+                    await reader.read()
+            await asyncio.sleep(0.3)
+
+    async def _measure_lag(self) -> None:
+        """Record how late this process is, for the bounds on times that it measures."""
+        while True:
+            due_s = time.monotonic() + 0.05
+            await asyncio.sleep(0.05)
+            self._lags.append((due_s, time.monotonic() - due_s))
+
+    def _lag_s(self, start_s: float, end_s: float) -> float:
+        near = [lag for due, lag in self._lags if start_s - 0.5 < due < end_s + 0.5]
+        return sum(sorted(near)[-3:])
+
+    # Results
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether all nodes have ended for good."""
+        return self._has_ended
+
+    def new_request(self, request_id: bytes, node: Node, *, is_safe: bool) -> Sent:
+        """Record a request that a client is about to send."""
+        sent = Sent(request_id, node.name, is_safe)
+        self._sent.append(sent)
+        return sent
+
+    def _add_problem(self, text: str) -> None:
+        self.outcome.problems.append(text)
+
+    def _judge(self) -> None:
+        for sent in self._sent:
+            runs = sum(n.backend.runs[sent.request_id] for n in self._nodes)
+            self._count(sent, runs)
+            for text in self._faults(sent, runs):
+                self._add_problem(f"{sent.request_id.decode()} at {sent.node}: {text}")
+        for node in self._nodes:
+            for line in self._processes.log_path(node.name).read_text().splitlines():
+                if not _is_harmless(line):
+                    self._add_problem(f"{node.name} logged {line[:300]}")
+
+    def _count(self, sent: Sent, runs: int) -> None:
+        counts = self.outcome.counts
+        counts["requests"] += 1
+        if sent.is_complete:
+            counts[f"status {sent.status}"] += 1
+        elif sent.sent_s is None:
+            counts["not sent completely"] += 1
+        elif not runs:
+            counts["closed and not passed on"] += 1
+
+    def _faults(self, sent: Sent, runs: int) -> list[str]:
+        faults = []
+        if not sent.is_safe and runs > 1:
+            faults.append(f"ran {runs} times")
+        if sent.is_complete:
+            if sent.status in NOT_RUN_STATUSES and runs and not sent.is_safe:
+                faults.append(f"{sent.status} and ran")
+            if sent.status in (502, 504):
+                faults.append(f"{sent.status}, ran {runs} times")
+            return faults
+        if runs:
+            faults.append(f"cut after it ran, status {sent.status}")
+        elif sent.sent_s is not None:
+            took_s = sent.ended_s - sent.sent_s
+            if took_s > LOSS_SLACK_S + self._lag_s(sent.sent_s, sent.ended_s):
+                faults.append(f"no answer, closed after {took_s:.2f} s")
+        return faults
+
+
+class Client:
+    """Client of one node that keeps its connection for many requests."""
+
+    def __init__(self, play: Play, node: Node, name: str, rng: random.Random):
+        self._play = play
+        self._node = node
+        self._name = name
+        self._rng = rng
+        self._count = 0
+
+    async def send(self) -> None:
+        """Send small requests one after the other."""
+        await self._send_all(self._exchange_small, None)
+
+    async def send_slowly(self) -> None:
+        """Send requests in parts."""
+        await self._send_all(self._exchange_in_parts, None)
+
+    async def read_slowly(self) -> None:
+        """Send requests with large responses and read these slowly."""
+        await self._send_all(self._exchange_large, CHUNK_BYTES)
+
+    async def _send_all(self, exchange, receive_buffer_bytes: int | None) -> None:
+        while not self._play.has_ended:
+            try:
+                reader, writer = await self._connect(receive_buffer_bytes)
+            except OSError:
+                await asyncio.sleep(0.05)
+                continue
+            with contextlib.closing(writer):
+                is_open = True
+                while is_open:
+                    is_open = await exchange(reader, writer)
+                    await asyncio.sleep(self._rng.choice([0.01, 0.05, 0.3]))
+
+    async def _connect(self, receive_buffer_bytes: int | None):
+        sock = socket.socket()
+        sock.setblocking(False)
+        if receive_buffer_bytes is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.sock_connect(sock, self._node.address("caller"))
+        except BaseException:
+            sock.close()
+            raise
+        return await asyncio.open_connection(sock=sock, limit=2 * CHUNK_BYTES)
+
+    async def _exchange_small(self, reader, writer) -> bool:
+        return await self._exchange(reader, writer, (b"read", b"write"), 0, 0.0)
+
+    async def _exchange_in_parts(self, reader, writer) -> bool:
+        pause_s = self._rng.choice([0.01, 0.1, 0.6])
+        return await self._exchange(reader, writer, (b"read", b"write"), 900, pause_s)
+
+    async def _exchange_large(self, reader, writer) -> bool:
+        return await self._exchange(
+            reader, writer, (b"big", b"bigger"), 0, 0.0, read_pause_s=0.015
+        )
+
+    async def _exchange(
+        self, reader, writer, routes, body_bytes, pause_s, read_pause_s=0.0
+    ) -> bool:
+        """Send one request and read its response; whether another one may follow."""
+        self._count += 1
+        is_safe = self._rng.random() < 0.5
+        request_id = f"{self._name}-{self._count}".encode()
+        sent = self._play.new_request(request_id, self._node, is_safe=is_safe)
+        head = (
+            b"%s /%s/%s HTTP/1.1\r\nHost: shop\r\nX-Damaskproxy-Request-Id: %s\r\n"
+            % (
+                b"GET" if is_safe else b"POST",
+                routes[0] if is_safe else routes[1],
+                request_id,
+                request_id,
+            )
+        )
+        data = head + b"Content-Length: %d\r\n\r\n" % body_bytes + b"b" * body_bytes
+        try:
+            if pause_s:
+                split = self._rng.randrange(1, len(data))
+                writer.write(data[:split])
+                await asyncio.sleep(pause_s)
+                data = data[split:]
+            writer.write(data)
+            await writer.drain()
+            sent.sent_s = time.monotonic()
+            return await self._read_response(reader, sent, read_pause_s)
+        except (OSError, asyncio.IncompleteReadError):
+            return False
+        finally:
+            sent.ended_s = time.monotonic()
+
+    async def _read_response(self, reader, sent: Sent, read_pause_s: float) -> bool:
+        head = await reader.readuntil(b"\r\n\r\n")
+        sent.status = int(head.split()[1])
+        length = int(head.partition(b"Content-Length: ")[2].split()[0])
+        while length:
+            part = await reader.readexactly(min(length, CHUNK_BYTES))
+            length -= len(part)
+            await asyncio.sleep(read_pause_s)
+        sent.is_complete = True
+        return b"Connection: close" not in head
+
+
+def _is_harmless(line: str) -> bool:
+    """Tell whether a line of a log is an event below the level ERROR."""
+    return line.startswith("{") and json.loads(line)["levelname"] in ALLOWED_LEVELS
+
+
+async def _listens(node: Node) -> bool:
+    try:
+        _, writer = await asyncio.open_connection(*node.address("peer"))
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
+async def _status(node: Node, listener: str, request) -> int | None:
+    """Return the status of a response, None if there is none."""
+    pool = ConnectionPool(to_address(node.settings["listeners"][listener]))
+    try:
+        async with asyncio.timeout(1.0):
+            return (await pool.exchange(request)).status
+    except (HttpError, TimeoutError):
+        return None
+    finally:
+        pool.close()
+
+
+class ProcessSoakTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against requests that are cut by planned work, and against early ends."""
+
+    @params(1)
+    async def test_planned_work_cuts_no_request(self, seed):
+        with tempfile.TemporaryDirectory() as folder:
+            outcome = await Play(seed, Path(folder), DURATION_S).run()
+        self.assertEqual(outcome.problems, [])
+        counts = outcome.counts
+        self.assertGreater(counts["status 200"], counts["requests"] // 3, counts)
+        self.assertGreater(len(outcome.stop_s), len(SERVICES))
+
+
+async def play_seeds(first: int, last: int, folder: Path) -> int:
+    """Play seeds one after the other; return the number of those with problems."""
+    failed = 0
+    for seed in range(first, last + 1):
+        place = folder / f"seed-{seed}"
+        place.mkdir(parents=True, exist_ok=True)
+        outcome = await Play(seed, place, DURATION_S).run()
+        failed += bool(outcome.problems)
+        stop_s = sorted(outcome.stop_s) or [0.0]
+        print(
+            f"seed {seed}: {len(outcome.problems)} problems, {dict(outcome.counts)}, "
+            f"{len(outcome.stop_s)} stops, {stop_s[0]:.2f} s to {stop_s[-1]:.2f} s, "
+            f"median {stop_s[len(stop_s) // 2]:.2f} s",
+            *outcome.problems,
+            sep="\n  ",
+            flush=True,
+        )
+    return failed
+
+
+if __name__ == "__main__":
+    FOLDER = Path(sys.argv[3] if len(sys.argv) > 3 else tempfile.mkdtemp())
+    sys.exit(bool(asyncio.run(play_seeds(int(sys.argv[1]), int(sys.argv[2]), FOLDER))))
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -112,10 +112,14 @@
         except TimeoutError:
             return None
 
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process that still runs."""
+        if self._running[name].returncode is None:
+            self._running[name].send_signal(number)
+
     def terminate(self, name: str) -> None:
         """Send SIGTERM to a process that still runs."""
-        if self._running[name].returncode is None:
-            self._running[name].send_signal(signal.SIGTERM)
+        self.send_signal(name, signal.SIGTERM)
 
     async def stop(self, names: list[str], timeout_s: float) -> list[str]:
         """Send SIGTERM to processes and return those that did not exit in time."""
