Ignore further signals at the end of a planned stop

The event loop removes its signal handlers when it closes. A further SIGTERM, or the SIGHUP of a changed settings file, between that and the end of the process killed it: whoever started it saw the status of a signal instead of 0, as if it had failed.

The handlers are replaced by SIG_IGN once all connections are closed. Masking the signals does not help, since threads of the event loop would receive them. The demo's processes send signals by process id, because Popen.send_signal can take the exit status from the event loop, which then reports 255.

--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -37,6 +37,7 @@
 
 logger = logging.getLogger(__name__)
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 MAINTENANCE_INTERVAL_S = 0.5
 SETTINGS_POLL_INTERVAL_S = 2.0
 """Interval at which the modification time of the settings file is checked; the file may
@@ -109,7 +110,7 @@
     stopping = asyncio.Event()
     reload = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in STOP_SIGNALS:
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
     tasks = await start(sidecar, path, reload)
@@ -121,6 +122,11 @@
     for task in tasks:
         task.cancel()
     await stop(sidecar)
+    # The event loop removes its handlers when it closes; a further signal would then
+    # end the process before it has returned its status.
+    for number in (*STOP_SIGNALS, signal.SIGHUP):
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
 
 
 async def start(
--- a/damaskproxy/sidecar/tests/test_process_soak.py
+++ b/damaskproxy/sidecar/tests/test_process_soak.py
@@ -151,6 +151,25 @@
         self._judge()
         return self.outcome
 
+    async def run_signalled(self) -> tuple[int | None, float]:
+        """Signal a node from its start to its end; return its status and the time."""
+        try:
+            await self._add("n0", "orders", await self._rows.open())
+            (node,) = self._nodes
+            await self._start(node)
+            start_s = time.monotonic()
+            while self._processes.exit_status(node.name) is None:
+                self._signal(node, signal.SIGTERM)
+                self._signal(node, signal.SIGHUP)
+                await asyncio.sleep(0.003)
+            took_s = time.monotonic() - start_s
+            return self._processes.exit_status(node.name), took_s
+        finally:
+            await self._processes.close()
+            for node in self._nodes:
+                await node.backend.close()
+            await self._rows.close()
+
     async def _add(self, name: str, service: str, store_address: str) -> None:
         backend = StampedBackend(f"i-{name}", service)
         backend.work_s = 0.03
@@ -504,6 +523,17 @@
         pool.close()
 
 
+class StopSignalTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against a stop that a further signal turns into a failure."""
+
+    async def test_signals_until_the_end_do_not_change_the_exit_status(self):
+        with tempfile.TemporaryDirectory() as folder:
+            play = Play(1, Path(folder), 0.0)
+            status, took_s = await play.run_signalled()
+        self.assertEqual((status, play.outcome.problems), (0, []))
+        self.assertLess(took_s, GRACE_S)
+
+
 class ProcessSoakTests(unittest.IsolatedAsyncioTestCase):
     """Guards against requests that are cut by planned work, and against early ends."""
 
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -1,6 +1,8 @@
 """Child processes of the demo; no other module of it starts processes."""
 
 import asyncio
+import contextlib
+import os
 import random
 import signal
 import socket
@@ -114,8 +116,10 @@
 
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process that still runs."""
+        # `send_signal` of the process could take its exit status from the event loop.
         if self._running[name].returncode is None:
-            self._running[name].send_signal(number)
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self._running[name].pid, number)
 
     def terminate(self, name: str) -> None:
         """Send SIGTERM to a process that still runs."""
