--- a/damaskproxy/forwarding/link.py
+++ b/damaskproxy/forwarding/link.py
@@ -27,6 +27,7 @@
     Frame,
     FrameDecoder,
     FrameError,
+    GoodbyeFrame,
     HelloFrame,
     NotRunFrame,
     PingFrame,
@@ -40,7 +41,10 @@
     fits_frame,
 )
 from damaskproxy.forwarding.large_frames import LARGE_BYTES, LinkMemory
-from damaskproxy.http1.sockets import enable_dead_peer_detection
+from damaskproxy.http1.sockets import (
+    enable_dead_peer_detection,
+    unacknowledged_bytes,
+)
 
 __all__ = ["DelayMeter", "Link", "LinkHandlers"]
 
@@ -178,7 +182,12 @@
         self._ping_sent_s: float | None = None
         self._typical_call_s = 0.0
         self._running: dict[int, Fiber] = {}
+        self._cancelled_ids: set[int] = set()
         self._requested_version = 0
+        self._written_bytes = 0
+        self._results_end_bytes = 0
+        self._peer_knows_goodbye = False
+        self._is_goodbye_sent = False
 
     @property
     def has_calls_in_flight(self) -> bool:
@@ -195,6 +204,21 @@
         """Calls of the peer that run on this node."""
         return len(self._running)
 
+    @property
+    def is_unfinished(self) -> bool:
+        """Whether a call of the peer runs, or it has not acknowledged all results.
+
+        Notes
+        -----
+        Heartbeats behind the last result do not count.
+        """
+        if self._running:
+            return True
+        if not self.is_open:
+            return False
+        waiting_bytes = self.unsent_bytes + unacknowledged_bytes(self._transport)
+        return self._written_bytes - waiting_bytes < self._results_end_bytes
+
     def connection_made(self, transport):
         """Send the hello frame on the new connection."""
         self._transport = transport
@@ -253,11 +277,23 @@
         if not self.is_open or self._transport.is_closing():
             return False
         data = encode_frame(frame)
+        self._written_bytes += len(data)
         self._transport.write(data)
         if self._is_writing_paused:
             self._count_unsent(len(data))
         return True
 
+    @property
+    def awaits_goodbye(self) -> bool:
+        """Whether the peer has to learn that its other calls have not run."""
+        may_know = self._peer_knows_goodbye or not self.hello_received.is_set()
+        return may_know and not self._running
+
+    def say_goodbye(self) -> None:
+        """Tell the peer that its calls without a result have not run, if that is so."""
+        if self._peer_knows_goodbye and not self._running and not self._is_goodbye_sent:
+            self._is_goodbye_sent = self.write(GoodbyeFrame())
+
     def close(self) -> None:
         """Close the connection once all frames have been sent."""
         if self._transport is not None:
@@ -338,21 +374,26 @@
         """Send a frame with a large body; False if the connection is closed."""
         if not self.is_open or self._transport.is_closing():
             return False
-        self._transport.writelines(encode_large_frame(frame))
+        parts = encode_large_frame(frame)
+        self._written_bytes += sum(map(len, parts))
+        self._transport.writelines(parts)
         return True
 
-    def _write_answer(self, call_id: int, answer: Answer) -> None:
+    def _write_answer(self, call_id: int, answer: Answer) -> bool:
+        """Send an answer, or that there is no room for it; False if closed."""
         size = len(answer.body)
         is_large = size > LARGE_BYTES
         if (is_large or self._is_writing_paused) and not self._may_send_answer(answer):
             detail = "the answer does not fit in the memory"
-            self.write(UnknownFrame(call_id, detail, answer.load))
-            return
+            return self.write(UnknownFrame(call_id, detail, answer.load))
         frame = self._result_frame(call_id, answer)
         if not is_large:
-            self.write(frame)
-        elif self._write_large(frame) and self._is_writing_paused:
+            return self.write(frame)
+        if not self._write_large(frame):
+            return False
+        if self._is_writing_paused:
             self._count_unsent(size)
+        return True
 
     def _may_send_answer(self, answer: Answer) -> bool:
         """Tell whether an answer has room among the unsent frames."""
@@ -406,6 +447,7 @@
         elif isinstance(frame, CancelFrame):
             fiber = self._running.get(frame.call_id)
             if fiber is not None:
+                self._cancelled_ids.add(frame.call_id)
                 fiber.cancel()
         elif isinstance(frame, ControlFrame):
             self.last_used_s = boot_s()
@@ -415,9 +457,12 @@
         elif isinstance(frame, PongFrame):
             # `data_received` has already recorded that the peer responds.
             pass
+        elif isinstance(frame, GoodbyeFrame):
+            self._end_calls_not_run()
         else:
             self.peer_id = frame.node_id
             self.peer_incarnation = frame.incarnation
+            self._peer_knows_goodbye = frame.knows_goodbye
             self.hello_received.set()
 
     def _start_call(self, frame: RunFrame) -> None:
@@ -447,16 +492,29 @@
         try:
             result = await self._handlers.run(call)
         except asyncio.CancelledError:
-            return
+            if frame.call_id in self._cancelled_ids:
+                return
+            # The peer would take a call without a result for one that has not run.
+            result = Unknown("the call was cancelled")
         except Exception as error:
             self._log_error(error)
             result = Unknown(f"internal error: {error}")
         finally:
             self._running.pop(frame.call_id, None)
+            self._cancelled_ids.discard(frame.call_id)
         if isinstance(result, Answer):
-            self._write_answer(frame.call_id, result)
+            is_written = self._write_answer(frame.call_id, result)
         else:
-            self.write(self._result_frame(frame.call_id, result))
+            is_written = self.write(self._result_frame(frame.call_id, result))
+        if is_written:
+            self._results_end_bytes = self._written_bytes
+
+    def _end_calls_not_run(self) -> None:
+        """End the calls that the peer has not run, and accept no more."""
+        self._transport.close()
+        # A copy, since a resumed fiber removes its entry at once.
+        for waiter in list(self._calls_in_flight.values()):
+            waiter.set_result(NotRun(NotRunReason.STOPPING))
 
     def _log_error(self, error: BaseException) -> None:
         log_event(logger, events.CALL_FAILED, exc_info=error, peer=self.peer_id)
--- a/damaskproxy/platform/standins/stamped.py
+++ b/damaskproxy/platform/standins/stamped.py
@@ -35,6 +35,8 @@
         Sizes of bodies by path, other than that of the usual body.
     extra_headers : list of tuple of bytes
         Headers that are added to all responses to executed requests.
+    padding : bytes
+        Appended to the body of all responses to executed requests.
     """
 
     def __init__(self, instance_id: str, service: str):
@@ -47,6 +49,7 @@
         self.faults: dict[bytes, str] = {}
         self.answer_bytes: dict[bytes, int] = {}
         self.extra_headers: list[tuple[bytes, bytes]] = []
+        self.padding = b""
         self.work_s = 0.0
         self.server = HttpServer("stamped backend", self._handle)
 
@@ -92,4 +95,5 @@
         status = 500 if fault == "error" else 200
         size = self.answer_bytes.get(request.target)
         body = b"from " + self.instance_id.encode() if size is None else b"x" * size
+        body += self.padding
         return Response(status, headers, body)
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -1,6 +1,8 @@
 """Child processes of the demo; no other module of it starts processes."""
 
 import asyncio
+import contextlib
+import os
 import random
 import signal
 import socket
@@ -112,10 +114,16 @@
         except TimeoutError:
             return None
 
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process that still runs."""
+        # `send_signal` of the process could take its exit status from the event loop.
+        if self._running[name].returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self._running[name].pid, number)
+
     def terminate(self, name: str) -> None:
         """Send SIGTERM to a process that still runs."""
-        if self._running[name].returncode is None:
-            self._running[name].send_signal(signal.SIGTERM)
+        self.send_signal(name, signal.SIGTERM)
 
     async def stop(self, names: list[str], timeout_s: float) -> list[str]:
         """Send SIGTERM to processes and return those that did not exit in time."""
