Keep a leave in the published record when status reports are overdue

A node published its backend server as starting once reports had been overdue for four intervals, also when the server had confirmed its leave. The row lost the leave that way; with no peer that still had it, a restarted node that got a late report served the server again.

The published record keeps draining and stopped now, which are final for an incarnation. The test failed before ('starting' is not 'draining').

--- a/damaskproxy/forwarding/backend.py
+++ b/damaskproxy/forwarding/backend.py
@@ -237,10 +237,15 @@
             self._on_change()
 
     def published_record(self) -> BackendRecord | None:
-        """Return the record for other nodes."""
-        if self.record is not None and self._is_overdue:
-            return _with_state(self.record, MemberState.STARTING)
-        return self.record
+        """Return the record for other nodes.
+
+        A leave stays in it when reports are overdue: the row is all that the node has
+        of it after a restart.
+        """
+        record = self.record
+        if record is not None and self._is_overdue and not record.is_leaving:
+            return _with_state(record, MemberState.STARTING)
+        return record
 
     def _with_limit_of_peers(self, record: BackendRecord) -> BackendRecord:
         """Return the first record since the start, with a limit that peers know."""
--- a/damaskproxy/forwarding/tests/test_backend.py
+++ b/damaskproxy/forwarding/tests/test_backend.py
@@ -114,6 +114,13 @@
         self.assertTrue(self.backend.is_serving)
         self.assertIs(self.backend.published_record().state, MemberState.SERVING)
 
+    def test_leave_is_still_published_when_reports_are_overdue(self):
+        self.backend.report(READY)
+        self.backend.report(DRAINING)
+        self.now_s += 10
+        self.backend.check_heartbeat()
+        self.assertIs(self.backend.published_record().state, MemberState.DRAINING)
+
     @params(
         ("serving", MemberState.SERVING, True),
         ("draining", MemberState.DRAINING, False),
