Confirm a leave only once the record from before the start is restored

A node that had just started answered 200 to the DELETE of its instance before it had restored the instance's record: the leave of an unknown instance was ignored, and the record that was restored afterwards said serving. A draining report was confirmed without being stored, and so was a leave within 4.5 s of the first start. Other nodes then sent requests to an instance that had been told it gets none.

A leave of an unknown instance is remembered by its id and start time, and applied to whatever record or report of that incarnation comes later. It is confirmed once the own record is restored and stored, within the same 0.6 s as before; otherwise the answer is 503 and event 11020 has the reason. A node that joined from seeds has not restored its record and does not confirm either.

--- a/damaskproxy/directory/following.py
+++ b/damaskproxy/directory/following.py
@@ -445,6 +445,11 @@
         Sends a record to other nodes while the store is unavailable.
     rng : random.Random
         Jitter of retries.
+
+    Attributes
+    ----------
+    has_stored : bool
+        Whether a record of this node has been stored since the process started.
     """
 
     def __init__(
@@ -462,6 +467,7 @@
         self._version = 0
         self._changed = asyncio.Event()
         self._stored = asyncio.Event()
+        self.has_stored = False
 
     async def create(self, record: MemberRecord) -> bool:
         """Write the first row of this node; False if it exists already.
@@ -476,6 +482,7 @@
         self._watcher.record_success(body)
         if outcome is WriteOutcome.APPLIED:
             self._version = body.position.version
+            self.has_stored = True
             self._stored.set()
         return outcome is WriteOutcome.APPLIED
 
@@ -526,6 +533,7 @@
         self._watcher.record_success(body)
         if outcome is WriteOutcome.APPLIED:
             self._version = body.position.version
+            self.has_stored = True
             return True
         rows = [row for row in body.rows if row.key == record.node_id]
         self._version = rows[0].version if rows else 0
--- a/damaskproxy/forwarding/backend.py
+++ b/damaskproxy/forwarding/backend.py
@@ -24,6 +24,8 @@
 RETRY_CONNECT_S = 0.2
 """Pause after a refused connection, so that a crashed server does not cost a connection
 attempt for each call."""
+LEFT_MAX = 16
+"""Servers remembered as left; an address is reused by few within the life of a node."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +85,7 @@
         self._restored_leave: BackendRecord | None = None
         self._restored_limit: BackendRecord | None = None
         self._limit_named_s = float("-inf")
+        self._left: dict[str, int] = {}
 
     @property
     def is_serving(self) -> bool:
@@ -107,8 +110,8 @@
         if self.record is not None:
             self.restore_named(record)
             return
-        self.record = self._with_limit_of_peers(record).with_leave_of(
-            self._restored_leave
+        self.record = self._with_left(
+            self._with_limit_of_peers(record).with_leave_of(self._restored_leave)
         )
         self._reported_s = boot_s()
         self._on_change()
@@ -157,18 +160,35 @@
         )
         if current is None:
             record = self._with_limit_of_peers(record)
-        self._apply(record.with_leave_of(self._restored_leave), force=was_overdue)
+        record = self._with_left(record.with_leave_of(self._restored_leave))
+        self._apply(record, force=was_overdue)
         return True
 
     def mark_stopped(self, instance_id: str, born_ms: int | None = None) -> None:
-        """Record that an incarnation leaves and sends no further reports."""
+        """Record that an incarnation leaves and sends no further reports.
+
+        It may be unknown: before the record from before a restart is restored, or
+        before its first report, which may arrive late. The leave is applied then.
+
+        Parameters
+        ----------
+        instance_id : str
+            Id of the incarnation.
+        born_ms : int, optional
+            Unix time at which it started. Without it, incarnations with this id that
+            have started until now leave.
+        """
         current = self.record
-        if current is None or current.instance_id != instance_id:
-            return
-        if born_ms is not None and born_ms < current.born_ms:
-            return
-        if current.state is not MemberState.STOPPED:
-            self._apply(_with_state(current, MemberState.STOPPED), force=True)
+        if born_ms is None:
+            born_ms = int(time.time() * MS_PER_S)
+            if current is not None and current.instance_id == instance_id:
+                born_ms = max(born_ms, current.born_ms)
+        born_ms = max(born_ms, self._left.pop(instance_id, 0))
+        self._left[instance_id] = born_ms
+        if len(self._left) > LEFT_MAX:
+            del self._left[next(iter(self._left))]
+        if current is not None and (left := self._with_left(current)) is not current:
+            self._apply(left, force=True)
 
     def leave_named(self, incarnation: tuple[str, int]) -> bool:
         """Record that an incarnation said in an answer that it leaves.
@@ -247,6 +267,15 @@
             return _with_state(record, MemberState.STARTING)
         return record
 
+    def _with_left(self, record: BackendRecord) -> BackendRecord:
+        """Return a record, stopped if its incarnation was marked as stopped."""
+        left_born_ms = self._left.get(record.instance_id)
+        if left_born_ms is None or record.born_ms > left_born_ms:
+            return record
+        if record.state is MemberState.STOPPED:
+            return record
+        return _with_state(record, MemberState.STOPPED)
+
     def _with_limit_of_peers(self, record: BackendRecord) -> BackendRecord:
         """Return the first record since the start, with a limit that peers know."""
         known = self._restored_limit
--- a/damaskproxy/platform/control.py
+++ b/damaskproxy/platform/control.py
@@ -28,6 +28,7 @@
     address: str,
     has_service: Callable[[str], bool],
     wait_until_stored: Callable[[], Awaitable[None]],
+    unconfirmed_reason: Callable[[], str],
     encoded_state: Callable[[], bytes],
 ):
     """Return the handler of status reports and of state requests of starting nodes.
@@ -41,7 +42,11 @@
     has_service : callable
         Returns whether the configuration has a service.
     wait_until_stored : callable
-        Waits until the newest record of this node is in the store.
+        Waits until the record from before the start of this node is restored and its
+        newest record is in the store.
+    unconfirmed_reason : callable
+        Returns why a leave that is not in the store is not to be confirmed, or an empty
+        string.
     encoded_state : callable
         Returns the encoded configuration and members for a starting node.
     """
@@ -58,8 +63,7 @@
             return await report(instance_id, request.body)
         if request.method == b"DELETE":
             backend.mark_stopped(instance_id, decode_born_ms(request.body))
-            await wait_for_store()
-            return _json(200, b"{}")
+            return await confirm_leave(instance_id)
         return Response(404)
 
     async def report(instance_id: str, body: bytes) -> Response:
@@ -84,16 +88,26 @@
                 sequence=status.sequence,
             )
         elif status.is_draining:
-            await wait_for_store()
+            return await confirm_leave(instance_id)
         return _json(200, b"{}")
 
-    async def wait_for_store() -> None:
-        """Wait until the leave is stored; without the store only this node keeps it."""
+    async def confirm_leave(instance_id: str) -> Response:
+        """Confirm a leave once it is stored, or known to more than this process."""
         try:
             async with asyncio.timeout(STORE_WAIT_S):
                 await wait_until_stored()
         except TimeoutError:
-            log_event(logger, events.CONFIRMED_UNSTORED)
+            reason = unconfirmed_reason()
+            if reason:
+                log_event(
+                    logger,
+                    events.LEAVE_NOT_CONFIRMED,
+                    instance_id=instance_id,
+                    reason=reason,
+                )
+                return _json(503, b"{}")
+            log_event(logger, events.CONFIRMED_UNSTORED, instance_id=instance_id)
+        return _json(200, b"{}")
 
     return handle
 
--- a/damaskproxy/platform/events.py
+++ b/damaskproxy/platform/events.py
@@ -4,7 +4,12 @@
 
 from damaskproxy.events import define
 
-__all__ = ["BOUND_MISSING", "CONFIRMED_UNSTORED", "REPORT_IGNORED"]
+__all__ = [
+    "BOUND_MISSING",
+    "CONFIRMED_UNSTORED",
+    "LEAVE_NOT_CONFIRMED",
+    "REPORT_IGNORED",
+]
 
 BOUND_MISSING = define(
     11008,
@@ -24,3 +29,10 @@
     logging.WARNING,
     "The leave of a backend server was confirmed although it is not stored yet.",
 )
+LEAVE_NOT_CONFIRMED = define(
+    11020,
+    "leave-not-confirmed",
+    logging.WARNING,
+    "The leave of a backend server is in force but was not confirmed, since a restart "
+    "of the node could lose it; the backend server asks again.",
+)
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -104,6 +104,7 @@
     dropped_log_lines: Callable[[], int]
     backend_reported: asyncio.Event
     response_memory: ResponseMemory
+    own_record_restored: asyncio.Event = field(default_factory=asyncio.Event)
     on_own_record: Callable[[], None] | None = None
     connect_tasks: set[asyncio.Task] = field(default_factory=set)
     is_ready: bool = False
@@ -115,9 +116,29 @@
         self.record = msgspec.structs.replace(self.record, version=version, **changes)
         self.directory.merge(self.record)
         self.propagation.publish(self.record)
-        if self.is_ready or self.store_watcher.has_read_members:
+        if (
+            self.is_ready
+            or self.store_watcher.has_read_members
+            or self.own_record_restored.is_set()
+        ):
             self.own_row_writer.publish(self.record)
 
+    async def wait_until_stored(self) -> None:
+        """Wait until the newest record is stored, with the leaves of the restored one.
+
+        A record that is stored before that may be without the backend server.
+        """
+        await self.own_record_restored.wait()
+        await self.own_row_writer.wait_until_stored()
+
+    def unconfirmed_reason(self) -> str:
+        """Return why a leave that is not stored is not to be confirmed, or nothing."""
+        if not self.own_record_restored.is_set():
+            return "the record from before the start is not restored"
+        if not self.own_row_writer.has_stored:
+            return "no record has been stored since the start"
+        return ""
+
     def broadcast(self, record: MemberRecord) -> None:
         """Send a record to all nodes with an open connection."""
         for link in self.links.open_links():
@@ -309,7 +330,8 @@
         backend,
         settings.backend_address,
         configuration.may_have_service,
-        own_row_writer.wait_until_stored,
+        lambda: sidecar.wait_until_stored(),
+        lambda: sidecar.unconfirmed_reason(),
         lambda: sidecar.encoded_state(),
     )
     readiness = make_readiness_handler(
--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -174,14 +174,17 @@
     if sidecar.settings.is_first_start:
         created = await _create_own_row(sidecar)
     if created is not None:
+        # A leave may have been reported while the row was written.
+        if created is not sidecar.record:
+            sidecar.own_row_writer.publish(sidecar.record)
+        sidecar.own_record_restored.set()
         await asyncio.sleep(sidecar.started_s + FIRST_READ_S - boot_s())
     await sidecar.store_watcher.read_members()
     if created is None:
         await _restore_confirmed_leave(sidecar)
         _restore_own_record(sidecar)
         sidecar.update_record()
-    elif created is not sidecar.record:
-        sidecar.own_row_writer.publish(sidecar.record)
+        sidecar.own_record_restored.set()
     sidecar.propagation.start(is_first_start=created is not None)
     await sidecar.configuration.wait_until_known()
     sidecar.is_ready = True
