Keep a leave that peers know when its node joins through seeds

A node that starts while the store is unavailable publishes its record before it has restored that of its backend server. The record without a backend server replaced the one with the leave in the directories of its peers. After another restart, with the row from before the leave, nobody remembered it and the server was called again.

A directory keeps the leaving backend server when a newer record of the node has none; a removal still removes it. Both tests failed before (the node answered 200 instead of 503; no backend instead of draining).

--- a/damaskproxy/directory/members.py
+++ b/damaskproxy/directory/members.py
@@ -135,6 +135,26 @@
             return False
         return other.backend.with_leave_of(self.backend) is not other.backend
 
+    def with_leave_of(self, earlier: "MemberRecord") -> "MemberRecord":
+        """Return this record with the leave that an earlier one of the node has.
+
+        Notes
+        -----
+        A node that has just started may publish a record before it has restored its
+        backend server's. The leave stays in the records of other nodes until the
+        removal of the node or another incarnation of the backend server.
+        """
+        known = earlier.backend
+        if self.backend is not None:
+            backend = self.backend.with_leave_of(known)
+        elif known is not None and known.is_leaving and not self.is_removed:
+            backend = known
+        else:
+            return self
+        if backend is self.backend:
+            return self
+        return msgspec.structs.replace(self, backend=backend)
+
     def removed(self) -> "MemberRecord":
         """Return the record that replaces this one after its row was deleted."""
         return msgspec.structs.replace(
@@ -212,10 +232,8 @@
         known = self._records.get(record.node_id)
         if known is not None and record.order <= known.order:
             return False
-        if known is not None and record.backend is not None:
-            backend = record.backend.with_leave_of(known.backend)
-            if backend is not record.backend:
-                record = msgspec.structs.replace(record, backend=backend)
+        if known is not None:
+            record = record.with_leave_of(known)
         self._records[record.node_id] = record
         self._serving.clear()
         self._running_count += record.state is MemberState.SERVING
--- a/damaskproxy/directory/tests/test_directory.py
+++ b/damaskproxy/directory/tests/test_directory.py
@@ -66,6 +66,20 @@
         directory.merge(member(incarnation=2, backend=received))
         self.assertIs(directory.get("n1").backend.state, state)
 
+    @params(
+        (MemberState.DRAINING, MemberState.DRAINING),
+        (MemberState.STOPPED, MemberState.STOPPED),
+        (MemberState.SERVING, None),
+    )
+    def test_leave_outlasts_a_record_without_the_server(self, known, state):
+        directory = Directory()
+        directory.merge(member(backend=backend(state=known)))
+        directory.merge(member(incarnation=2, backend=None))
+        kept = directory.get("n1").backend
+        self.assertIs(kept.state if kept else None, state)
+        directory.remove("n1")
+        self.assertTrue(directory.get("n1").is_removed)
+
 
 class ConfigurationTests(unittest.TestCase):
     """Guards against a wrong route and against a version that decreases."""
--- a/damaskproxy/sidecar/tests/test_leave.py
+++ b/damaskproxy/sidecar/tests/test_leave.py
@@ -129,3 +129,22 @@
         two.born_ms, two.sequence = int(time.time() * 1000) + 1000, 0
         await two.report("ready")
         self.assertEqual((await two.call(b"/read/1")).status, 200)
+
+    async def test_node_that_joins_from_seeds_leaves_the_leave_to_its_peers(self):
+        one = await self.start("n1", "stores")
+        seed = one.sidecar.settings.listeners.control
+        two = await self.start("n2", seeds=[seed])
+        await self.until_known(1)
+        await one.call(b"/read/1")
+        two.backend.runs.clear()
+        self.rows.status = 503
+        self.assertEqual(await self.delete(two, born_ms=two.born_ms), 200)
+        await self.until(lambda: not one.sidecar.directory.serving("orders"))
+        await self.kill(two)
+        await self.restart(two, report=False)
+        await self.until(lambda: two.sidecar.is_ready)
+        order = two.sidecar.record.order
+        await self.until(lambda: one.sidecar.directory.get("n2").order >= order)
+        await self.kill(two)
+        self.rows.status = 200
+        await self.restart_and_check_leave(two, callers=(one, two))
