Serve a restarted node's server only if it cannot have left

A leave that was confirmed while the store was unavailable was only in the memory of nodes. When all of them were killed, they read the row from before, which says that the server serves, and sent requests to a server that had been told it gets none.

A row that says serving is now trusted at once only if it was written by a planned stop, during which no leave is confirmed that is not stored, or if a peer vouches for it: its record says serving, it was up before the process that stored the row, and 3 s longer than the new process. The peers asked are those that started early; the answer carries their uptime in a trailing field that earlier releases neither send nor read. Otherwise the server is published as starting until its next report, so that a second restart is not vouched for by peers that have only read the same row.

test_restarted_node_serves_before_the_next_status_report had a single node without peers. Nothing tells that case from the one above, so it asserted the fault. It now has a peer that was up all the time; two further tests check that a node without such a peer serves after the report and not before, and that one serves at once after a planned stop. test_killed_peer_is_avoided_and_used_again_after_its_restart has peers that were up all the time as well.

The request to the peers stays within 0.1 s.

--- a/damaskproxy/forwarding/backend.py
+++ b/damaskproxy/forwarding/backend.py
@@ -101,11 +101,19 @@
         """Whether it has not refused a connection within `RETRY_CONNECT_S`."""
         return boot_s() >= self._unreachable_until_s
 
-    def restore(self, record: BackendRecord) -> None:
+    def restore(self, record: BackendRecord, *, is_verified: bool = True) -> None:
         """Apply the record that this node stored before its restart.
 
         A status report may have arrived before the record was read. It does not say
         what the server has named in its answers.
+
+        Parameters
+        ----------
+        record : BackendRecord
+            Record that was stored.
+        is_verified : bool
+            Whether no later leave can have been confirmed. Otherwise the server is not
+            served until it reports its status.
         """
         if self.record is not None:
             self.restore_named(record)
@@ -114,6 +122,7 @@
             self._with_limit_of_peers(record).with_leave_of(self._restored_leave)
         )
         self._reported_s = boot_s()
+        self._is_overdue = not is_verified
         self._on_change()
 
     def restore_named(self, record: BackendRecord) -> None:
--- a/damaskproxy/forwarding/frames.py
+++ b/damaskproxy/forwarding/frames.py
@@ -148,10 +148,22 @@
 
 
 class StateFrame(msgspec.Struct, array_like=True, tag=7):
-    """Newer configuration, empty if there is none, and records of members."""
+    """Newer configuration, empty if there is none, and records of members.
+
+    Parameters
+    ----------
+    configuration : bytes
+        Encoded configuration.
+    records : list of MemberRecord
+        Records of members.
+    uptime_ms : int
+        Time since the sender was started, in the answer to a `RecordRequestFrame`.
+        Otherwise, and from senders of earlier releases, 0.
+    """
 
     configuration: bytes
     records: list[MemberRecord]
+    uptime_ms: int = 0
 
 
 class PingFrame(msgspec.Struct, array_like=True, tag=8):
--- a/damaskproxy/propagation/propagation.py
+++ b/damaskproxy/propagation/propagation.py
@@ -77,6 +77,10 @@
         Contact with the store.
     sources : Sources
         Nodes that this node follows.
+    started_s : float
+        Time at which this node was started.
+    on_record_answer : callable or None
+        Called with each answer to a `RecordRequestFrame`, after it was applied.
     """
 
     def __init__(
@@ -111,6 +115,8 @@
         self._handle_own_record = handle_own_record
         self._schedule_flush = schedule_flush
         self._now_s = now_s
+        self.started_s = now_s()
+        self.on_record_answer: Callable[[StateFrame], None] | None = None
         self._is_started = False
         self._pending: dict[str, Peer | None] = {}
         self._is_flush_scheduled = False
@@ -207,7 +213,9 @@
             self._handle_digests(peer, frame)
         elif isinstance(frame, RecordRequestFrame):
             record = self._directory.get(frame.node_id)
-            peer.write(StateFrame(b"", [record] if record else []))
+            uptime_ms = int((self._now_s() - self.started_s) * MS_PER_S)
+            answer = StateFrame(b"", [record] if record else [], max(uptime_ms, 1))
+            peer.write(answer)
         else:
             self._subscribers.pop(peer, None)
             self.contact.forget(peer)
@@ -226,6 +234,8 @@
                 self._handle_own_record(record)
             elif self._directory.merge(record):
                 self._add_pending(record.node_id, peer)
+        if state.uptime_ms and self.on_record_answer is not None:
+            self.on_record_answer(state)
 
     def _source_lost(self, source: Source) -> None:
         """Forget a source; what it did not pass on is asked of the next one."""
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -105,7 +105,6 @@
     backend_reported: asyncio.Event
     response_memory: ResponseMemory
     own_record_restored: asyncio.Event = field(default_factory=asyncio.Event)
-    on_own_record: Callable[[], None] | None = None
     connect_tasks: set[asyncio.Task] = field(default_factory=set)
     is_ready: bool = False
     is_stopping: bool = False
@@ -137,6 +136,9 @@
             return "the record from before the start is not restored"
         if not self.own_row_writer.has_stored:
             return "no record has been stored since the start"
+        if self.is_stopping:
+            # The stored record says that it has all leaves.
+            return "the node is stopping"
         return ""
 
     def broadcast(self, record: MemberRecord) -> None:
@@ -155,8 +157,6 @@
                 self.record, incarnation=record.incarnation, version=record.version
             )
             self.update_record()
-        if self.on_own_record is not None:
-            self.on_own_record()
 
     def connect_for_propagation(self, member: MemberRecord) -> None:
         """Open a connection to a member and report the result to the propagation."""
--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -6,6 +6,7 @@
 import logging
 import os
 import signal
+import time
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -58,6 +59,12 @@
 LEAVE_REQUEST_TIMEOUT_S = 0.1
 """Two round trips between regions. Short, since no peer has the record when all nodes
 start at the same time."""
+VOUCH_MARGIN_S = 3.0
+"""Time by which a peer must have been up longer than this process. Nodes that were
+killed together are not started at the same moment."""
+START_SPREAD_S = 1.5
+"""Time within which all nodes are started that start together."""
+MS_PER_S = 1000
 TASK_RESTART_DELAY_S = 0.2
 STOP_ACCEPT_S = 2.7
 """Time after SIGTERM in which requests are still accepted: the platform takes a node
@@ -181,8 +188,10 @@
         await asyncio.sleep(sidecar.started_s + FIRST_READ_S - boot_s())
     await sidecar.store_watcher.read_members()
     if created is None:
-        await _restore_confirmed_leave(sidecar)
-        _restore_own_record(sidecar)
+        stored = _stored_record(sidecar)
+        answers = await _request_own_record_of_peers(sidecar, stored)
+        if stored is not None:
+            _restore_own_record(sidecar, stored, answers)
         sidecar.update_record()
         sidecar.own_record_restored.set()
     sidecar.propagation.start(is_first_start=created is not None)
@@ -196,42 +205,65 @@
     )
 
 
-async def _restore_confirmed_leave(sidecar: Sidecar) -> None:
-    """Request from peers a leave that was confirmed but is not in the store.
+async def _request_own_record_of_peers(
+    sidecar: Sidecar, stored: MemberRecord | None
+) -> list[StateFrame]:
+    """Return the records of this node that peers have.
 
     Notes
     -----
     The store lacks a leave that was confirmed while it was unavailable, and has lost
     one, or the whole row, if it returned from an older copy. The peers that received
-    the leave have it. Calls are refused until the record of the backend server is
-    restored, so a node waits for the first state frame, but only for a short time.
+    the leave have it, and those that were up all the time without it know that there is
+    none. Calls are refused until the record of the backend server is restored, so a
+    node waits for all answers, but only for a short time.
     """
     peers = _other_members(sidecar)
     if not peers:
-        return
+        return []
     sidecar.rng.shuffle(peers)
-    record_received = asyncio.Event()
-    sidecar.on_own_record = record_received.set
-    tasks = [
-        asyncio.create_task(_request_own_record(sidecar, member))
-        for member in peers[:LEAVE_REQUEST_PEERS]
-    ]
+    if stored is not None:
+        peers.sort(key=lambda p: _started_after_s(p, stored) > START_SPREAD_S)
+    answers: list[StateFrame] = []
+    unreachable: list[MemberRecord] = []
+    asked = peers[:LEAVE_REQUEST_PEERS]
+    is_complete = asyncio.Event()
+
+    def check() -> None:
+        if len(answers) + len(unreachable) >= len(asked):
+            is_complete.set()
+
+    def receive(answer: StateFrame) -> None:
+        answers.append(answer)
+        check()
+
+    async def request(member: MemberRecord) -> None:
+        link = await sidecar.links.open(member)
+        if link is None:
+            unreachable.append(member)
+            check()
+        else:
+            link.write(RecordRequestFrame(sidecar.settings.node_id))
+
+    sidecar.propagation.on_record_answer = receive
+    tasks = [asyncio.create_task(request(member)) for member in asked]
     try:
         async with asyncio.timeout(LEAVE_REQUEST_TIMEOUT_S):
-            await record_received.wait()
+            await is_complete.wait()
     except TimeoutError:
-        log_event(logger, events.NO_PEER_ANSWERED, peers=len(peers))
+        pass
     finally:
-        sidecar.on_own_record = None
+        sidecar.propagation.on_record_answer = None
         for task in tasks:
             task.cancel()
+    if not answers:
+        log_event(logger, events.NO_PEER_ANSWERED, peers=len(peers))
+    return answers
 
 
-async def _request_own_record(sidecar: Sidecar, member: MemberRecord) -> None:
-    """Request the record of this node that a peer has."""
-    link = await sidecar.links.open(member)
-    if link is not None:
-        link.write(RecordRequestFrame(sidecar.settings.node_id))
+def _started_after_s(peer: MemberRecord, own: MemberRecord) -> float:
+    """Return how long after a record of this node a peer was started."""
+    return (peer.incarnation - own.incarnation) / MS_PER_S
 
 
 async def _create_own_row(sidecar: Sidecar) -> MemberRecord | None:
@@ -257,24 +289,93 @@
     return [r for r in sidecar.directory.records() if r.node_id != own_id]
 
 
-def _restore_own_record(sidecar: Sidecar) -> None:
-    """Restore the record that this node had stored before it was restarted."""
+def _stored_record(sidecar: Sidecar) -> MemberRecord | None:
+    """Return the record that this node had stored before it was restarted."""
     row = sidecar.store_watcher.own_row
     if row is None or row.value is None:
-        return
+        return None
     try:
-        stored = decode_member(row.value)
+        return decode_member(row.value)
     except RecordError as error:
         log_event(logger, events.OWN_ROW_UNREADABLE, reason=str(error))
-        return
+        return None
+
+
+def _restore_own_record(
+    sidecar: Sidecar, stored: MemberRecord, answers: list[StateFrame]
+) -> None:
+    """Restore the stored record, and the backend server if it may be served."""
     incarnation = max(sidecar.record.incarnation, stored.incarnation + 1)
     sidecar.record = msgspec.structs.replace(sidecar.record, incarnation=incarnation)
     backend = stored.backend
-    is_same_machine = stored.host == sidecar.record.host
-    if is_same_machine and backend is not None:
-        if backend.state is MemberState.STARTING:
-            return
+    if stored.host != sidecar.record.host or backend is None:
+        return
+    if backend.is_leaving:
         sidecar.backend.restore(backend)
+        return
+    own_uptime_s = boot_s() - sidecar.started_s
+    stored_age_s = time.time() - stored.incarnation / MS_PER_S
+    is_verified = backend.state is MemberState.SERVING and (
+        _is_complete_after_stop(stored)
+        or any(vouches(a, stored, own_uptime_s, stored_age_s) for a in answers)
+    )
+    if not is_verified and sidecar.backend.record is None:
+        log_event(
+            logger,
+            events.SERVER_UNVERIFIED,
+            instance_id=backend.instance_id,
+            stored_state=backend.state,
+            stored_age_s=round(stored_age_s, 3),
+            peer_uptimes_ms=[answer.uptime_ms for answer in answers],
+        )
+    backend = msgspec.structs.replace(backend, state=MemberState.SERVING)
+    sidecar.backend.restore(backend, is_verified=is_verified)
+
+
+def _is_complete_after_stop(stored: MemberRecord) -> bool:
+    """Return whether a record was stored by a planned stop.
+
+    A node that stops confirms no leave that is not in the store.
+    """
+    return stored.state is MemberState.STOPPED
+
+
+def vouches(
+    answer: StateFrame,
+    stored: MemberRecord,
+    own_uptime_s: float,
+    stored_age_s: float,
+) -> bool:
+    """Return whether a peer knows that the stored backend server has not left.
+
+    Parameters
+    ----------
+    answer : StateFrame
+        Record of this node that the peer has, and its uptime.
+    stored : MemberRecord
+        Record that this node has stored.
+    own_uptime_s : float
+        Time since this process was started.
+    stored_age_s : float
+        Time since the process was started that stored the record.
+
+    Notes
+    -----
+    A leave that was confirmed without the store is known to the peers that were up at
+    that time. A peer that was started later has read the same row as this node. So it
+    has to have been up before the process that stored the record, except for the time
+    by which the starts of nodes differ that start together.
+    """
+    uptime_s = answer.uptime_ms / MS_PER_S
+    if uptime_s < max(own_uptime_s + VOUCH_MARGIN_S, stored_age_s - START_SPREAD_S):
+        return False
+    return any(
+        record.node_id == stored.node_id
+        and record.backend is not None
+        and record.backend.incarnation_key == stored.backend.incarnation_key
+        and record.backend.state is MemberState.SERVING
+        for record in answer.records
+    )
 
 
 async def _join_from_seeds(sidecar: Sidecar) -> None:
--- a/damaskproxy/sidecar/tests/test_leave.py
+++ b/damaskproxy/sidecar/tests/test_leave.py
@@ -7,10 +7,12 @@
 
 from nose2.tools import params
 
-from damaskproxy.directory import decode_member
+from damaskproxy.directory import BackendRecord, MemberRecord, decode_member
 from damaskproxy.directory.following import MEMBER_TABLE
+from damaskproxy.forwarding import StateFrame
 from damaskproxy.http1 import Request
 from damaskproxy.model import MemberState
+from damaskproxy.sidecar.lifecycle import drain, vouches
 from damaskproxy.sidecar.tests.mesh import MeshTestCase
 
 HOST = [(b"Host", b"c")]
@@ -148,3 +150,89 @@
         await self.kill(two)
         self.rows.status = 200
         await self.restart_and_check_leave(two, callers=(one, two))
+
+
+def record(instance_id="i-1", born_ms=1000, state=MemberState.SERVING, **changes):
+    """Return a record of node n2."""
+    backend = BackendRecord(instance_id, "orders", 4, state, born_ms)
+    fields = {"node_id": "n2", "incarnation": 5, "version": 1, **changes}
+    return MemberRecord(
+        data_centre="a", host="10.0.0.1", port=1, backend=backend, **fields
+    )
+
+
+class VouchTests(unittest.TestCase):
+    """Guards against a peer that vouches for a server whose leave it cannot know."""
+
+    @params(
+        ("up all the time", 100.0, [record()], True),
+        ("started together with the earlier process", 59.0, [record()], True),
+        ("started after the earlier process", 50.0, [record()], False),
+        ("earlier release", 0.0, [record()], False),
+        ("no record", 100.0, [], False),
+        ("record of another node", 100.0, [record(node_id="n3")], False),
+        ("draining", 100.0, [record(state=MemberState.DRAINING)], False),
+        ("not verified either", 100.0, [record(state=MemberState.STARTING)], False),
+        ("another id", 100.0, [record("i-2")], False),
+        ("another start", 100.0, [record(born_ms=999)], False),
+    )
+    def test_only_a_witness_of_the_whole_time_vouches(
+        self, name, uptime_s, records, expected
+    ):
+        answer = StateFrame(b"", records, int(uptime_s * 1000))
+        self.assertEqual(vouches(answer, record(), 0.5, 60.0), expected, name)
+
+    @params((2.0, False), (4.0, True))
+    def test_peer_that_was_killed_together_does_not_vouch(self, uptime_s, expected):
+        answer = StateFrame(b"", [record()], int(uptime_s * 1000))
+        self.assertEqual(vouches(answer, record(), 0.5, 1.0), expected)
+
+
+class OutageTests(LeaveTestCase):
+    """Guards against a leave that is lost since the store did not have it."""
+
+    @params("once", "twice", "without the store")
+    async def test_leave_confirmed_without_the_store_survives_the_loss_of_all(
+        self, kind
+    ):
+        one = await self.start("n1", "stores")
+        two = await self.start("n2")
+        await self.until_known(1)
+        await one.call(b"/read/1")
+        two.backend.runs.clear()
+        await self.until_stored(two)
+        self.rows.status = 503
+        self.assertEqual(await self.delete(two, born_ms=two.born_ms), 200)
+        for member in self.members:
+            await self.kill(member)
+        if kind == "without the store":
+            for member in self.members:
+                await self.restart(member, report=False)
+            await asyncio.sleep(0.3)
+        self.rows.status = 200
+        if kind != "without the store":
+            for member in self.members:
+                await self.restart(member, report=False)
+        await self.until(lambda: all(m.sidecar.is_ready for m in self.members))
+        if kind == "twice":
+            # Up long enough now, but it has only read the row from before the leave.
+            one.sidecar.propagation.started_s -= 60
+            await self.kill(two)
+            await self.restart(two, report=False)
+            await self.until(lambda: two.sidecar.is_ready)
+        await asyncio.sleep(0.2)
+        for number in range(10):
+            for caller in (one, two):
+                answer = await caller.call(b"/read/1", request_id=b"%d" % number)
+                self.assertEqual(answer.status, 503)
+            await asyncio.sleep(0.05)
+        self.assertFalse(two.backend.runs)
+
+    async def test_stopping_node_confirms_no_leave_that_is_not_stored(self):
+        two = await self.start("n2")
+        stop = asyncio.create_task(drain(two.sidecar))
+        await asyncio.sleep(0.1)
+        await self.until_stored(two)
+        self.rows.status = 503
+        self.assertEqual(await self.delete(two, born_ms=two.born_ms), 503)
+        await stop
--- a/damaskproxy/sidecar/tests/test_mesh.py
+++ b/damaskproxy/sidecar/tests/test_mesh.py
@@ -204,11 +204,48 @@
         self.assertLess(time.monotonic() - start_s, 1.0)
 
     async def test_restarted_node_serves_before_the_next_status_report(self):
+        one = await self.start("n1", "stores")
+        one.sidecar.propagation.started_s -= 60
+        two = await self.start("n2")
+        await self.until_known(1)
+        await self.kill(two)
+        await self.restart(two, report=False)
+        await self.until(lambda: two.sidecar.is_ready)
+        self.assertEqual((await two.call(b"/read/1")).status, 200)
+        await self.until_known(1)
+        answer = await one.call(b"/read/2", request_id=b"2")
+        self.assertEqual(answer.status, 200)
+
+    @params("nobody", "peer started at the same time")
+    async def test_restarted_node_without_a_witness_serves_after_the_next_report(
+        self, kind
+    ):
         two = await self.start("n2")
+        if kind != "nobody":
+            await self.start("n1", "stores")
+            await self.until_known(1)
         await asyncio.sleep(0.1)
         await self.kill(two)
         await self.restart(two, report=False)
         await self.until(lambda: two.sidecar.is_ready)
+        self.assertEqual((await two.call(b"/read/1")).status, 503)
+        row = "serving"
+        async with asyncio.timeout(2):
+            while row != MemberState.STARTING:
+                row = json.loads(self.rows.get("damask-members", "n2"))["backend"].get(
+                    "state", MemberState.SERVING
+                )
+                await asyncio.sleep(0.01)
+        await two.report()
+        self.assertEqual((await two.call(b"/read/1")).status, 200)
+
+    async def test_node_serves_before_the_next_status_report_after_a_planned_stop(self):
+        two = await self.start("n2")
+        await drain(two.sidecar)
+        await self.until(lambda: two.sidecar.own_row_writer._stored.is_set())
+        await self.kill(two)
+        await self.restart(two, report=False)
+        await self.until(lambda: two.sidecar.is_ready)
         self.assertEqual((await two.call(b"/read/1")).status, 200)
 
     async def test_address_reused_by_another_service_gets_no_calls(self):
@@ -266,6 +303,8 @@
         two = await self.start("n2")
         three = await self.start("n3", data_centre="b")
         await self.until_known(2)
+        # Peers that were up all the time vouch for the server of the restarted node.
+        one.sidecar.propagation.started_s -= 60
         await self.kill(two)
         for number in range(8):
             answer = await one.call(b"/read/1", request_id=b"%d" % number)
