Confirm a leave without the store only if another node has acknowledged it

A node that was cut off from the store and from the other nodes confirmed a leave that nobody else knew. After it was killed and reachable again, its row and all other nodes said that the server serves, and it was called again.

Without an answer that has the leave it gives 503 and the reason, unless no other node runs.

--- a/damaskproxy/platform/control.py
+++ b/damaskproxy/platform/control.py
@@ -21,6 +21,9 @@
 """Maximum time that the response to a leaving backend server waits for the store.
 
 The backend server itself gives up after 1 s."""
+ANNOUNCE_AFTER_S = 0.3
+"""Time after which a leave that is not stored yet is announced to all connected nodes.
+The rest of `STORE_WAIT_S` covers several round trips between regions."""
 
 
 def make_control_handler(
@@ -28,6 +31,7 @@
     address: str,
     has_service: Callable[[str], bool],
     wait_until_stored: Callable[[], Awaitable[None]],
+    announce_leave: Callable[[], None],
     unconfirmed_reason: Callable[[], str],
     encoded_state: Callable[[], bytes],
 ):
@@ -44,6 +48,9 @@
     wait_until_stored : callable
         Waits until the record from before the start of this node is restored and its
         newest record is in the store.
+    announce_leave : callable
+        Sends the newest record of this node to all connected nodes and asks them to
+        acknowledge it.
     unconfirmed_reason : callable
         Returns why a leave that is not in the store is not to be confirmed, or an empty
         string.
@@ -93,10 +100,17 @@
 
     async def confirm_leave(instance_id: str) -> Response:
         """Confirm a leave once it is stored, or known to more than this process."""
+        stored = asyncio.create_task(wait_until_stored())
         try:
-            async with asyncio.timeout(STORE_WAIT_S):
-                await wait_until_stored()
-        except TimeoutError:
+            await asyncio.wait([stored], timeout=ANNOUNCE_AFTER_S)
+            if not stored.done():
+                announce_leave()
+                remaining_s = STORE_WAIT_S - ANNOUNCE_AFTER_S
+                await asyncio.wait([stored], timeout=remaining_s)
+            is_stored = stored.done()
+        finally:
+            stored.cancel()
+        if not is_stored:
             reason = unconfirmed_reason()
             if reason:
                 log_event(
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -29,6 +29,7 @@
     Origin,
     ParentRequests,
     PoisonRequestDetector,
+    RecordRequestFrame,
     RequestStats,
     StateFrame,
     Target,
@@ -105,6 +106,7 @@
     backend_reported: asyncio.Event
     response_memory: ResponseMemory
     own_record_restored: asyncio.Event = field(default_factory=asyncio.Event)
+    acknowledged_leave: tuple[str, int] | None = None
     connect_tasks: set[asyncio.Task] = field(default_factory=set)
     is_ready: bool = False
     is_stopping: bool = False
@@ -139,8 +141,26 @@
         if self.is_stopping:
             # The stored record says that it has all leaves.
             return "the node is stopping"
+        known = self.backend.record
+        has_peers = any(
+            record.state is MemberState.SERVING
+            for record in self.directory.records()
+            if record.node_id != self.settings.node_id
+        )
+        is_acknowledged = (
+            known is not None and known.incarnation_key == self.acknowledged_leave
+        )
+        if has_peers and not is_acknowledged:
+            # They would vouch for the backend server after a restart of this node.
+            return "no other node has acknowledged it"
         return ""
 
+    def announce_leave(self) -> None:
+        """Send the own record to all connected nodes and request it back from them."""
+        for link in self.links.open_links():
+            link.write(StateFrame(b"", [self.record]))
+            link.write(RecordRequestFrame(self.settings.node_id))
+
     def broadcast(self, record: MemberRecord) -> None:
         """Send a record to all nodes with an open connection."""
         for link in self.links.open_links():
@@ -151,6 +171,8 @@
         is_same_machine = record.host == self.record.host
         if is_same_machine and record.backend is not None:
             self.backend.restore_named(record.backend)
+            if record.backend.is_leaving:
+                self.acknowledged_leave = record.backend.incarnation_key
         if record.order >= self.record.order and record != self.record:
             # Another node removed the record of this node, which still runs.
             self.record = msgspec.structs.replace(
@@ -331,6 +353,7 @@
         settings.backend_address,
         configuration.may_have_service,
         lambda: sidecar.wait_until_stored(),
+        lambda: sidecar.announce_leave(),
         lambda: sidecar.unconfirmed_reason(),
         lambda: sidecar.encoded_state(),
     )
--- a/damaskproxy/sidecar/tests/test_leave.py
+++ b/damaskproxy/sidecar/tests/test_leave.py
@@ -236,3 +236,28 @@
         self.rows.status = 503
         self.assertEqual(await self.delete(two, born_ms=two.born_ms), 503)
         await stop
+
+    @params((True, 503, 200), (False, 200, 503))
+    async def test_leave_that_no_peer_and_no_store_has_is_not_confirmed(
+        self, is_cut_off, delete_status, call_status
+    ):
+        one = await self.start("n1", "stores")
+        one.sidecar.propagation.started_s -= 60
+        two = await self.start("n2")
+        await self.until_known(1)
+        await one.call(b"/read/1")
+        await self.until_stored(two)
+        self.rows.status = 503
+        if is_cut_off:
+            for link in two.sidecar.links.open_links():
+                link.write = lambda frame: True
+        start_s = time.monotonic()
+        status = await self.delete(two, born_ms=two.born_ms)
+        self.assertLess(time.monotonic() - start_s, 1.0)
+        self.assertEqual(status, delete_status)
+        await self.kill(two)
+        self.rows.status = 200
+        await self.restart(two, report=False)
+        await self.until(lambda: two.sidecar.is_ready)
+        answer = await two.call(b"/read/2", request_id=b"2")
+        self.assertEqual(answer.status, call_status)
