Trust the row of a planned stop only if a peer has the same record

The row that a planned stop had written was trusted by itself. After the store had returned from an older copy, such a row may be older than a leave that was confirmed since, and with no other node running the server was called again.

A peer that was up before the new process now has to have exactly that record, with its version. Planned stops one after the other cost nothing, as before, since a peer that was restarted before the stop counts.

test_node_serves_before_the_next_status_report_after_a_planned_stop has such a peer now, one that knows nothing from before the stop.

--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -315,9 +315,8 @@
         return
     own_uptime_s = boot_s() - sidecar.started_s
     stored_age_s = time.time() - stored.incarnation / MS_PER_S
-    is_verified = backend.state is MemberState.SERVING and (
-        _is_complete_after_stop(stored)
-        or any(vouches(a, stored, own_uptime_s, stored_age_s) for a in answers)
+    is_verified = backend.state is MemberState.SERVING and any(
+        vouches(answer, stored, own_uptime_s, stored_age_s) for answer in answers
     )
     if not is_verified and sidecar.backend.record is None:
         log_event(
@@ -332,14 +331,6 @@
     sidecar.backend.restore(backend, is_verified=is_verified)
 
 
-def _is_complete_after_stop(stored: MemberRecord) -> bool:
-    """Return whether a record was stored by a planned stop.
-
-    A node that stops confirms no leave that is not in the store.
-    """
-    return stored.state is MemberState.STOPPED
-
-
 def vouches(
     answer: StateFrame,
     stored: MemberRecord,
@@ -365,15 +356,23 @@
     that time. A peer that was started later has read the same row as this node. So it
     has to have been up before the process that stored the record, except for the time
     by which the starts of nodes differ that start together.
+
+    A planned stop ends with a record that has all leaves, since a node that stops
+    confirms none that is not stored. A peer that was started later, but before this
+    process, knows whether it is the last one; the store may have returned from an older
+    copy.
     """
     uptime_s = answer.uptime_ms / MS_PER_S
-    if uptime_s < max(own_uptime_s + VOUCH_MARGIN_S, stored_age_s - START_SPREAD_S):
+    if uptime_s < own_uptime_s + VOUCH_MARGIN_S:
         return False
+    was_up = uptime_s >= stored_age_s - START_SPREAD_S
+    is_stopped = stored.state is MemberState.STOPPED
     return any(
         record.node_id == stored.node_id
         and record.backend is not None
         and record.backend.incarnation_key == stored.backend.incarnation_key
         and record.backend.state is MemberState.SERVING
+        and (was_up or (is_stopped and record.order == stored.order))
         for record in answer.records
     )
 
--- a/damaskproxy/sidecar/tests/test_leave.py
+++ b/damaskproxy/sidecar/tests/test_leave.py
@@ -152,12 +152,23 @@
         await self.restart_and_check_leave(two, callers=(one, two))
 
 
-def record(instance_id="i-1", born_ms=1000, state=MemberState.SERVING, **changes):
+def record(
+    instance_id="i-1",
+    born_ms=1000,
+    state=MemberState.SERVING,
+    state_of_node=MemberState.SERVING,
+    **changes,
+):
     """Return a record of node n2."""
     backend = BackendRecord(instance_id, "orders", 4, state, born_ms)
     fields = {"node_id": "n2", "incarnation": 5, "version": 1, **changes}
     return MemberRecord(
-        data_centre="a", host="10.0.0.1", port=1, backend=backend, **fields
+        data_centre="a",
+        host="10.0.0.1",
+        port=1,
+        state=state_of_node,
+        backend=backend,
+        **fields,
     )
 
 
@@ -188,6 +199,33 @@
         self.assertEqual(vouches(answer, record(), 0.5, 1.0), expected)
 
 
+class PlannedStopTests(LeaveTestCase):
+    """Guards against the row of a planned stop that is older than a leave."""
+
+    async def test_older_copy_with_a_planned_stop_does_not_bring_a_server_back(self):
+        two = await self.start("n2")
+        await drain(two.sidecar)
+        await self.until_stored(two)
+        copy = self.rows.version
+        await self.kill(two)
+        await self.restart(two)
+        self.assertEqual(await self.delete(two, born_ms=two.born_ms), 200)
+        await self.kill(two)
+        self.rows.restore(copy)
+        await self.restart(two, report=False)
+        await self.until(lambda: two.sidecar.is_ready)
+        self.assertEqual((await two.call(b"/read/1")).status, 503)
+
+    @params((5.0, 0, True), (2.0, 0, False), (5.0, 1, False))
+    def test_peer_that_has_the_same_record_of_a_planned_stop_vouches(
+        self, uptime_s, later_changes, expected
+    ):
+        stopped = record(state_of_node=MemberState.STOPPED)
+        known = record(state_of_node=MemberState.STOPPED, version=1 + later_changes)
+        answer = StateFrame(b"", [known], int(uptime_s * 1000))
+        self.assertEqual(vouches(answer, stopped, 0.5, 60.0), expected)
+
+
 class OutageTests(LeaveTestCase):
     """Guards against a leave that is lost since the store did not have it."""
 
--- a/damaskproxy/sidecar/tests/test_mesh.py
+++ b/damaskproxy/sidecar/tests/test_mesh.py
@@ -6,6 +6,7 @@
 import unittest
 from unittest import mock
 
+import msgspec
 from nose2.tools import params
 
 from damaskproxy.directory import StoreError
@@ -241,9 +242,18 @@
 
     async def test_node_serves_before_the_next_status_report_after_a_planned_stop(self):
         two = await self.start("n2")
+        # It was started after the other node, which knows only the planned stop.
+        one = await self.start("n1", "stores")
+        await self.until_known(1)
+        incarnation = two.sidecar.record.incarnation - 60_000
+        two.sidecar.record = msgspec.structs.replace(
+            two.sidecar.record, incarnation=incarnation
+        )
+        one.sidecar.directory._records.pop("n2")
         await drain(two.sidecar)
         await self.until(lambda: two.sidecar.own_row_writer._stored.is_set())
         await self.kill(two)
+        one.sidecar.propagation.started_s -= 10
         await self.restart(two, report=False)
         await self.until(lambda: two.sidecar.is_ready)
         self.assertEqual((await two.call(b"/read/1")).status, 200)
