--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -32,6 +32,7 @@
     Origin,
     ParentRequests,
     PoisonRequestDetector,
+    RecordRequestFrame,
     RequestStats,
     StateFrame,
     Target,
@@ -127,7 +128,8 @@
     response_memory: ResponseMemory
     memory: MemoryBudget
     link_memory: LinkMemory
-    on_own_record: Callable[[], None] | None = None
+    own_record_restored: asyncio.Event = field(default_factory=asyncio.Event)
+    acknowledged_leave: tuple[str, int] | None = None
     connect_tasks: set[asyncio.Task] = field(default_factory=set)
     is_ready: bool = False
     is_stopping: bool = False
@@ -138,9 +140,50 @@
         self.record = msgspec.structs.replace(self.record, version=version, **changes)
         self.directory.merge(self.record)
         self.propagation.publish(self.record)
-        if self.is_ready or self.store_watcher.has_read_members:
+        if (
+            self.is_ready
+            or self.store_watcher.has_read_members
+            or self.own_record_restored.is_set()
+        ):
             self.own_row_writer.publish(self.record)
 
+    async def wait_until_stored(self) -> None:
+        """Wait until the newest record is stored, with the leaves of the restored one.
+
+        A record that is stored before that may be without the backend server.
+        """
+        await self.own_record_restored.wait()
+        await self.own_row_writer.wait_until_stored()
+
+    def unconfirmed_reason(self) -> str:
+        """Return why a leave that is not stored is not to be confirmed, or nothing."""
+        if not self.own_record_restored.is_set():
+            return "the record from before the start is not restored"
+        if not self.own_row_writer.has_stored:
+            return "no record has been stored since the start"
+        if self.is_stopping:
+            # The stored record says that it has all leaves.
+            return "the node is stopping"
+        known = self.backend.record
+        has_peers = any(
+            record.state is MemberState.SERVING
+            for record in self.directory.records()
+            if record.node_id != self.settings.node_id
+        )
+        is_acknowledged = (
+            known is not None and known.incarnation_key == self.acknowledged_leave
+        )
+        if has_peers and not is_acknowledged:
+            # They would vouch for the backend server after a restart of this node.
+            return "no other node has acknowledged it"
+        return ""
+
+    def announce_leave(self) -> None:
+        """Send the own record to all connected nodes and request it back from them."""
+        for link in self.links.open_links():
+            link.write(StateFrame(b"", [self.record]))
+            link.write(RecordRequestFrame(self.settings.node_id))
+
     def broadcast(self, record: MemberRecord) -> None:
         """Send a record to all nodes with an open connection."""
         for link in self.links.open_links():
@@ -151,14 +194,14 @@
         is_same_machine = record.host == self.record.host
         if is_same_machine and record.backend is not None:
             self.backend.restore_named(record.backend)
+            if record.backend.is_leaving:
+                self.acknowledged_leave = record.backend.incarnation_key
         if record.order >= self.record.order and record != self.record:
             # Another node removed the record of this node, which still runs.
             self.record = msgspec.structs.replace(
                 self.record, incarnation=record.incarnation, version=record.version
             )
             self.update_record()
-        if self.on_own_record is not None:
-            self.on_own_record()
 
     def connect_for_propagation(self, member: MemberRecord) -> None:
         """Open a connection to a member and report the result to the propagation."""
@@ -362,7 +405,9 @@
         backend,
         settings.backend_address,
         configuration.may_have_service,
-        own_row_writer.wait_until_stored,
+        lambda: sidecar.wait_until_stored(),
+        lambda: sidecar.announce_leave(),
+        lambda: sidecar.unconfirmed_reason(),
         lambda: sidecar.encoded_state(),
     )
     readiness = make_readiness_handler(
--- /dev/null
+++ b/damaskproxy/sidecar/tests/test_leave.py
@@ -0,0 +1,330 @@
+"""Leaves that are confirmed around restarts of nodes and outages of the store."""
+
+import asyncio
+import json
+import time
+import unittest
+
+from nose2.tools import params
+
+from damaskproxy.directory import BackendRecord, MemberRecord, decode_member
+from damaskproxy.directory.following import MEMBER_TABLE
+from damaskproxy.forwarding import StateFrame
+from damaskproxy.http1 import Request
+from damaskproxy.model import MemberState
+from damaskproxy.sidecar.lifecycle import drain, vouches
+from damaskproxy.sidecar.tests.mesh import MeshTestCase
+
+HOST = [(b"Host", b"c")]
+
+
+def delete_request(member, *, born_ms=None):
+    """Return the request of a backend server that leaves."""
+    path = f"/api/instances/{member.backend.instance_id}".encode()
+    body = b"" if born_ms is None else json.dumps({"born": born_ms}).encode()
+    return Request(b"DELETE", path, HOST, body)
+
+
+class LeaveTestCase(MeshTestCase, unittest.IsolatedAsyncioTestCase):
+    """Test case with checks of what remains of a leave."""
+
+    async def delete(self, member, **options):
+        """Send a DELETE and return the status of the answer."""
+        return (await member.control(delete_request(member, **options))).status
+
+    def stored_state(self, member):
+        """Return the state of a backend server in the store."""
+        row = self.rows.get(MEMBER_TABLE, member.name)
+        if row is None or (backend := decode_member(row).backend) is None:
+            return None
+        return backend.state
+
+    async def until_stored(self, member):
+        """Wait until the newest record of a node is in the store."""
+        await self.until(lambda: member.sidecar.own_row_writer._stored.is_set())
+
+    async def check_not_served(self, member, *, callers):
+        """Check that a server gets no requests, whatever late reports say."""
+        for number in range(6):
+            await member.report("ready")
+            for caller in callers:
+                await caller.call(b"/read/1", request_id=b"%d" % number)
+            await asyncio.sleep(0.02)
+        self.assertFalse(member.backend.runs)
+
+
+class StartTests(LeaveTestCase):
+    """Guards against a starting node that confirms a leave and then forgets it."""
+
+    @params("DELETE", "draining report")
+    async def test_leave_during_the_start_is_stored_before_it_is_confirmed(self, kind):
+        one = await self.start("n1", "stores")
+        two = await self.start("n2")
+        await self.until_known(1)
+        await self.until_stored(two)
+        await self.kill(two)
+        self.rows.status = 0
+        await self.restart(two, report=False)
+        leave = asyncio.create_task(self.leave(two, kind))
+        await asyncio.sleep(0.2)
+        self.rows.status = 200
+        if await leave != 200:
+            async with asyncio.timeout(4):
+                while await self.leave(two, kind) != 200:  # noqa: ASYNC110
+                    await asyncio.sleep(0.05)
+        self.assertIn(
+            self.stored_state(two), (MemberState.STOPPED, MemberState.DRAINING)
+        )
+        await self.check_not_served(two, callers=(one, two))
+
+    async def leave(self, member, kind):
+        """Let a server leave and return the status of the answer."""
+        if kind == "DELETE":
+            return await self.delete(member, born_ms=member.born_ms)
+        return await member.report("draining")
+
+    @params("DELETE", "draining report")
+    async def test_node_without_its_record_does_not_confirm_a_leave(self, kind):
+        two = await self.start("n2")
+        await self.until_stored(two)
+        await self.kill(two)
+        self.rows.status = 503
+        await self.restart(two, report=False)
+        start_s = time.monotonic()
+        self.assertEqual(await self.leave(two, kind), 503)
+        self.assertLess(time.monotonic() - start_s, 1.0)
+        self.rows.status = 200
+        await self.until(lambda: two.sidecar.is_ready)
+        await self.check_not_served(two, callers=(two,))
+        await self.until(lambda: self.stored_state(two) is not None)
+        await self.until(
+            lambda: (
+                self.stored_state(two) in (MemberState.STOPPED, MemberState.DRAINING)
+            )
+        )
+
+    @params((None, False), (999, True), (1000, False), (5000, False))
+    async def test_late_report_does_not_bring_an_unknown_server_back(
+        self, born_ms, is_served
+    ):
+        restart = self.restart
+        self.restart = lambda member: restart(member, report=False)
+        two = await self.start("n2")
+        await self.until(lambda: two.sidecar.is_ready)
+        self.assertEqual(await self.delete(two, born_ms=born_ms), 200)
+        await two.report("ready")
+        status = (await two.call(b"/read/1")).status
+        self.assertEqual(status, 200 if is_served else 503)
+
+    async def test_leave_at_the_first_start_is_stored_before_it_is_confirmed(self):
+        restart = self.restart
+        self.restart = lambda member: restart(member, report=False)
+        two = await self.start("n2", is_first_start=True)
+        await two.report("ready")
+        await self.until(lambda: self.stored_state(two) is not None)
+        self.assertEqual(await self.delete(two, born_ms=two.born_ms), 200)
+        self.assertIs(self.stored_state(two), MemberState.STOPPED)
+
+    async def test_new_incarnation_under_the_same_id_is_served(self):
+        two = await self.start("n2")
+        self.assertEqual(await self.delete(two, born_ms=two.born_ms), 200)
+        two.born_ms, two.sequence = int(time.time() * 1000) + 1000, 0
+        await two.report("ready")
+        self.assertEqual((await two.call(b"/read/1")).status, 200)
+
+    async def test_node_that_joins_from_seeds_leaves_the_leave_to_its_peers(self):
+        one = await self.start("n1", "stores")
+        seed = one.sidecar.settings.listeners.control
+        two = await self.start("n2", seeds=[seed])
+        await self.until_known(1)
+        await one.call(b"/read/1")
+        two.backend.runs.clear()
+        self.rows.status = 503
+        self.assertEqual(await self.delete(two, born_ms=two.born_ms), 200)
+        await self.until(lambda: not one.sidecar.directory.serving("orders"))
+        await self.kill(two)
+        await self.restart(two, report=False)
+        await self.until(lambda: two.sidecar.is_ready)
+        order = two.sidecar.record.order
+        await self.until(lambda: one.sidecar.directory.get("n2").order >= order)
+        await self.kill(two)
+        self.rows.status = 200
+        await self.restart_and_check_leave(two, callers=(one, two))
+
+
+def record(
+    instance_id="i-1",
+    born_ms=1000,
+    state=MemberState.SERVING,
+    state_of_node=MemberState.SERVING,
+    **changes,
+):
+    """Return a record of node n2."""
+    backend = BackendRecord(instance_id, "orders", 4, state, born_ms)
+    fields = {"node_id": "n2", "incarnation": 5, "version": 1, **changes}
+    return MemberRecord(
+        data_centre="a",
+        host="10.0.0.1",
+        port=1,
+        state=state_of_node,
+        backend=backend,
+        **fields,
+    )
+
+
+class VouchTests(unittest.TestCase):
+    """Guards against a peer that vouches for a server whose leave it cannot know."""
+
+    @params(
+        ("up all the time", 100.0, [record()], True),
+        ("started together with the earlier process", 59.0, [record()], True),
+        ("started after the earlier process", 50.0, [record()], False),
+        ("earlier release", 0.0, [record()], False),
+        ("no record", 100.0, [], False),
+        ("record of another node", 100.0, [record(node_id="n3")], False),
+        ("draining", 100.0, [record(state=MemberState.DRAINING)], False),
+        ("not verified either", 100.0, [record(state=MemberState.STARTING)], False),
+        ("another id", 100.0, [record("i-2")], False),
+        ("another start", 100.0, [record(born_ms=999)], False),
+    )
+    def test_only_a_witness_of_the_whole_time_vouches(
+        self, name, uptime_s, records, expected
+    ):
+        answer = StateFrame(b"", records, int(uptime_s * 1000))
+        self.assertEqual(vouches(answer, record(), 0.5, 60.0), expected, name)
+
+    @params((2.0, False), (4.0, True))
+    def test_peer_that_was_killed_together_does_not_vouch(self, uptime_s, expected):
+        answer = StateFrame(b"", [record()], int(uptime_s * 1000))
+        self.assertEqual(vouches(answer, record(), 0.5, 1.0), expected)
+
+
+class PlannedStopTests(LeaveTestCase):
+    """Guards against the row of a planned stop that is older than a leave."""
+
+    async def test_older_copy_with_a_planned_stop_does_not_bring_a_server_back(self):
+        two = await self.start("n2")
+        await drain(two.sidecar)
+        await self.until_stored(two)
+        copy = self.rows.version
+        await self.kill(two)
+        await self.restart(two)
+        self.assertEqual(await self.delete(two, born_ms=two.born_ms), 200)
+        await self.kill(two)
+        self.rows.restore(copy)
+        await self.restart(two, report=False)
+        await self.until(lambda: two.sidecar.is_ready)
+        self.assertEqual((await two.call(b"/read/1")).status, 503)
+
+    @params((5.0, 0, True), (2.0, 0, False), (5.0, 1, False))
+    def test_peer_that_has_the_same_record_of_a_planned_stop_vouches(
+        self, uptime_s, later_changes, expected
+    ):
+        stopped = record(state_of_node=MemberState.STOPPED)
+        known = record(state_of_node=MemberState.STOPPED, version=1 + later_changes)
+        answer = StateFrame(b"", [known], int(uptime_s * 1000))
+        self.assertEqual(vouches(answer, stopped, 0.5, 60.0), expected)
+
+
+class OutageTests(LeaveTestCase):
+    """Guards against a leave that is lost since the store did not have it."""
+
+    @params("once", "twice", "without the store")
+    async def test_leave_confirmed_without_the_store_survives_the_loss_of_all(
+        self, kind
+    ):
+        one = await self.start("n1", "stores")
+        two = await self.start("n2")
+        await self.until_known(1)
+        await one.call(b"/read/1")
+        two.backend.runs.clear()
+        await self.until_stored(two)
+        self.rows.status = 503
+        self.assertEqual(await self.delete(two, born_ms=two.born_ms), 200)
+        for member in self.members:
+            await self.kill(member)
+        if kind == "without the store":
+            for member in self.members:
+                await self.restart(member, report=False)
+            await asyncio.sleep(0.3)
+        self.rows.status = 200
+        if kind != "without the store":
+            for member in self.members:
+                await self.restart(member, report=False)
+        await self.until(lambda: all(m.sidecar.is_ready for m in self.members))
+        if kind == "twice":
+            # Up long enough now, but it has only read the row from before the leave.
+            one.sidecar.propagation.started_s -= 60
+            await self.kill(two)
+            await self.restart(two, report=False)
+            await self.until(lambda: two.sidecar.is_ready)
+        await asyncio.sleep(0.2)
+        for number in range(10):
+            for caller in (one, two):
+                answer = await caller.call(b"/read/1", request_id=b"%d" % number)
+                self.assertEqual(answer.status, 503)
+            await asyncio.sleep(0.05)
+        self.assertFalse(two.backend.runs)
+
+    async def test_stopping_node_confirms_no_leave_that_is_not_stored(self):
+        two = await self.start("n2")
+        stop = asyncio.create_task(drain(two.sidecar))
+        await asyncio.sleep(0.1)
+        await self.until_stored(two)
+        self.rows.status = 503
+        self.assertEqual(await self.delete(two, born_ms=two.born_ms), 503)
+        await stop
+
+    @params((True, 503, 200), (False, 200, 503))
+    async def test_leave_that_no_peer_and_no_store_has_is_not_confirmed(
+        self, is_cut_off, delete_status, call_status
+    ):
+        one = await self.start("n1", "stores")
+        one.sidecar.propagation.started_s -= 60
+        two = await self.start("n2")
+        await self.until_known(1)
+        await one.call(b"/read/1")
+        await self.until_stored(two)
+        self.rows.status = 503
+        if is_cut_off:
+            for link in two.sidecar.links.open_links():
+                link.write = lambda frame: True
+        start_s = time.monotonic()
+        status = await self.delete(two, born_ms=two.born_ms)
+        self.assertLess(time.monotonic() - start_s, 1.0)
+        self.assertEqual(status, delete_status)
+        await self.kill(two)
+        self.rows.status = 200
+        await self.restart(two, report=False)
+        await self.until(lambda: two.sidecar.is_ready)
+        answer = await two.call(b"/read/2", request_id=b"2")
+        self.assertEqual(answer.status, call_status)
+
+
+class OtherWriterTests(LeaveTestCase):
+    """Guards against a leave that is lost with the row of its node."""
+
+    @params(True, False)
+    async def test_leave_survives_the_deletion_of_the_row(self, is_running):
+        one = await self.start("n1", "stores")
+        two = await self.start("n2")
+        await self.until_known(1)
+        self.assertEqual(await self.delete(two, born_ms=two.born_ms), 200)
+        await self.until(lambda: not one.sidecar.directory.serving("orders"))
+        if not is_running:
+            await self.kill(two)
+        self.rows.drop(MEMBER_TABLE, "n2")
+        if is_running:
+            await self.until(lambda: self.stored_state(two) is MemberState.STOPPED)
+            await self.kill(two)
+        else:
+            await self.until(lambda: one.sidecar.directory.get("n2").is_removed)
+        await self.restart_and_check_leave(two, callers=(one, two))
+
+    async def test_leave_survives_a_write_without_an_answer(self):
+        two = await self.start("n2")
+        await self.until_stored(two)
+        self.rows.unanswered_writes = 1
+        self.assertEqual(await self.delete(two, born_ms=two.born_ms), 200)
+        await self.kill(two)
+        await self.restart_and_check_leave(two, callers=(two,))
