Reject member records that nodes cannot use

A member row with 30 digits in a number, with a port outside 1 to 65535, a host that is no IP address or control characters in an instance id passed the decoder. Later the frames of the node could not be encoded, its connections raised UnicodeError, OverflowError or ValueError, and the instance id went into a header as it was. A valid row with arrays nested 20,000 deep in an unknown field raised RecursionError, which is no error of msgspec, and ended the task that read the members.

The fields of a record have ranges now, which JSON and msgpack carry exactly, and decode_or_raise reports every failure as RecordError. Times of other writers may be at most a year ahead of the clock, since an incarnation that can never be exceeded would keep out the node that it names. The successor of the last version of an incarnation is the next incarnation, so the records of a deleted row and of a node itself stay within the ranges. Sizes are bounded by those of a row.

--- a/damaskproxy/directory/__init__.py
+++ b/damaskproxy/directory/__init__.py
@@ -18,7 +18,10 @@
     MemberRecord,
     RecordError,
     decode_member,
+    decode_packed_member,
     encode_member,
+    is_ip_address,
+    is_plausible_ms,
 )
 from damaskproxy.directory.rows import (
     UNKNOWN_ERA,
@@ -56,6 +59,9 @@
     "StoreWatcher",
     "WriteOutcome",
     "decode_member",
+    "decode_packed_member",
     "encode_member",
+    "is_ip_address",
+    "is_plausible_ms",
     "apply_encoded_configuration",
 ]
--- a/damaskproxy/directory/members.py
+++ b/damaskproxy/directory/members.py
@@ -1,10 +1,21 @@
 """Records of the nodes of the mesh and of their backend servers."""
 
+import socket
+import time
 from collections.abc import Callable, Collection, Iterable
+from typing import Annotated
 
 import msgspec
 
 from damaskproxy.common import DamaskError
+from damaskproxy.common.decoding import (
+    INTEGER_MAX,
+    Count,
+    Name,
+    PositiveCount,
+    Rate,
+    decode_or_raise,
+)
 from damaskproxy.common.hashing import digest_of, ring_position
 from damaskproxy.model import MemberState
 
@@ -14,15 +25,36 @@
     "MemberRecord",
     "RecordError",
     "decode_member",
+    "decode_packed_member",
     "encode_member",
+    "is_ip_address",
+    "is_plausible_ms",
 ]
 
+MS_PER_S = 1000
+TIME_LEAD_MS = 366 * 86_400 * MS_PER_S
+"""Largest time by which a time of another writer may be ahead of this machine's clock.
 
+The incarnation of a node is the time of its start, and an incarnation that can never be
+exceeded would keep out the node that it names for good."""
+
+PACKED_MAX_BYTES = 65_536
+"""Largest record of another node; the store takes no larger rows."""
 DIGEST_BUCKETS = 32
 """Groups of records with a digest each. Two nodes whose records differ exchange only
 the groups that do, 160 records of 5,000 for each."""
 
 
+Crash = tuple[
+    Count,
+    Annotated[
+        tuple[Annotated[str, msgspec.Meta(max_length=64)], ...],
+        msgspec.Meta(max_length=1000),
+    ],
+]
+"""Unix time of a crash in milliseconds, and digests of the requests in flight."""
+
+
 class RecordError(DamaskError):
     """An invalid record from another writer, which the caller ignores."""
 
@@ -49,14 +81,14 @@
         Calls per second that it has said it takes from all nodes together.
     """
 
-    instance_id: str
-    service: str
-    slots: int
+    instance_id: Name
+    service: Name
+    slots: PositiveCount
     state: MemberState = MemberState.SERVING
-    born_ms: int = 0
-    sequence: int = 0
-    warm_at_ms: int = 0
-    max_calls_per_s: float | None = None
+    born_ms: Count = 0
+    sequence: Count = 0
+    warm_at_ms: Count = 0
+    max_calls_per_s: Rate | None = None
 
     @property
     def incarnation_key(self) -> tuple[str, int]:
@@ -109,15 +141,15 @@
         this node.
     """
 
-    node_id: str
-    incarnation: int
-    version: int
-    data_centre: str
+    node_id: Name
+    incarnation: Count
+    version: Count
+    data_centre: Annotated[str, msgspec.Meta(max_length=65_536)]
     host: str
-    port: int
+    port: Annotated[int, msgspec.Meta(ge=1, le=65_535)]
     state: MemberState = MemberState.SERVING
     backend: BackendRecord | None = None
-    crashes: tuple[tuple[int, tuple[str, ...]], ...] = ()
+    crashes: Annotated[tuple[Crash, ...], msgspec.Meta(max_length=16)] = ()
 
     @property
     def order(self) -> tuple[int, int]:
@@ -135,16 +167,23 @@
             return False
         return other.backend.with_leave_of(self.backend) is not other.backend
 
-    def removed(self) -> "MemberRecord":
-        """Return the record that replaces this one after its row was deleted."""
+    def successor(self, **changes) -> "MemberRecord":
+        """Return a changed record that replaces this one.
+
+        After the last version of an incarnation comes the next incarnation, so that
+        every record that can be decoded has a successor that can be encoded.
+        """
+        incarnation, version = self.incarnation, self.version + 1
+        if version > INTEGER_MAX:
+            incarnation, version = incarnation + 1, 0
         return msgspec.structs.replace(
-            self,
-            version=self.version + 1,
-            state=MemberState.STOPPED,
-            backend=None,
-            crashes=(),
+            self, incarnation=incarnation, version=version, **changes
         )
 
+    def removed(self) -> "MemberRecord":
+        """Return the record that replaces this one after its row was deleted."""
+        return self.successor(state=MemberState.STOPPED, backend=None, crashes=())
+
     def serves(self, service: str) -> bool:
         """Return whether the backend server accepts requests of `service`."""
         backend = self.backend
@@ -156,6 +195,10 @@
         )
 
 
+_json_decoder = msgspec.json.Decoder(MemberRecord)
+_msgpack_decoder = msgspec.msgpack.Decoder(MemberRecord)
+
+
 def decode_member(value: bytes) -> MemberRecord:
     """Decode the value of a member's row.
 
@@ -164,10 +207,48 @@
     RecordError
         If the value is invalid.
     """
-    try:
-        return msgspec.json.decode(value, type=MemberRecord)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise RecordError(str(error)) from error
+    return _checked(decode_or_raise(_json_decoder.decode, value, RecordError))
+
+
+def decode_packed_member(value: bytes) -> MemberRecord:
+    """Decode a member record in a frame of another node.
+
+    Raises
+    ------
+    RecordError
+        If the record is invalid.
+    """
+    if len(value) > PACKED_MAX_BYTES:
+        raise RecordError(f"a record of {len(value)} bytes is too long")
+    return _checked(decode_or_raise(_msgpack_decoder.decode, value, RecordError))
+
+
+def _checked(record: MemberRecord) -> MemberRecord:
+    """Return `record` if the fields without a range of their own can be used."""
+    if not is_ip_address(record.host):
+        raise RecordError(f"host {record.host[:40]!r} is not an IP address")
+    times_ms = [record.incarnation, *(at_ms for at_ms, _ in record.crashes)]
+    if record.backend is not None:
+        times_ms.append(record.backend.born_ms)
+    if not is_plausible_ms(max(times_ms)):
+        raise RecordError(f"the time {max(times_ms)} is in the far future")
+    return record
+
+
+def is_ip_address(host: str) -> bool:
+    """Tell whether `host` is an IP address; nodes look up no names."""
+    for family in (socket.AF_INET, socket.AF_INET6):
+        try:
+            socket.inet_pton(family, host)
+        except (OSError, ValueError):
+            continue
+        return True
+    return False
+
+
+def is_plausible_ms(at_ms: int) -> bool:
+    """Tell whether a Unix time of another writer is not far ahead of the clock."""
+    return at_ms <= time.time() * MS_PER_S + TIME_LEAD_MS
 
 
 def encode_member(record: MemberRecord) -> bytes:
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -111,8 +111,7 @@
 
     def update_record(self, **changes) -> None:
         """Change the record of this node and publish it."""
-        version = self.record.version + 1
-        self.record = msgspec.structs.replace(self.record, version=version, **changes)
+        self.record = self.record.successor(**changes)
         self.directory.merge(self.record)
         self.propagation.publish(self.record)
         if self.is_ready or self.store_watcher.has_read_members:
