Decode the member records of a frame one by one

A state frame or a subscription with one invalid record was an invalid frame: the connection was closed with all calls on it, and the valid records beside the odd one were not applied, again after each reconnect. A deeply nested frame raised RecursionError instead of FrameError, also in the state that a starting node reads from a seed, and ended its task. Numbers of heartbeats and load reports had no range; a negative age of the contact with the store lies in the future and keeps a node from asking the store.

Records in frames are decoded separately; an invalid one, which a node of an earlier release may hold, is left out and logged once for each connection (10112). Positions, versions, eras, ages, loads and the status of an answer have ranges, checked by msgspec itself. The bytes on the wire are the same.

--- a/damaskproxy/forwarding/__init__.py
+++ b/damaskproxy/forwarding/__init__.py
@@ -9,10 +9,12 @@
 from damaskproxy.forwarding.frames import (
     STATE_PATH,
     ControlFrame,
+    FrameError,
     HelloFrame,
     RecordRequestFrame,
     StateFrame,
     StateRequestFrame,
+    decode_state,
 )
 from damaskproxy.forwarding.headers import HeaderNames
 from damaskproxy.forwarding.link import LinkHandlers
@@ -29,6 +31,8 @@
     "STATE_PATH",
     "StateRequestFrame",
     "ControlFrame",
+    "FrameError",
+    "decode_state",
     "RecordRequestFrame",
     "Backend",
     "MemberSelector",
--- a/damaskproxy/forwarding/calls.py
+++ b/damaskproxy/forwarding/calls.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from damaskproxy.common import Priority
+from damaskproxy.common.decoding import Count
 
 __all__ = [
     "Answer",
@@ -57,11 +58,11 @@
         or above it are refused by this server or by one that it calls.
     """
 
-    in_flight: int
-    queued: int
-    limit: int
-    latency_ms: int
-    level: int
+    in_flight: Count
+    queued: Count
+    limit: Count
+    latency_ms: Count
+    level: Count
 
 
 class Call(msgspec.Struct, array_like=True):
--- a/damaskproxy/forwarding/events.py
+++ b/damaskproxy/forwarding/events.py
@@ -15,6 +15,7 @@
     "LINK_OPENED",
     "LINK_REFUSED",
     "LINK_SILENT",
+    "RECORD_IGNORED",
     "REQUEST_NOT_SERVED",
 ]
 
@@ -63,6 +64,12 @@
     logging.ERROR,
     "Handling a call of another node raised an unexpected exception.",
 )
+RECORD_IGNORED = define(
+    10112,
+    "record-ignored",
+    logging.WARNING,
+    "Another node sent an invalid member record, which is ignored.",
+)
 LIMIT_IGNORED = define(
     10109,
     "server-limit-ignored",
--- a/damaskproxy/forwarding/frames.py
+++ b/damaskproxy/forwarding/frames.py
@@ -5,10 +5,23 @@
 since traffic between data centres is charged by the byte.
 """
 
+import logging
+from collections.abc import Iterable
+from typing import Annotated
+
 import msgspec
 
 from damaskproxy.common import DamaskError
-from damaskproxy.directory import UNKNOWN_ERA, MemberRecord
+from damaskproxy.common.decoding import INTEGER_MAX, Count, decode_or_raise
+from damaskproxy.common.hashing import digest_of
+from damaskproxy.directory import (
+    UNKNOWN_ERA,
+    MemberRecord,
+    RecordError,
+    decode_packed_member,
+)
+from damaskproxy.events import log_event
+from damaskproxy.forwarding import events
 from damaskproxy.forwarding.calls import LoadReport, NotRunReason
 
 __all__ = [
@@ -33,9 +46,12 @@
     "SubscribeFrame",
     "UnknownFrame",
     "UnsubscribeFrame",
+    "decode_state",
     "encode_frame",
 ]
 
+logger = logging.getLogger(__name__)
+
 STATE_PATH = b"/damask/state"
 """Path at which a starting node reads the `StateFrame` of another node over HTTP."""
 LENGTH_BYTES = 4
@@ -45,7 +61,10 @@
 """Entries in the string table of each direction of a connection, and in its header
 table."""
 TABLE_STRING_MAX_BYTES = 64
+IGNORED_MAX = 1000
+"""Invalid records of a connection that are remembered, so that each is logged once."""
 
+Era = Annotated[int, msgspec.Meta(ge=UNKNOWN_ERA, le=INTEGER_MAX)]
 Item = int | bytes
 HeaderItem = int | bytes | tuple[Item, bytes]
 
@@ -104,7 +123,7 @@
 
     call_id: int
     configuration_version: int
-    status: int
+    status: Annotated[int, msgspec.Meta(ge=100, le=999)]
     headers: list[HeaderItem]
     body: bytes
     load: LoadReport | None
@@ -171,13 +190,13 @@
         Data centre of the sender.
     configuration_version : int
         Version in force at the sender.
-    record : MemberRecord
-        Record of the sender.
+    record : MemberRecord or None
+        Record of the sender, None if this node received an invalid one.
     """
 
     data_centre: str
     configuration_version: int
-    record: MemberRecord
+    record: MemberRecord | None
 
 
 class UnsubscribeFrame(msgspec.Struct, array_like=True, tag=11):
@@ -204,13 +223,13 @@
         leave them out.
     """
 
-    configuration_version: int
+    configuration_version: Count
     directory_digest: int
-    store_age_ms: int
-    configuration_position: int
-    members_position: int
-    configuration_era: int = UNKNOWN_ERA
-    members_era: int = UNKNOWN_ERA
+    store_age_ms: Count
+    configuration_position: Count
+    members_position: Count
+    configuration_era: Era = UNKNOWN_ERA
+    members_era: Era = UNKNOWN_ERA
 
 
 class RecordDigestsFrame(msgspec.Struct, array_like=True, tag=13):
@@ -263,8 +282,43 @@
 )
 """Frames about configuration and members."""
 
+
+class _UndecodedStateFrame(msgspec.Struct, array_like=True, tag=7):
+    """`StateFrame` whose records are decoded one by one."""
+
+    configuration: bytes
+    records: list[msgspec.Raw]
+
+
+class _UndecodedSubscribeFrame(msgspec.Struct, array_like=True, tag=10):
+    """`SubscribeFrame` whose record is decoded separately."""
+
+    data_centre: str
+    configuration_version: int
+    record: msgspec.Raw
+
+
+_ReceivedFrame = (
+    HelloFrame
+    | RunFrame
+    | AnswerFrame
+    | NotRunFrame
+    | UnknownFrame
+    | CancelFrame
+    | StateRequestFrame
+    | _UndecodedStateFrame
+    | PingFrame
+    | PongFrame
+    | _UndecodedSubscribeFrame
+    | UnsubscribeFrame
+    | HeartbeatFrame
+    | RecordDigestsFrame
+    | RecordRequestFrame
+)
+
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Frame)
+_decoder = msgspec.msgpack.Decoder(_ReceivedFrame)
+_state_decoder = msgspec.msgpack.Decoder(_UndecodedStateFrame)
 
 
 def encode_frame(frame: Frame) -> bytes:
@@ -278,6 +332,7 @@
 
     def __init__(self):
         self._buffer = bytearray()
+        self._records = RecordDecoder()
 
     def feed(self, data: bytes) -> list[Frame]:
         """Return the frames that `data` completes.
@@ -298,16 +353,67 @@
             end = start + LENGTH_BYTES + length
             if len(buffer) < end:
                 break
-            try:
-                frames.append(
-                    _decoder.decode(bytes(buffer[start + LENGTH_BYTES : end]))
-                )
-            except msgspec.MsgspecError as error:
-                raise FrameError(str(error)) from error
+            encoded = bytes(buffer[start + LENGTH_BYTES : end])
+            frames.append(self._decode(encoded))
             start = end
         del buffer[:start]
         return frames
 
+    def _decode(self, encoded: bytes) -> Frame:
+        frame = decode_or_raise(_decoder.decode, encoded, FrameError)
+        kind = type(frame)
+        if kind is _UndecodedStateFrame:
+            records = self._records.decode(frame.records)
+            return StateFrame(frame.configuration, records)
+        if kind is _UndecodedSubscribeFrame:
+            records = self._records.decode([frame.record])
+            return SubscribeFrame(
+                frame.data_centre,
+                frame.configuration_version,
+                records[0] if records else None,
+            )
+        return frame
+
+
+class RecordDecoder:
+    """Decodes the member records of another node one by one.
+
+    An invalid record, which a node of an earlier release may hold, costs neither the
+    valid ones beside it nor the connection. It is logged once.
+    """
+
+    def __init__(self):
+        self._ignored: set[int] = set()
+
+    def decode(self, records: Iterable[msgspec.Raw]) -> list[MemberRecord]:
+        """Return the valid records."""
+        valid = []
+        for encoded in records:
+            try:
+                valid.append(decode_packed_member(encoded))
+            except RecordError as error:
+                self._log(encoded, error)
+        return valid
+
+    def _log(self, encoded: msgspec.Raw, error: RecordError) -> None:
+        digest = digest_of(encoded)
+        if digest in self._ignored or len(self._ignored) >= IGNORED_MAX:
+            return
+        self._ignored.add(digest)
+        log_event(logger, events.RECORD_IGNORED, reason=str(error))
+
+
+def decode_state(encoded: bytes) -> StateFrame:
+    """Decode the state frame that another node sent over HTTP.
+
+    Raises
+    ------
+    FrameError
+        If it is invalid, apart from single records, which are left out.
+    """
+    frame = decode_or_raise(_state_decoder.decode, encoded, FrameError)
+    return StateFrame(frame.configuration, RecordDecoder().decode(frame.records))
+
 
 class StringTable:
     """Table of the strings and headers sent in one direction of a connection.
--- a/damaskproxy/propagation/propagation.py
+++ b/damaskproxy/propagation/propagation.py
@@ -284,7 +284,8 @@
         self._subscribers[peer] = frame.data_centre
         self._send_configuration(peer, frame.configuration_version)
         peer.write(self._heartbeat())
-        self.apply_state(StateFrame(b"", [frame.record]), peer)
+        if frame.record is not None:
+            self.apply_state(StateFrame(b"", [frame.record]), peer)
 
     def _handle_heartbeat(self, peer: Peer, frame: HeartbeatFrame) -> None:
         now_s = self._now_s()
--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -19,7 +19,12 @@
     decode_member,
 )
 from damaskproxy.events import log_event
-from damaskproxy.forwarding import STATE_PATH, RecordRequestFrame, StateFrame
+from damaskproxy.forwarding import (
+    STATE_PATH,
+    FrameError,
+    RecordRequestFrame,
+    decode_state,
+)
 from damaskproxy.http1 import ConnectionPool, HttpError, Request
 from damaskproxy.model import MemberState
 from damaskproxy.platform import decode_bounds
@@ -297,8 +302,8 @@
     try:
         async with asyncio.timeout(SEED_TIMEOUT_S):
             response = await pool.exchange(request)
-        state = msgspec.msgpack.decode(response.body, type=StateFrame)
-    except (HttpError, TimeoutError, msgspec.MsgspecError):
+        state = decode_state(response.body)
+    except (HttpError, TimeoutError, FrameError):
         return False
     finally:
         pool.close()
