Report every failed connection to a node, and close a link whose frame fails

Opening a connection to an odd address raised UnicodeError, OverflowError or ValueError, which Links did not handle: the call got no result and the propagation never heard of the outcome, so that it took the node for one that is being connected. A frame whose handling raised, such as a call of a service whose name is not UTF-8, ended its connection by a fatal error of the event loop without an event of the node.

Links.open returns None for every failure with the event 10104. Link closes the connection of such a frame and logs 10113 with the traceback; other connections go on.

--- a/damaskproxy/forwarding/events.py
+++ b/damaskproxy/forwarding/events.py
@@ -8,6 +8,7 @@
     "BACKEND_CRASHED",
     "CALL_FAILED",
     "CALL_NOT_ANSWERED",
+    "FRAME_FAILED",
     "LEAVE_NAMED",
     "LIMIT_CHANGED",
     "LIMIT_IGNORED",
@@ -70,6 +71,13 @@
     logging.WARNING,
     "Another node sent an invalid member record, which is ignored.",
 )
+FRAME_FAILED = define(
+    10113,
+    "frame-failed",
+    logging.ERROR,
+    "Handling a frame of another node raised an unexpected exception; its connection "
+    "is closed.",
+)
 LIMIT_IGNORED = define(
     10109,
     "server-limit-ignored",
--- a/damaskproxy/forwarding/link.py
+++ b/damaskproxy/forwarding/link.py
@@ -215,6 +215,9 @@
         except FrameError as error:
             log_event(logger, events.LINK_LOST, peer=self.peer_id, reason=str(error))
             self._transport.abort()
+        except Exception as error:
+            log_event(logger, events.FRAME_FAILED, exc_info=error, peer=self.peer_id)
+            self._transport.abort()
 
     def is_to_earlier_incarnation(self, incarnation: int) -> bool:
         """Tell whether the incarnation of the peer is known to be an earlier one."""
--- a/damaskproxy/forwarding/links.py
+++ b/damaskproxy/forwarding/links.py
@@ -196,7 +196,8 @@
                 )
                 if must_send_hello:
                     await link.hello_received.wait()
-        except (OSError, TimeoutError) as error:
+        # An address that cannot be used raises UnicodeError, OverflowError or others.
+        except Exception as error:
             if link is not None:
                 link.close()
             log_event(
--- a/damaskproxy/forwarding/tests/test_links.py
+++ b/damaskproxy/forwarding/tests/test_links.py
@@ -1,6 +1,7 @@
 """Connections between nodes that are lost, refused, replaced or unresponsive."""
 
 import asyncio
+import contextlib
 import socket
 import unittest
 
@@ -22,7 +23,7 @@
     NotRunReason,
     Unknown,
 )
-from damaskproxy.forwarding.frames import encode_frame
+from damaskproxy.forwarding.frames import RunFrame, encode_frame
 from damaskproxy.forwarding.link import PING_AFTER_S, PONG_TIMEOUT_S
 from damaskproxy.forwarding.links import CONNECT_TIMEOUT_S
 from damaskproxy.forwarding.tests.builders import make_call, make_member
@@ -83,6 +84,11 @@
             self.received_states.append(frame)
 
 
+def failing_handlers(node, fail):
+    """Return the handlers of a node that fail for frames about the mesh."""
+    return LinkHandlers(node.run, lambda: node.version, fail)
+
+
 class LinkTests(unittest.IsolatedAsyncioTestCase):
     """Guards against results that are mixed up, lost or falsely reported as not run."""
 
@@ -309,6 +315,67 @@
             result = await self.one.links.run(self.member, make_call())
         self.assertIsInstance(result, Unknown)
 
+    @params(
+        ("127.0.0.1", 70_000),
+        ("127.0.0.1", -1),
+        ("127.0.0.1", 1 << 80),
+        ("127.0.0.1\0", 1),
+        ("a" * 70 + ".invalid", 1),
+        ("\ud800", 1),
+    )
+    async def test_call_to_an_unusable_address_is_not_run(self, host, port):
+        odd = make_member("n2", host=host, port=port)
+        with self.assertLogs("damaskproxy.forwarding.links", "INFO") as logs:
+            result = await self.one.links.run(odd, make_call())
+        self.assertEqual(result, NotRun(NotRunReason.PEER_UNREACHABLE))
+        self.assertEqual(logs.records[0].fields["peer"], "n2")
+        self.assertIsNone(await self.one.links.open(odd))
+
+    @params("handler", "service", "table")
+    async def test_frame_that_cannot_be_handled_closes_only_its_connection(self, kind):
+        def fail(link, frame):
+            raise KeyError("expected by the test")
+
+        frame = StateRequestFrame(1)
+        if kind == "handler":
+            self.two.links._handlers = failing_handlers(self.two, fail)
+        else:
+            name = b"\xff" if kind == "service" else 300
+            frame = RunFrame(
+                1,
+                1,
+                1,
+                name,
+                b"r",
+                b"GET",
+                b"/",
+                [],
+                b"",
+                b"1",
+                b"c",
+                1,
+                True,
+                9,
+                False,
+            )
+        bystander = await self.one.links.open(self.member)
+        await bystander.hello_received.wait()
+        loop_errors = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: loop_errors.append(context))
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.member.port)
+        with self.assertLogs("damaskproxy.forwarding.link", "INFO") as logs:
+            writer.write(encode_frame(HelloFrame("n9", 1)) + encode_frame(frame))
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
+            await self.until(lambda: len(logs.records) > 1)
+        writer.close()
+        self.assertEqual({r.fields["peer"] for r in logs.records}, {"n9"})
+        self.assertEqual(loop_errors, [])
+        self.assertTrue(bystander.is_open)
+        self.two.results = [RESULTS[0]]
+        self.assertEqual(await self.one.links.run(self.member, make_call()), RESULTS[0])
+
     async def test_malformed_stream_closes_only_its_connection(self):
         reader, writer = await asyncio.open_connection("127.0.0.1", self.member.port)
         writer.write(b"\xff\xff\xff\xff garbage")
