Bound the values of configurations, status reports and feeds where they are decoded

A configuration with a time-out or a priority beyond 64 bits was in force, and no call of the route could be sent to another node, since its frame could not be encoded; with such a version no heartbeat could. Weights that sum to zero raised KeyError for each request of the route, and with weights whose sum overflows one service got all requests. A status report with coldRemainingMs of 1e300 or a sequence of 30 digits made the record of the node impossible to encode. An instance id with %0D%0A in the path became a header of its own in each request to the instance. Nested bodies raised RecursionError. One row of the store with a field of another type hid the other rows of the response.

What an operator may write stays valid: huge time-outs, priorities and weights are limited, and a split without any weight sends no request (503). Only a version beyond 64 bits is invalid. Status reports and leaves with control characters in the instance id get 400; so do numbers beyond 64 bits and start times that are more than a year ahead. A row of which only key and version are valid counts as an invalid row of its key.

--- a/damaskproxy/forwarding/traffic_split.py
+++ b/damaskproxy/forwarding/traffic_split.py
@@ -15,7 +15,10 @@
         self._current_weights: dict[str, dict[str, float]] = {}
 
     def next_service(self, route: Route) -> str:
-        """Return the service for the next request of `route`."""
+        """Return the service for the next request of `route`.
+
+        It is empty if no service of the route has a weight.
+        """
         if len(route.services) == 1:
             return route.services[0][0]
         current = self._current_weights.setdefault(route.name, {})
@@ -26,7 +29,8 @@
             current[service] = current.get(service, 0.0) + weight
             if weight > 0 and (not chosen or current[service] > current[chosen]):
                 chosen = service
-        current[chosen] -= total
+        if chosen:
+            current[chosen] -= total
         return chosen
 
     def reset(self) -> None:
--- a/damaskproxy/platform/control.py
+++ b/damaskproxy/platform/control.py
@@ -10,13 +10,19 @@
 from damaskproxy.forwarding import STATE_PATH, Backend
 from damaskproxy.http1 import Request, Response
 from damaskproxy.platform import events
-from damaskproxy.platform.messages import decode_born_ms, decode_report
+from damaskproxy.platform.messages import (
+    check_instance_id,
+    decode_born_ms,
+    decode_report,
+)
 
 __all__ = ["make_control_handler", "make_readiness_handler"]
 
 logger = logging.getLogger(__name__)
 
 INSTANCES_PATH = "/api/instances/"
+INSTANCE_ID_LOGGED = 200
+"""Characters of an instance id in the log."""
 STORE_WAIT_S = 0.6
 """Maximum time that the response to a leaving backend server waits for the store.
 
@@ -57,6 +63,10 @@
         if request.method == b"PUT":
             return await report(instance_id, request.body)
         if request.method == b"DELETE":
+            try:
+                check_instance_id(instance_id)
+            except RecordError as error:
+                return refuse(instance_id, error)
             backend.mark_stopped(instance_id, decode_born_ms(request.body))
             await wait_for_store()
             return _json(200, b"{}")
@@ -68,13 +78,7 @@
             if not has_service(status.service):
                 raise RecordError(f"unknown service {status.service!r}")
         except RecordError as error:
-            log_event(
-                logger,
-                events.REPORT_IGNORED,
-                instance_id=instance_id,
-                reason=str(error),
-            )
-            return Response(400)
+            return refuse(instance_id, error)
         if not backend.report(status):
             log_event(
                 logger,
@@ -87,6 +91,15 @@
             await wait_for_store()
         return _json(200, b"{}")
 
+    def refuse(instance_id: str, error: RecordError) -> Response:
+        log_event(
+            logger,
+            events.REPORT_IGNORED,
+            instance_id=instance_id[:INSTANCE_ID_LOGGED],
+            reason=str(error),
+        )
+        return Response(400)
+
     async def wait_for_store() -> None:
         """Wait until the leave is stored; without the store only this node keeps it."""
         try:
--- a/damaskproxy/platform/messages.py
+++ b/damaskproxy/platform/messages.py
@@ -10,7 +10,20 @@
 
 import msgspec
 
-from damaskproxy.directory import Configuration, RecordError, Route, ServiceEntry
+from damaskproxy.common.decoding import (
+    Count,
+    Name,
+    PositiveCount,
+    Rate,
+    decode_or_raise,
+)
+from damaskproxy.directory import (
+    Configuration,
+    RecordError,
+    Route,
+    ServiceEntry,
+    is_plausible_ms,
+)
 from damaskproxy.directory.rows import Row, Rows, RowWrite, StorePosition
 from damaskproxy.forwarding import StatusReport
 from damaskproxy.http1 import ClientLimits
@@ -18,6 +31,7 @@
 __all__ = [
     "FeedBody",
     "RowBody",
+    "check_instance_id",
     "decode_born_ms",
     "decode_configuration",
     "decode_feed",
@@ -30,15 +44,22 @@
 DRAINING_STATE = "draining"
 STATES = frozenset({"ready", DRAINING_STATE})
 
-Count = Annotated[int, msgspec.Meta(ge=0)]
-PositiveCount = Annotated[int, msgspec.Meta(ge=1)]
+TIMEOUT_MAX_MS = 7 * 86_400_000
+PRIORITY_MAX = 1_000_000
+COLD_MAX_MS = 86_400_000
+WEIGHTS_MAX = 1e300
+"""Limits of what nodes compute with and send to each other; larger values of the
+operator and of backend servers are valid and treated like these."""
+
+OperatorCount = Annotated[int, msgspec.Meta(ge=0)]
+OperatorPositiveCount = Annotated[int, msgspec.Meta(ge=1)]
 
 
 class SplitPart(msgspec.Struct):
     """Service of a traffic split and its weight."""
 
     service: str
-    weight: Annotated[float, msgspec.Meta(ge=0)]
+    weight: Rate
 
 
 class RouteBody(msgspec.Struct, rename="camel"):
@@ -47,10 +68,10 @@
     host: str
     prefix: str
     kind: str
-    timeout_ms: PositiveCount
-    max_attempts: PositiveCount
-    target_latency_ms: Count = 0
-    priority: Count = 0
+    timeout_ms: OperatorPositiveCount
+    max_attempts: OperatorPositiveCount
+    target_latency_ms: OperatorCount = 0
+    priority: OperatorCount = 0
     service: str = ""
     traffic_split: list[SplitPart] = []
 
@@ -59,16 +80,16 @@
     """Service in the operator's configuration."""
 
     health_path: str = "/health"
-    max_connections: PositiveCount = 1_000_000
+    max_connections: OperatorPositiveCount = 1_000_000
 
 
 class LimitsBody(msgspec.Struct, rename="camel"):
     """Limits on client connections."""
 
-    max_header_bytes: PositiveCount = 16384
-    max_body_bytes: PositiveCount = 67108864
-    header_timeout_ms: PositiveCount = 3000
-    idle_timeout_ms: PositiveCount = 15000
+    max_header_bytes: OperatorPositiveCount = 16384
+    max_body_bytes: OperatorPositiveCount = 67108864
+    header_timeout_ms: OperatorPositiveCount = 3000
+    idle_timeout_ms: OperatorPositiveCount = 15000
 
 
 class ConfigurationBody(msgspec.Struct):
@@ -83,7 +104,7 @@
 class InfoBody(msgspec.Struct):
     """Properties of a backend server that stay the same within its incarnation."""
 
-    service: str
+    service: Name
     slots: PositiveCount
     version: str = ""
     zone: str = ""
@@ -116,7 +137,7 @@
     """Row of the store; `value` is base64, absent if the row is deleted."""
 
     key: str
-    ver: int
+    ver: Count
     table: str = ""
     part: str = ""
     value: str = ""
@@ -127,10 +148,25 @@
     """Rows at version `ver` of the store, or the changes up to it."""
 
     rows: list[RowBody] = []
-    ver: int = 0
+    ver: Count = 0
     truncated: bool = False
 
 
+class UndecodedFeedBody(msgspec.Struct):
+    """`FeedBody` whose rows are decoded one by one."""
+
+    rows: list[msgspec.Raw] = []
+    ver: Count = 0
+    truncated: bool = False
+
+
+class RowNameBody(msgspec.Struct):
+    """Key and version of a row whose other fields are invalid."""
+
+    key: str
+    ver: Count
+
+
 def decode_configuration(encoded: bytes) -> Configuration:
     """Decode the configuration in the operator's row.
 
@@ -174,11 +210,12 @@
     """
     body = _decode(encoded, ReportBody)
     if body.status.state not in STATES:
-        raise RecordError(f"unknown state {body.status.state!r}")
+        raise RecordError(f"unknown state {body.status.state[:40]!r}")
     if body.address != address:
-        raise RecordError(f"address {body.address} is not that of this machine")
-    if not instance_id or not body.info.service:
-        raise RecordError("no instance id or no service")
+        raise RecordError(f"address {body.address[:40]} is not that of this machine")
+    check_instance_id(instance_id)
+    if not is_plausible_ms(body.born):
+        raise RecordError(f"the start time {body.born} is in the far future")
     return StatusReport(
         instance_id,
         body.info.service,
@@ -186,15 +223,29 @@
         body.status.state == DRAINING_STATE,
         body.born,
         body.status.sequence,
-        int(body.status.cold_remaining_ms),
+        int(min(body.status.cold_remaining_ms, COLD_MAX_MS)),
     )
 
 
+def check_instance_id(instance_id: str) -> None:
+    """Check an instance id, which is sent to the backend server in a header.
+
+    Raises
+    ------
+    RecordError
+        If it is empty, too long or has control characters.
+    """
+    try:
+        msgspec.convert(instance_id, Name)
+    except msgspec.ValidationError as error:
+        raise RecordError(f"invalid instance id: {error}") from error
+
+
 def decode_born_ms(encoded: bytes) -> int | None:
     """Return the start time in the body of a leaving backend server, or None."""
     try:
-        return msgspec.json.decode(encoded, type=BornBody).born
-    except msgspec.MsgspecError:
+        return _decode(encoded, BornBody).born
+    except RecordError:
         return None
 
 
@@ -205,8 +256,25 @@
     ------
     RecordError
         If they are invalid.
+
+    Notes
+    -----
+    A row of which only key and version are valid gets an empty value, which every
+    decoder of rows rejects, so that it does not hide the other rows.
     """
-    return _decode(encoded, FeedBody)
+    try:
+        return _decode(encoded, FeedBody)
+    except RecordError:
+        body = _decode(encoded, UndecodedFeedBody)
+    return FeedBody([_row(row) for row in body.rows], body.ver, body.truncated)
+
+
+def _row(encoded: bytes) -> RowBody:
+    try:
+        return _decode(encoded, RowBody)
+    except RecordError:
+        name = _decode(encoded, RowNameBody)
+        return RowBody(name.key, name.ver)
 
 
 def encode_writes(table: str, writes: Iterable[RowWrite]) -> bytes:
@@ -265,14 +333,14 @@
 
 
 def _decode(encoded: bytes, kind: type):
-    try:
-        return msgspec.json.decode(encoded, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise RecordError(str(error)) from error
+    return decode_or_raise(msgspec.json.Decoder(kind).decode, encoded, RecordError)
 
 
 def _route(name: str, body: RouteBody) -> Route:
     parts = [(part.service, part.weight) for part in body.traffic_split]
+    if sum(weight for _, weight in parts) > WEIGHTS_MAX:
+        largest = max(weight for _, weight in parts)
+        parts = [(service, weight / largest) for service, weight in parts]
     if not parts:
         parts = [(body.service, 1.0)]
     return Route(
@@ -282,7 +350,7 @@
         tuple(parts),
         body.kind == IDEMPOTENT_KIND,
         body.max_attempts,
-        body.timeout_ms,
-        body.target_latency_ms,
-        body.priority,
+        min(body.timeout_ms, TIMEOUT_MAX_MS),
+        min(body.target_latency_ms, TIMEOUT_MAX_MS),
+        min(body.priority, PRIORITY_MAX),
     )
