Reject responses of the store with an odd era or pages that do not go on

An era of 30 digits in the header of a response was accepted, after which no heartbeat could be encoded; a negative one or one like 1_0 was taken for a number. A read whose pages do not go on asked for the same page for ever, and an empty page that calls itself truncated ended a read as if it were complete, after which the members behind it were removed. With many data centres, which a few odd rows suffice for, the feed asked for a longer wait than the 30 s that the store allows.

The era has to be a number of at most 64 bits, a page has to begin behind the one before it, and a wait is limited.

--- a/damaskproxy/platform/store.py
+++ b/damaskproxy/platform/store.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from urllib.parse import quote
 
+from damaskproxy.common.decoding import INTEGER_MAX
 from damaskproxy.directory import (
     HistoryLost,
     RecordError,
@@ -38,6 +39,9 @@
 responses take half a second."""
 FEED_GRACE_S = 1.0
 """Time beyond the requested wait after which an unresponsive feed is abandoned."""
+FEED_WAIT_MAX_MS = 30_000
+"""Longest wait that the store allows."""
+ERA_DIGITS_MAX = len(str(INTEGER_MAX))
 PATH_ATTEMPTS = 2
 PATH_TIMEOUT_S = 0.3
 """Time-out of each attempt to open a connection. The kernel sends a lost packet again
@@ -86,8 +90,10 @@
                 raise StoreError(f"the store was restored while {table} was read")
             era = page_era
             rows += body.rows
-            if not body.truncated or not body.rows:
+            if not body.truncated:
                 return to_rows(FeedBody(rows, body.ver), era)
+            if not body.rows or body.rows[-1].key < first:
+                raise StoreError(f"a page of {table} does not go on from the last one")
             # The smallest key that is greater than the last one.
             first = body.rows[-1].key + "\0"
 
@@ -101,6 +107,7 @@
         StoreError
             If there was no valid response.
         """
+        wait_ms = min(wait_ms, FEED_WAIT_MAX_MS)
         target = f"/api/rows-feed?table={quote(table)}&after={after}&waitMs={wait_ms}"
         timeout_s = wait_ms / MS_PER_S + FEED_GRACE_S
         response = await self._call(b"GET", target, b"", timeout_s)
@@ -177,10 +184,11 @@
     value = response.header(STORE_ERA)
     if value is None:
         return 0
-    try:
-        return int(value)
-    except ValueError as error:
-        raise StoreError(f"invalid era {value[:20]!r}") from error
+    if value.isdigit() and len(value) <= ERA_DIGITS_MAX:
+        era = int(value)
+        if era <= INTEGER_MAX:
+            return era
+    raise StoreError(f"invalid era {value[:20]!r}")
 
 
 def _decode_rows(response: Response, status: int = 200) -> Rows:
--- a/damaskproxy/platform/tests/test_store.py
+++ b/damaskproxy/platform/tests/test_store.py
@@ -7,7 +7,7 @@
 from nose2.tools import params
 
 from damaskproxy.directory import RowWrite, StoreError, StorePosition
-from damaskproxy.http1 import DeadPeerLimits
+from damaskproxy.http1 import DeadPeerLimits, HttpServer, Response
 from damaskproxy.platform.standins import RowStoreStandIn
 from damaskproxy.platform.store import DEAD_PEER_LIMITS, READ_TIMEOUT_S, PlatformStore
 from damaskproxy.sidecar.settings import to_address
@@ -125,3 +125,102 @@
         self.rows.era = "new"
         with self.assertRaises(StoreError):
             await self.store.read("op")
+
+
+class OddResponseTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against responses of the store that are applied wrongly or for ever."""
+
+    async def asyncSetUp(self):
+        self.calls = []
+        self.responses = []
+        server = HttpServer("odd store", self.respond)
+        await server.open("127.0.0.1", 0)
+        self.addAsyncCleanup(server.close)
+        self.store = PlatformStore(to_address(f"127.0.0.1:{server.port}"))
+        self.addCleanup(self.store.close)
+
+    async def respond(self, request):
+        self.calls.append(request.target)
+        if len(self.calls) > 20:
+            return Response(500)
+        response = self.responses[min(len(self.calls), len(self.responses)) - 1]
+        return (
+            response if isinstance(response, Response) else Response(200, [], response)
+        )
+
+    @params(
+        b"1" * 30,
+        b"-1",
+        b"-5",
+        b"1_0",
+        b"+1",
+        b"0x1",
+        b"1.0",
+        b"\xb2",
+        b"9" * 5000,
+        b"9223372036854775808",
+    )
+    async def test_odd_era_is_an_error(self, era):
+        self.responses = [Response(200, [(b"Store-Era", era)], b'{"rows":[],"ver":1}')]
+        with self.assertRaises(StoreError):
+            await self.store.read("op")
+
+    @params((b"9223372036854775807", (1 << 63) - 1), (b"0", 0), (b"007", 7))
+    async def test_valid_era_is_named(self, era, expected):
+        self.responses = [Response(200, [(b"Store-Era", era)], b'{"rows":[],"ver":1}')]
+        found = (await self.store.read("op")).position
+        self.assertEqual(found, StorePosition(expected, 1))
+
+    @params(
+        [b'{"rows":[{"key":"b","ver":1}],"ver":1,"truncated":true}'],
+        [
+            b'{"rows":[{"key":"b","ver":1}],"ver":1,"truncated":true}',
+            b'{"rows":[{"key":"a","ver":1}],"ver":1,"truncated":true}',
+        ],
+        [b'{"rows":[],"ver":1,"truncated":true}'],
+        [
+            b'{"rows":[{"key":"b","ver":1}],"ver":1,"truncated":true}',
+            b'{"rows":[],"ver":1,"truncated":true}',
+        ],
+    )
+    async def test_pages_without_progress_are_an_error(self, responses):
+        self.responses = responses
+        with self.assertRaises(StoreError):
+            await self.store.read("op")
+        self.assertLessEqual(len(self.calls), 2)
+
+    @params(
+        b"",
+        b"null",
+        b"\xff",
+        b'{"rows":7}',
+        b'{"ver":' + b"9" * 30 + b"}",
+        b"[" * 20_000 + b"]" * 20_000,
+        b'{"rows":[{"key":"\\ud800","ver":1}],"ver":1}',
+        Response(404),
+        Response(200, [(b"Content-Encoding", b"gzip")], b"\x1f\x8b"),
+    )
+    async def test_odd_response_is_an_error(self, response):
+        self.responses = [response]
+        for call in (
+            self.store.read("op"),
+            self.store.changes("op", 1, 0),
+            self.store.write("op", [RowWrite("k", 0, b"x")]),
+        ):
+            with self.assertRaises(StoreError):
+                await call
+
+    async def test_feed_waits_no_longer_than_the_store_allows(self):
+        self.responses = [b'{"rows":[],"ver":1}']
+        await self.store.changes("op", 1, 3_000_000)
+        self.assertTrue(self.calls[0].endswith(b"waitMs=30000"))
+
+    @params(b"a\0b", "ü/&?=%".encode(), b"a b\\u0085")
+    async def test_any_key_continues_a_read(self, key):
+        page = b'{"rows":[{"key":"%s","ver":1}],"ver":1,"truncated":%s}'
+        text = key.replace(b"\0", b"\\u0000")
+        self.responses = [
+            page % (text, b"true"),
+            page % (b"\xf0\x9f\x98\x80", b"false"),
+        ]
+        self.assertEqual(len((await self.store.read("op")).rows), 2)
