Apply the other rows of a response when one of them cannot be applied

A row that raised anything but RecordError ended the task that read the members: the other rows of the response were not applied, a node that started never became ready, and one that followed read the same row again every 0.2 s. A nested configuration ended the feed in the same way. A position beyond the newest version of the store, which a peer may name, made each later poll read all rows. An invalid row was logged again at each read.

Each row is applied by itself; what it raises is logged as 11004 or, with the traceback, as 11011, once for each version of the row, and the position goes on. A lost history resets the position.

--- a/damaskproxy/directory/configuration.py
+++ b/damaskproxy/directory/configuration.py
@@ -106,6 +106,7 @@
         self.current: Configuration | None = None
         self._listeners = []
         self._known = asyncio.Event()
+        self._ignored: int | None = None
 
     @property
     def version(self) -> int:
@@ -130,6 +131,13 @@
         entry = self.current.services.get(service) if self.current else None
         return entry.max_connections if entry else None
 
+    def note_ignored(self, encoded: bytes) -> bool:
+        """Record that `encoded` is invalid; return whether that was news."""
+        digest = hash(encoded)
+        was_news = digest != self._ignored
+        self._ignored = digest
+        return was_news
+
     async def wait_until_known(self) -> None:
         """Wait until a configuration is in force."""
         await self._known.wait()
--- a/damaskproxy/directory/events.py
+++ b/damaskproxy/directory/events.py
@@ -9,6 +9,7 @@
     "FEED_STUCK",
     "HISTORY_LOST",
     "MEMBERS_RESTORED",
+    "ROW_FAILED",
     "ROW_IGNORED",
     "STORE_LOST",
     "STORE_REGAINED",
@@ -32,6 +33,13 @@
 ROW_IGNORED = define(
     11004, "row-ignored", logging.WARNING, "A row of the store is invalid and ignored."
 )
+ROW_FAILED = define(
+    11011,
+    "row-failed",
+    logging.ERROR,
+    "Applying a row of the store raised an unexpected exception; the other rows are "
+    "applied.",
+)
 FEED_STUCK = define(
     11009,
     "store-feed-stuck",
--- a/damaskproxy/directory/following.py
+++ b/damaskproxy/directory/following.py
@@ -27,7 +27,7 @@
     StoreRestored,
     WriteOutcome,
 )
-from damaskproxy.events import log_event
+from damaskproxy.events import Event, log_event
 
 __all__ = [
     "DecodeConfiguration",
@@ -54,6 +54,8 @@
 the store are cut off from it at once, the others have to ask it within 2 s."""
 RESPONSE_USUAL_S = 0.1
 """Time after which a call without a response makes the first check of the path."""
+LOGGED_ROWS_MAX = 10_000
+"""Odd rows that are remembered, so that each version of them is logged once."""
 MEMBERS_CHECK_S = 0.25
 """Interval at which the plan is asked whether to read the members."""
 RETRY_MIN_S = 0.2
@@ -70,7 +72,10 @@
     try:
         configuration = decode(encoded)
     except RecordError as error:
-        log_event(logger, events.ROW_IGNORED, key=CONFIGURATION_KEY, reason=str(error))
+        if current.note_ignored(encoded):
+            log_event(
+                logger, events.ROW_IGNORED, key=CONFIGURATION_KEY, reason=str(error)
+            )
         return
     if current.apply_if_newer(configuration):
         log_event(logger, events.CONFIGURATION_IN_FORCE, version=configuration.version)
@@ -212,6 +217,7 @@
         self._publish = publish
         self._own_row_deleted = own_row_deleted
         self._rng = rng
+        self._logged_rows: dict[str, tuple[int, int]] = {}
 
     async def read_members(self) -> None:
         """Read all members once, with retries while the store is unavailable."""
@@ -266,9 +272,7 @@
             self.record_success(rows)
             for row in rows.rows:
                 if row.key == CONFIGURATION_KEY and row.value is not None:
-                    apply_encoded_configuration(
-                        self._configuration, row.value, self._decode
-                    )
+                    self._apply_configuration_row(row)
             is_renewal = wait_s > 0 and not rows.rows
             self._plan.store_succeeded(rows.position)
 
@@ -356,6 +360,8 @@
             return
         except HistoryLost as error:
             log_event(logger, events.HISTORY_LOST, reason=str(error))
+            # It may be beyond the newest version of the store.
+            self._plan.members_position = StorePosition()
             body = await self._store.read(MEMBER_TABLE)
             self._remove_missing_members({row.key for row in body.rows})
         self._apply_member_rows(body)
@@ -391,8 +397,29 @@
             if record is not None:
                 self._publish(record)
 
+    def _apply_configuration_row(self, row: Row) -> None:
+        try:
+            apply_encoded_configuration(self._configuration, row.value, self._decode)
+        except Exception as error:
+            self._log_row(row, events.ROW_FAILED, exc_info=error)
+
     def _apply_member_row(self, row: Row) -> MemberRecord | None:
-        """Apply a row; return the record if it was news."""
+        """Apply a row; return the record if it was news.
+
+        Whatever a row has, the others of the same response are applied.
+        """
+        try:
+            record = self._merge_member_row(row)
+        except RecordError as error:
+            self._log_row(row, events.ROW_IGNORED, reason=str(error))
+            return None
+        except Exception as error:
+            self._log_row(row, events.ROW_FAILED, exc_info=error)
+            return None
+        self._logged_rows.pop(row.key, None)
+        return record
+
+    def _merge_member_row(self, row: Row) -> MemberRecord | None:
         if row.key == self._node_id:
             self.own_row = row
             if row.value is None:
@@ -400,15 +427,28 @@
             return None
         if row.value is None:
             return self._directory.remove(row.key)
-        try:
-            record = decode_member(row.value)
-            if record.node_id != row.key:
-                raise RecordError(f"the row names node {record.node_id!r}")
-        except RecordError as error:
-            log_event(logger, events.ROW_IGNORED, key=row.key, reason=str(error))
-            return None
+        record = decode_member(row.value)
+        if record.node_id != row.key:
+            raise RecordError(f"the row names node {record.node_id[:200]!r}")
         return record if self._directory.merge(record) else None
 
+    def _log_row(
+        self,
+        row: Row,
+        event: Event,
+        *,
+        exc_info: BaseException | bool = False,
+        **fields: object,
+    ) -> None:
+        """Log an event about a row, once for each version of the row."""
+        version = (row.version, hash(row.value))
+        if self._logged_rows.get(row.key) == version:
+            return
+        if len(self._logged_rows) >= LOGGED_ROWS_MAX:
+            self._logged_rows.clear()
+        self._logged_rows[row.key] = version
+        log_event(logger, event, exc_info=exc_info, key=row.key, **fields)
+
     def _remove_missing_members(self, keys: set[str]) -> None:
         """Remove the members that are not in a complete read of the store."""
         if self._node_id not in keys:
--- a/damaskproxy/directory/tests/test_following.py
+++ b/damaskproxy/directory/tests/test_following.py
@@ -45,6 +45,10 @@
     return MemberRecord(node_id, incarnation, version, "a", "10.0.0.1", 1)
 
 
+DEEP = b"[" * 20_000 + b"]" * 20_000
+DEEP_MEMBER = encode_member(record("n0")).replace(b"}", b',"later":' + DEEP + b"}")
+
+
 class AlwaysFollow:
     """Plan of a node that always follows the store."""
 
@@ -246,6 +250,85 @@
         await self.until(lambda: self.directory.get("n2") is not None)
         self.assertEqual(len(self.directory), 1)
 
+    @params(
+        encode_member(record("n2")).replace(b"}", b',"later":' + DEEP + b"}"),
+        encode_member(record("n2")).replace(b'"version":1', b'"version":' + b"9" * 30),
+        encode_member(record("n2")).replace(b'"port":1', b'"port":70000'),
+        DEEP,
+        b"",
+    )
+    async def test_odd_row_keeps_no_other_row_from_being_applied(self, odd):
+        await self.until(lambda: self.watcher.has_read_members)
+        self.rows.put(MEMBER_TABLE, "n2", odd)
+        self.rows.put(MEMBER_TABLE, "n3", encode_member(record("n3")))
+        await self.until(lambda: self.directory.get("n3") is not None)
+        await self.until(
+            lambda: self.plan.members_position.version == self.rows.version
+        )
+        self.rows.drop(MEMBER_TABLE, "n2")
+        self.rows.put(MEMBER_TABLE, "n2", encode_member(record("n2")))
+        await self.until(lambda: self.directory.get("n2") is not None)
+        self.assertFalse([task for task in self.tasks[2:] if task.done()])
+
+    async def test_node_starts_beside_odd_rows(self):
+        for name, odd in (("n0", DEEP_MEMBER), ("n2", DEEP), ("n9", b"\0")):
+            self.rows.put(MEMBER_TABLE, name, odd)
+        self.rows.put(MEMBER_TABLE, "n3", encode_member(record("n3")))
+        await self.watcher.read_members()
+        self.assertEqual([r.node_id for r in self.directory.records()], ["n3"])
+
+    async def test_record_that_fails_when_it_is_used_keeps_no_other_row_back(self):
+        def fail(changed):
+            if changed.node_id == "n2":
+                raise KeyError("expected by the test")
+
+        self.directory._on_change = fail
+        with self.assertLogs(following.logger, "ERROR") as logs:
+            for name in ("n2", "n3"):
+                self.rows.put(MEMBER_TABLE, name, encode_member(record(name)))
+            await self.until(lambda: self.directory.get("n3") is not None)
+        self.assertEqual(logs.records[0].fields["key"], "n2")
+
+    async def test_odd_row_is_logged_once_for_each_version(self):
+        await self.until(lambda: self.watcher.has_read_members)
+        # Each poll reads all rows.
+        self.rows.oldest_version = 1 << 40
+        read = self.store.read
+        tables = []
+
+        async def count_reads(table):
+            tables.append(table)
+            return await read(table)
+
+        self.store.read = count_reads
+        with self.assertLogs(following.logger, "WARNING") as logs:
+            for _ in range(2):
+                self.rows.put(MEMBER_TABLE, "n2", b"\0")
+                self.rows.put("op", "config", b"\0")
+                tables.clear()
+                await self.until(lambda: tables.count(MEMBER_TABLE) > 4)
+        keys = [r.fields["key"] for r in logs.records if "key" in r.fields]
+        self.assertEqual(keys.count("n2"), 2)
+        self.assertLessEqual(keys.count("config"), 2)
+
+    async def test_position_beyond_the_store_is_corrected(self):
+        await self.until(lambda: self.watcher.has_read_members)
+        self.rows.put(MEMBER_TABLE, "n2", encode_member(record("n2")))
+        self.plan.members_position = StorePosition(0, (1 << 63) - 1)
+        await self.until(
+            lambda: self.plan.members_position.version == self.rows.version
+        )
+
+    async def test_odd_configuration_does_not_stop_the_feed(self):
+        self.rows.put("op", "config", configuration(5))
+        await self.until(lambda: self.current.version == 5)
+        body = configuration(6).replace(b"}}", b'},"later":' + DEEP + b"}")
+        self.rows.put("op", "config", body)
+        await asyncio.sleep(2 * FEED_WAIT_S)
+        self.rows.put("op", "config", configuration(7))
+        await self.until(lambda: self.current.version == 7)
+        self.assertFalse(self.tasks[0].done())
+
     @params(0, 1, 3)
     async def test_own_row_is_written_although_responses_are_lost(self, lost_count):
         self.rows.unanswered_writes = lost_count
