Restart a task that fails again and again with growing pauses

A background task that failed on the same input was started again every 0.2 s with a full traceback each time: 52 tracebacks in 17 s on a node that read a nested member row.

The pause doubles up to 5 s while the task fails within 10 s of its start, and the traceback of the same exception is logged once in a row; the other lines have the exception and the pause.

--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -64,6 +64,12 @@
 """Two round trips between regions. Short, since no peer has the record when all nodes
 start at the same time."""
 TASK_RESTART_DELAY_S = 0.2
+TASK_RESTART_MAX_S = 5.0
+"""First and longest pause before a failed task is started again. It doubles while the
+task fails within `TASK_STEADY_S`."""
+TASK_STEADY_S = 10.0
+REASON_MAX = 200
+"""Characters of an exception in the log."""
 STOP_ACCEPT_S = 2.7
 """Time after SIGTERM in which requests are still accepted: the platform takes a node
 out of rotation after two failed health checks, one second apart. A request accepted
@@ -155,13 +161,29 @@
 
 
 async def _run_with_restart(job: Callable[[], Awaitable[None]]) -> None:
+    """Run `job`, again after each failure; the traceback is logged once in a row."""
+    pause_s = TASK_RESTART_DELAY_S
+    known = ""
     while True:
+        started_s = boot_s()
         try:
             await job()
             return
-        except Exception:
-            log_event(logger, events.TASK_ENDED, exc_info=True)
-            await asyncio.sleep(TASK_RESTART_DELAY_S)
+        except Exception as error:
+            if boot_s() - started_s >= TASK_STEADY_S:
+                pause_s = TASK_RESTART_DELAY_S
+                known = ""
+            reason = repr(error)[:REASON_MAX]
+            log_event(
+                logger,
+                events.TASK_ENDED,
+                exc_info=error if reason != known else False,
+                reason=reason,
+                pause_s=pause_s,
+            )
+            known = reason
+        await asyncio.sleep(pause_s)
+        pause_s = min(2 * pause_s, TASK_RESTART_MAX_S)
 
 
 async def _open_listeners(sidecar: Sidecar) -> None:
