Ignore crashes that a record dates beyond the time for which a crash counts

A crash that is further ahead of the clock than a crash counts (120 s) is ignored.

Without this change 2 of the 4 cases of the test fail.

--- a/damaskproxy/forwarding/poison_requests.py
+++ b/damaskproxy/forwarding/poison_requests.py
@@ -88,11 +88,14 @@
         return until_ms > self._wall_s() * MS_PER_S
 
     def _count(self) -> None:
-        oldest_ms = int(self._wall_s() * MS_PER_S) - CRASH_RETENTION_MS
+        now_ms = int(self._wall_s() * MS_PER_S)
+        oldest_ms = now_ms - CRASH_RETENTION_MS
+        # The clock of another node may be ahead, but not by more than a crash counts.
+        newest_ms = now_ms + CRASH_RETENTION_MS
         seen: dict[str, list[int]] = {}
         for crashes in self._by_node.values():
             for at_ms, digests in crashes:
-                if at_ms < oldest_ms:
+                if not oldest_ms <= at_ms <= newest_ms:
                     continue
                 for digest in set(digests):
                     seen.setdefault(digest, []).append(at_ms)
--- a/damaskproxy/forwarding/tests/test_decisions.py
+++ b/damaskproxy/forwarding/tests/test_decisions.py
@@ -186,6 +186,15 @@
         digests = [digest_of(call) for call in calls]
         self.detector.record_crash(digests)
 
+    @params((0, True), (60_000, True), (200_000, False), (1 << 62, False))
+    def test_crash_dated_in_the_future_does_not_quarantine(self, ahead_ms, counts):
+        at_ms = int(self.now_s * 1000) + ahead_ms
+        digest = digest_of(self.POISON)
+        for node_id in ("n2", "n3"):
+            member = make_member(node_id, crashes=((at_ms, (digest,)),))
+            self.detector.merge_crashes(member)
+        self.assertEqual(self.detector.is_quarantined(self.POISON), counts)
+
     def test_request_in_flight_at_two_crashes_is_quarantined(self):
         self.crash(self.POISON, make_call())
         self.assertFalse(self.detector.is_quarantined(self.POISON))
