Reject settings from which a node would make a record that others reject

A peer listener with a name instead of an IP address, with port 0 or a port above 65535, and control characters in the names of a node or its service were accepted. The node published them in its record. A seed with a port above 65535 raised OverflowError in each attempt to join.

The settings file is rejected with the name of the field, as for other invalid values.

--- a/damaskproxy/sidecar/settings.py
+++ b/damaskproxy/sidecar/settings.py
@@ -6,6 +6,8 @@
 import msgspec
 
 from damaskproxy.common import DamaskError
+from damaskproxy.common.decoding import decode_or_raise
+from damaskproxy.directory import is_ip_address
 from damaskproxy.model import Address
 
 __all__ = [
@@ -17,6 +19,8 @@
 ]
 
 AddressText = Annotated[str, msgspec.Meta(pattern=r"^[^:\s]+:[0-9]{1,5}\Z")]
+Text = Annotated[str, msgspec.Meta(max_length=1000, pattern=r"^[^\x00-\x1f\x7f]*\Z")]
+PORT_MAX = 65_535
 Duration = Annotated[int, msgspec.Meta(ge=1, le=600_000)]
 
 
@@ -106,10 +110,13 @@
         how many were dropped.
     """
 
-    node_id: Annotated[str, msgspec.Meta(min_length=1, max_length=100)]
-    data_centre: str
-    region: str
-    service: str
+    node_id: Annotated[
+        str,
+        msgspec.Meta(min_length=1, max_length=100, pattern=r"^[^\x00-\x1f\x7f]+\Z"),
+    ]
+    data_centre: Text
+    region: Text
+    service: Text
     backend_address: AddressText
     listeners: Listeners
     store_address: AddressText
@@ -123,6 +130,9 @@
     log_lines_per_s: Annotated[int, msgspec.Meta(ge=1)] = 100
 
 
+_decoder = msgspec.json.Decoder(SidecarSettings)
+
+
 def to_address(text: str) -> Address:
     """Parse ``host:port``."""
     host, _, port = text.rpartition(":")
@@ -138,6 +148,27 @@
         If the file is unreadable or a field is invalid; the message names the field.
     """
     try:
-        return msgspec.json.decode(Path(path).read_bytes(), type=SidecarSettings)
-    except (OSError, msgspec.MsgspecError) as error:
+        encoded = Path(path).read_bytes()
+        settings = decode_or_raise(_decoder.decode, encoded, SidecarSettingsError)
+        _check_addresses(settings)
+    except (OSError, SidecarSettingsError) as error:
         raise SidecarSettingsError(f"settings {path}: {error}") from error
+    return settings
+
+
+def _check_addresses(settings: SidecarSettings) -> None:
+    listeners = msgspec.structs.asdict(settings.listeners)
+    addresses = {
+        **{f"listeners.{name}": text for name, text in listeners.items() if text},
+        **{f"seeds[{number}]": text for number, text in enumerate(settings.seeds)},
+        "store_address": settings.store_address,
+        "backend_address": settings.backend_address,
+    }
+    for name, text in addresses.items():
+        if to_address(text).port > PORT_MAX:
+            raise SidecarSettingsError(f"{name}: no port {to_address(text).port}")
+    peer = to_address(settings.listeners.peer)
+    if not is_ip_address(peer.host) or not peer.port:
+        raise SidecarSettingsError(
+            "listeners.peer: other nodes need an IP address and a port"
+        )
