--- a/damaskproxy/propagation/tests/virtual_mesh.py
+++ b/damaskproxy/propagation/tests/virtual_mesh.py
@@ -365,7 +365,11 @@
         self.tasks.append(task)
 
     async def _connect(self, member):
-        peer = self.mesh.nodes[member.node_id]
+        peer = self.mesh.nodes.get(member.node_id)
+        if peer is None:
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            self.propagation.connected(member.node_id, None)
+            return
         latency_s = LOCAL_S if peer.data_centre == self.data_centre else REMOTE_S
         await asyncio.sleep(2 * latency_s)
         if peer.is_frozen or peer.is_isolated or self.is_isolated:
