Bound the influence of the data centres that records name

A row of another writer that named another data centre for a node left the node in the order of that data centre, also after a later record, so that the data centre never vanished. The feed, the polls of the member rows and the writes of lost rows take turns by data centre: with 1,000 of them a node read changed member rows every 5,000 s and wrote lost rows after 300 s.

A node is in the order of one data centre, and 20 turns are counted at most. Up to 20 data centres nothing changes.

Without this change both tests fail.

--- a/damaskproxy/propagation/sources.py
+++ b/damaskproxy/propagation/sources.py
@@ -99,6 +99,7 @@
         self._on_lost = on_lost
         self._now_s = now_s
         self._rankings: dict[str, Ranking] = {}
+        self._ranked_in: dict[str, str] = {}
         self._sources: dict[str, Source] = {}
         self._connecting: dict[str, float] = {}
         self._introducing: set[str] = set()
@@ -122,6 +123,10 @@
 
     def rank(self, record: MemberRecord) -> None:
         """Add a running node to the order of its data centre, or remove another."""
+        earlier = self._ranked_in.get(record.node_id)
+        if earlier is not None and earlier != record.data_centre:
+            self._rankings[earlier].remove(record.node_id)
+        self._ranked_in[record.node_id] = record.data_centre
         ranking = self._rankings.get(record.data_centre)
         if ranking is None:
             ranking = self._rankings[record.data_centre] = Ranking(record.data_centre)
--- a/damaskproxy/propagation/store_contact.py
+++ b/damaskproxy/propagation/store_contact.py
@@ -57,6 +57,8 @@
 20 s. A node that begins to follow reads sooner once."""
 
 
+TURNS_MAX = 20
+"""Data centres that are counted for turns; odd rows may name any number of them."""
 RESTORE_TURN_S = 0.3
 """Time between the nodes that write lost member rows again, one for each data centre.
 Usually the first one writes all of them and the others only compare. With six data
@@ -223,6 +225,14 @@
             self._check_at_s = now_s + (spread_s if self._has_source() else 0.0)
         return now_s >= self._check_at_s
 
+    def _turns(self) -> int:
+        """Return the number of nodes that take turns, one for each data centre."""
+        return min(len(self._data_centres()), TURNS_MAX)
+
+    def _turn(self) -> int:
+        """Return the turn of this node, from 0."""
+        return min(self._data_centres().index(self._data_centre()), TURNS_MAX - 1)
+
     # Calls to the store.
 
     @property
@@ -244,10 +254,10 @@
         """
         if not self.is_first:
             return FIRST_WAIT_S
-        data_centres = self._data_centres()
-        if is_renewal and len(data_centres) > 1:
-            return RENEWAL_S * len(data_centres)
-        return FIRST_WAIT_S + RENEWAL_S * data_centres.index(self._data_centre())
+        turns = self._turns()
+        if is_renewal and turns > 1:
+            return RENEWAL_S * turns
+        return FIRST_WAIT_S + RENEWAL_S * self._turn()
 
     def store_retry_s(self, failures: int) -> float:
         """Return the pause after a number of failed calls in a row."""
@@ -282,8 +292,7 @@
             self._restored_era = era
             return
         self.restores += 1
-        turn = self._data_centres().index(self._data_centre())
-        self._restore_due_s = self._now_s() + turn * RESTORE_TURN_S
+        self._restore_due_s = self._now_s() + self._turn() * RESTORE_TURN_S
         self._feed_stuck.set()
         log_event(
             logger,
@@ -312,7 +321,7 @@
             return True
         if now_s < self._members_poll_due_s:
             return False
-        self._members_poll_due_s = now_s + MEMBERS_POLL_S * len(self._data_centres())
+        self._members_poll_due_s = now_s + MEMBERS_POLL_S * self._turns()
         return True
 
     @property
--- a/damaskproxy/propagation/tests/test_odd_rows.py
+++ b/damaskproxy/propagation/tests/test_odd_rows.py
@@ -1,14 +1,18 @@
 """Odd member rows and odd records of peers, on virtual time."""
 
 import asyncio
+import random
+import unittest
 
 import msgspec
 from nose2.tools import params
 
 from damaskproxy.common.decoding import INTEGER_MAX
-from damaskproxy.directory import MemberRecord, encode_member
+from damaskproxy.directory import Directory, MemberRecord, encode_member
 from damaskproxy.directory.following import MEMBER_TABLE
 from damaskproxy.forwarding.frames import FrameDecoder
+from damaskproxy.propagation import StoreContact
+from damaskproxy.propagation.sources import Sources
 from damaskproxy.propagation.tests.test_schedules import (
     CONFIGURATION_S,
     QuietLogs,
@@ -77,6 +81,45 @@
         self.assertEqual([n.node_id for n in mesh.behind(version)], [])
 
 
+class DataCentreTests(unittest.TestCase):
+    """Guards against data centres of odd rows that slow down the other nodes."""
+
+    def test_data_centre_of_an_earlier_record_is_forgotten(self):
+        own = MemberRecord("n1", 1, 1, "dc-0", "10.0.0.1", 1)
+        sources = Sources(lambda: own, Directory(), None, None, None)
+        for data_centre in ("dc-0", "dc-9", "dc-0"):
+            record = msgspec.structs.replace(own, node_id="n2", data_centre=data_centre)
+            sources.rank(record)
+        self.assertEqual(sources.data_centres(), ["dc-0"])
+        self.assertEqual(len(sources._rankings["dc-0"]), 1)
+
+    def test_times_stay_short_with_many_data_centres(self):
+        now_s = 0.0
+        names = [f"dc-{number:04}" for number in range(1000)]
+        contact = StoreContact(
+            data_centre=lambda: names[-1],
+            data_centres=lambda: names,
+            has_source=lambda: False,
+            has_configuration=lambda: True,
+            subscribers=lambda: (),
+            on_change=lambda: None,
+            rng=random.Random(1),
+            now_s=lambda: now_s,
+        )
+        contact.start(is_first_start=False)
+        contact.is_first = True
+        now_s = 10.0
+        self.assertTrue(contact.is_members_poll_due())
+        now_s += 100.0
+        self.assertTrue(contact.is_members_poll_due())
+        for is_renewal in (False, True):
+            self.assertLessEqual(contact.feed_wait_s(is_renewal=is_renewal), 60.0)
+        contact.note_era(1)
+        contact.note_era(2)
+        now_s += 6.0
+        self.assertTrue(contact.is_members_poll_due())
+
+
 class OddPeerTests(QuietLogs):
     """Guards against an odd record of a peer of an earlier release."""
 
