Accept any status that the parser of responses accepts in an answer frame

The range from 100 to 999 made the answer of a backend server with a status below 100 an invalid frame, which closed the connection between the nodes. The range only keeps out what is no status at all.

test_valid_frames_arrive_unchanged fails without this change.

--- a/damaskproxy/forwarding/frames.py
+++ b/damaskproxy/forwarding/frames.py
@@ -123,7 +123,7 @@
 
     call_id: int
     configuration_version: int
-    status: Annotated[int, msgspec.Meta(ge=100, le=999)]
+    status: Annotated[int, msgspec.Meta(ge=0, le=65_535)]
     headers: list[HeaderItem]
     body: bytes
     load: LoadReport | None
--- a/damaskproxy/forwarding/tests/test_frames.py
+++ b/damaskproxy/forwarding/tests/test_frames.py
@@ -9,6 +9,7 @@
 from damaskproxy.common.decoding import INTEGER_MAX
 from damaskproxy.directory import MemberRecord
 from damaskproxy.forwarding.frames import (
+    AnswerFrame,
     Frame,
     FrameDecoder,
     FrameError,
@@ -111,6 +112,8 @@
             StateFrame(b"c", [make_member("n1")]),
             SubscribeFrame("a", 3, make_member("n1")),
             HeartbeatFrame(INTEGER_MAX, HUGE, 0, 1, 2, -1, 0),
+            AnswerFrame(1, 1, 42, [], b"", None),
+            AnswerFrame(1, 1, 999, [], b"", None),
         ):
             self.assertEqual(FrameDecoder().feed(encode_frame(frame)), [frame])
 
