Ignore records of peers that are too long for a row when they are written again

A record of a peer was bounded as it was encoded in the frame. Its JSON, which is what goes into a row, may be several times as long; the store rejects such a row, and with it all lost rows in the same call, again with each attempt.

The bound holds for the JSON.

--- a/damaskproxy/directory/members.py
+++ b/damaskproxy/directory/members.py
@@ -38,7 +38,7 @@
 The incarnation of a node is the time of its start, and an incarnation that can never be
 exceeded would keep out the node that it names for good."""
 
-PACKED_MAX_BYTES = 65_536
+ROW_MAX_BYTES = 65_536
 """Largest record of another node; the store takes no larger rows."""
 DIGEST_BUCKETS = 32
 """Groups of records with a digest each. Two nodes whose records differ exchange only
@@ -218,9 +218,11 @@
     RecordError
         If the record is invalid.
     """
-    if len(value) > PACKED_MAX_BYTES:
-        raise RecordError(f"a record of {len(value)} bytes is too long")
-    return _checked(decode_or_raise(_msgpack_decoder.decode, value, RecordError))
+    record = _checked(decode_or_raise(_msgpack_decoder.decode, value, RecordError))
+    size_bytes = len(encode_member(record))
+    if size_bytes > ROW_MAX_BYTES:
+        raise RecordError(f"a record of {size_bytes} bytes is too long for a row")
+    return record
 
 
 def _checked(record: MemberRecord) -> MemberRecord:
--- a/damaskproxy/forwarding/tests/test_frames.py
+++ b/damaskproxy/forwarding/tests/test_frames.py
@@ -33,6 +33,7 @@
     {"host": "10.0.0.1\0"},
     {"node_id": ""},
     {"node_id": "n" * 70_000},
+    {"data_centre": "\1" * 20_000},
     {"version": "1"},
     {"backend": {"instance_id": "a\r\nb", "service": "orders", "slots": 4}},
     {"backend": {"instance_id": "a", "service": "orders", "slots": HUGE}},
