--- a/damaskproxy/forwarding/events.py
+++ b/damaskproxy/forwarding/events.py
@@ -8,6 +8,7 @@
     "BACKEND_CRASHED",
     "CALL_FAILED",
     "CALL_NOT_ANSWERED",
+    "FRAME_FAILED",
     "LEAVE_NAMED",
     "LIMIT_CHANGED",
     "LIMIT_IGNORED",
@@ -15,6 +16,7 @@
     "LINK_OPENED",
     "LINK_REFUSED",
     "LINK_SILENT",
+    "RECORD_IGNORED",
     "REQUEST_NOT_SERVED",
 ]
 
@@ -63,6 +65,19 @@
     logging.ERROR,
     "Handling a call of another node raised an unexpected exception.",
 )
+RECORD_IGNORED = define(
+    10112,
+    "record-ignored",
+    logging.WARNING,
+    "Another node sent an invalid member record, which is ignored.",
+)
+FRAME_FAILED = define(
+    10113,
+    "frame-failed",
+    logging.ERROR,
+    "Handling a frame of another node raised an unexpected exception; its connection "
+    "is closed.",
+)
 LIMIT_IGNORED = define(
     10109,
     "server-limit-ignored",
--- a/damaskproxy/forwarding/link.py
+++ b/damaskproxy/forwarding/link.py
@@ -257,6 +257,9 @@
         except FrameError as error:
             log_event(logger, events.LINK_LOST, peer=self.peer_id, reason=str(error))
             self._transport.abort()
+        except Exception as error:
+            log_event(logger, events.FRAME_FAILED, exc_info=error, peer=self.peer_id)
+            self._transport.abort()
 
     def pause_writing(self):
         """Count what is written from now on, because the peer does not read."""
--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -20,7 +20,13 @@
     decode_member,
 )
 from damaskproxy.events import log_event
-from damaskproxy.forwarding import STATE_PATH, RecordRequestFrame, StateFrame
+from damaskproxy.forwarding import (
+    STATE_PATH,
+    FrameError,
+    RecordRequestFrame,
+    StateFrame,
+    decode_state,
+)
 from damaskproxy.http1 import ConnectionPool, HttpError, Request
 from damaskproxy.model import MemberState
 from damaskproxy.platform import decode_bounds
@@ -67,6 +73,12 @@
 """Time within which all nodes are started that start together."""
 MS_PER_S = 1000
 TASK_RESTART_DELAY_S = 0.2
+TASK_RESTART_MAX_S = 5.0
+"""First and longest pause before a failed task is started again. It doubles while the
+task fails within `TASK_STEADY_S`."""
+TASK_STEADY_S = 10.0
+REASON_MAX = 200
+"""Characters of an exception in the log."""
 STOP_ACCEPT_S = 2.7
 """Time after SIGTERM in which requests are still accepted: the platform takes a node
 out of rotation after two failed health checks, one second apart. A request accepted
@@ -172,13 +184,29 @@
 
 
 async def _run_with_restart(job: Callable[[], Awaitable[None]]) -> None:
+    """Run `job`, again after each failure; the traceback is logged once in a row."""
+    pause_s = TASK_RESTART_DELAY_S
+    known = ""
     while True:
+        started_s = boot_s()
         try:
             await job()
             return
-        except Exception:
-            log_event(logger, events.TASK_ENDED, exc_info=True)
-            await asyncio.sleep(TASK_RESTART_DELAY_S)
+        except Exception as error:
+            if boot_s() - started_s >= TASK_STEADY_S:
+                pause_s = TASK_RESTART_DELAY_S
+                known = ""
+            reason = repr(error)[:REASON_MAX]
+            log_event(
+                logger,
+                events.TASK_ENDED,
+                exc_info=error if reason != known else False,
+                reason=reason,
+                pause_s=pause_s,
+            )
+            known = reason
+        await asyncio.sleep(pause_s)
+        pause_s = min(2 * pause_s, TASK_RESTART_MAX_S)
 
 
 async def _open_listeners(sidecar: Sidecar) -> None:
@@ -415,8 +443,8 @@
     try:
         async with asyncio.timeout(SEED_TIMEOUT_S):
             response = await pool.exchange(request)
-        state = msgspec.msgpack.decode(response.body, type=StateFrame)
-    except (HttpError, TimeoutError, msgspec.MsgspecError):
+        state = decode_state(response.body)
+    except (HttpError, TimeoutError, FrameError):
         return False
     finally:
         pool.close()
