Keep a leave that peers know when another writer deletes the row

When the row of a node was deleted while the node was down, its peers replaced its record by one without a backend server, and with it the leave. The restarted node had no row either, and a late report made it serve the server again.

A directory remembers the newest leave of each node until another incarnation of its server is known, and answers the request of a restarted node with it.

--- a/damaskproxy/directory/members.py
+++ b/damaskproxy/directory/members.py
@@ -135,8 +135,8 @@
             return False
         return other.backend.with_leave_of(self.backend) is not other.backend
 
-    def with_leave_of(self, earlier: "MemberRecord") -> "MemberRecord":
-        """Return this record with the leave that an earlier one of the node has.
+    def with_leave_of(self, known: BackendRecord | None) -> "MemberRecord":
+        """Return this record, with the leave of its backend server if it is known.
 
         Notes
         -----
@@ -144,7 +144,6 @@
         backend server's. The leave stays in the records of other nodes until the
         removal of the node or another incarnation of the backend server.
         """
-        known = earlier.backend
         if self.backend is not None:
             backend = self.backend.with_leave_of(known)
         elif known is not None and known.is_leaving and not self.is_removed:
@@ -206,6 +205,7 @@
 
     def __init__(self, on_change: Callable[[MemberRecord], None] = lambda record: None):
         self._records: dict[str, MemberRecord] = {}
+        self._leaves: dict[str, BackendRecord] = {}
         self._serving: dict[str, list[MemberRecord]] = {}
         self._digests = [0] * DIGEST_BUCKETS
         self._running_count = 0
@@ -223,6 +223,16 @@
         """Return the record of a node."""
         return self._records.get(node_id)
 
+    def get_with_leave(self, node_id: str) -> MemberRecord | None:
+        """Return the record of a node, with its leave also if the node was removed.
+
+        Its row may have been deleted by another writer while it was down.
+        """
+        record = self._records.get(node_id)
+        if record is None or not record.is_removed:
+            return record
+        return msgspec.structs.replace(record, backend=self._leaves.get(node_id))
+
     def records(self) -> Iterable[MemberRecord]:
         """Return all records."""
         return self._records.values()
@@ -232,8 +242,12 @@
         known = self._records.get(record.node_id)
         if known is not None and record.order <= known.order:
             return False
-        if known is not None:
-            record = record.with_leave_of(known)
+        record = record.with_leave_of(self._leaves.get(record.node_id))
+        if record.backend is not None:
+            if record.backend.is_leaving:
+                self._leaves[record.node_id] = record.backend
+            else:
+                self._leaves.pop(record.node_id, None)
         self._records[record.node_id] = record
         self._serving.clear()
         self._running_count += record.state is MemberState.SERVING
--- a/damaskproxy/propagation/propagation.py
+++ b/damaskproxy/propagation/propagation.py
@@ -212,7 +212,7 @@
         elif isinstance(frame, RecordDigestsFrame):
             self._handle_digests(peer, frame)
         elif isinstance(frame, RecordRequestFrame):
-            record = self._directory.get(frame.node_id)
+            record = self._directory.get_with_leave(frame.node_id)
             uptime_ms = int((self._now_s() - self.started_s) * MS_PER_S)
             answer = StateFrame(b"", [record] if record else [], max(uptime_ms, 1))
             peer.write(answer)
--- a/damaskproxy/sidecar/tests/test_leave.py
+++ b/damaskproxy/sidecar/tests/test_leave.py
@@ -299,3 +299,32 @@
         await self.until(lambda: two.sidecar.is_ready)
         answer = await two.call(b"/read/2", request_id=b"2")
         self.assertEqual(answer.status, call_status)
+
+
+class OtherWriterTests(LeaveTestCase):
+    """Guards against a leave that is lost with the row of its node."""
+
+    @params(True, False)
+    async def test_leave_survives_the_deletion_of_the_row(self, is_running):
+        one = await self.start("n1", "stores")
+        two = await self.start("n2")
+        await self.until_known(1)
+        self.assertEqual(await self.delete(two, born_ms=two.born_ms), 200)
+        await self.until(lambda: not one.sidecar.directory.serving("orders"))
+        if not is_running:
+            await self.kill(two)
+        self.rows.drop(MEMBER_TABLE, "n2")
+        if is_running:
+            await self.until(lambda: self.stored_state(two) is MemberState.STOPPED)
+            await self.kill(two)
+        else:
+            await self.until(lambda: one.sidecar.directory.get("n2").is_removed)
+        await self.restart_and_check_leave(two, callers=(one, two))
+
+    async def test_leave_survives_a_write_without_an_answer(self):
+        two = await self.start("n2")
+        await self.until_stored(two)
+        self.rows.unanswered_writes = 1
+        self.assertEqual(await self.delete(two, born_ms=two.born_ms), 200)
+        await self.kill(two)
+        await self.restart_and_check_leave(two, callers=(two,))
