Keep both nodes of a test from knowing the record that it has set back

The test moves the start of a node back in time and lets its peer forget it. The node's own directory still had the record from before, which is newer, and sent it to the peer when the stop took less time; 503 instead of 200. What the test checks is unchanged.

--- a/damaskproxy/sidecar/tests/test_mesh.py
+++ b/damaskproxy/sidecar/tests/test_mesh.py
@@ -249,7 +249,8 @@
         two.sidecar.record = msgspec.structs.replace(
             two.sidecar.record, incarnation=incarnation
         )
-        one.sidecar.directory._records.pop("n2")
+        for member in (one, two):
+            member.sidecar.directory._records.pop("n2")
         await drain(two.sidecar)
         await self.until(lambda: two.sidecar.own_row_writer._stored.is_set())
         await self.kill(two)
