Wait for addresses of listeners that are not free

A node ended with status 1 when the port of one of its listeners was taken at its start: by another process, by one that still ends, by a socket that is only bound, or by an outgoing connection that got the port.

It logs event 12020 once with listener, address and error, and 12021 when it has opened the listener. The health check and the metrics answer meanwhile (503); requests, calls and status reports are accepted once all addresses are bound. SIGTERM ends the node at once while it waits, with status 0, and SIGHUP or a changed file starts it again with the new settings. Errors that do not pass while a process runs, such as a missing permission, end it with a message and status 2.

--- a/damaskproxy/forwarding/links.py
+++ b/damaskproxy/forwarding/links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Callable
 
 from damaskproxy.common.clock import boot_s
@@ -72,11 +73,11 @@
         """Port on which connections of other nodes are accepted."""
         return self._server.sockets[0].getsockname()[1]
 
-    async def listen(self, host: str, port: int) -> None:
-        """Accept connections of other nodes."""
+    async def serve(self, sock: socket.socket) -> None:
+        """Accept connections of other nodes on a socket that listens."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            self._make_link, host, port, backlog=1024
+            self._make_link, sock=sock, backlog=1024
         )
 
     async def run(self, member: MemberRecord, call: Call) -> Result:
--- a/damaskproxy/forwarding/tests/test_links.py
+++ b/damaskproxy/forwarding/tests/test_links.py
@@ -88,7 +88,7 @@
 
     async def asyncSetUp(self):
         self.one, self.two = Node("n1"), Node("n2")
-        await self.two.links.listen("127.0.0.1", 0)
+        await self.two.links.serve(socket.create_server(("127.0.0.1", 0)))
         port = self.two.links.port
         self.member = make_member("n2", port=port)
 
@@ -274,7 +274,7 @@
         port = self.member.port
         await self.two.links.close()
         await self.one.links.run(self.member, make_call())
-        await self.two.links.listen("127.0.0.1", port)
+        await self.two.links.serve(socket.create_server(("127.0.0.1", port)))
         await self.one.links.run(self.member, make_call())
         await self.until(lambda: self.one.connected == ["n2"])
         self.two.results = [RESULTS[0]]
--- a/damaskproxy/http1/server.py
+++ b/damaskproxy/http1/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -87,6 +88,13 @@
             lambda: ServerConnection(self), host, port, backlog=1024
         )
 
+    async def serve(self, sock: socket.socket) -> None:
+        """Accept the connections of a socket that listens."""
+        self.loop = asyncio.get_running_loop()
+        self._server = await self.loop.create_server(
+            lambda: ServerConnection(self), sock=sock, backlog=1024
+        )
+
     @property
     def port(self) -> int:
         """Port on which the server is listening."""
--- a/damaskproxy/sidecar/__main__.py
+++ b/damaskproxy/sidecar/__main__.py
@@ -6,6 +6,7 @@
 
 from damaskproxy.events import DroppingOutput, configure_logging
 from damaskproxy.sidecar.lifecycle import run_sidecar
+from damaskproxy.sidecar.listening import ListenerError
 from damaskproxy.sidecar.settings import SidecarSettingsError, load_settings
 
 EXIT_SETTINGS = 2
@@ -29,7 +30,11 @@
         node_id=settings.node_id,
         lines_per_s=settings.log_lines_per_s,
     )
-    uvloop.run(run_sidecar(settings, path, lambda: output.dropped_count))
+    try:
+        uvloop.run(run_sidecar(settings, path, lambda: output.dropped_count))
+    except ListenerError as error:
+        print(f"damaskproxy: {error}", file=sys.stderr)
+        return EXIT_SETTINGS
     return 0
 
 
--- a/damaskproxy/sidecar/events.py
+++ b/damaskproxy/sidecar/events.py
@@ -6,6 +6,9 @@
 
 __all__ = [
     "FIRST_ROW_NOT_WRITTEN",
+    "LISTENER_FAILED",
+    "LISTENER_OPENED_LATE",
+    "LISTENER_WAITS",
     "MEMORY_HIGH",
     "NO_PEER_ANSWERED",
     "OWN_ROW_UNREADABLE",
@@ -87,3 +90,22 @@
     "The memory of the process has come close to its limit, above which the platform "
     "kills it; the fields name what it holds.",
 )
+LISTENER_WAITS = define(
+    12020,
+    "listener-waits",
+    logging.WARNING,
+    "The address of a listener is not free; the node tries again until it is, and is "
+    "not ready before. Logged once for each error.",
+)
+LISTENER_OPENED_LATE = define(
+    12021,
+    "listener-opened-late",
+    logging.INFO,
+    "The address of a listener that the node waited for is free; the listener is open.",
+)
+LISTENER_FAILED = define(
+    12022,
+    "listener-failed",
+    logging.CRITICAL,
+    "A listener cannot be opened, for a reason that does not pass; the process ends.",
+)
--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -4,8 +4,8 @@
 import contextlib
 import gc
 import logging
-import os
 import signal
+import socket
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -25,10 +25,12 @@
 from damaskproxy.platform import decode_bounds
 from damaskproxy.sidecar import events
 from damaskproxy.sidecar.compose import Sidecar, compose
+from damaskproxy.sidecar.listening import ListenerError, ListenerSockets
 from damaskproxy.sidecar.memory import MemoryWatch
 from damaskproxy.sidecar.settings import (
     SidecarSettings,
     SidecarSettingsError,
+    file_stamp,
     load_settings,
     to_address,
 )
@@ -59,10 +61,14 @@
 """Two round trips between regions. Short, since no peer has the record when all nodes
 start at the same time."""
 TASK_RESTART_DELAY_S = 0.2
+REOPEN_DELAY_S = 0.05
+"""Time in which the event loop closes the sockets of a start that was given up."""
 STOP_ACCEPT_S = 2.7
 """Time after SIGTERM in which requests are still accepted: the platform takes a node
 out of rotation after two failed health checks, one second apart. A request accepted
 later might not complete before the platform kills the process."""
+SERVED_EARLY = frozenset({"readiness", "metrics"})
+"""Listeners that answer before all listeners are open."""
 STOP_MARGIN_S = 0.3
 """The node exits this long before the platform would kill it."""
 GC_THRESHOLD = 20_000
@@ -88,6 +94,9 @@
     """
     try:
         await _run(settings, path, dropped_log_lines)
+    except ListenerError as error:
+        log_event(logger, events.LISTENER_FAILED, reason=str(error))
+        raise
     except Exception:
         log_event(logger, events.PROCESS_FAILED, exc_info=True)
         raise
@@ -96,14 +105,31 @@
 async def _run(
     settings: SidecarSettings, path: str, dropped_log_lines: Callable[[], int]
 ) -> None:
-    sidecar = compose(settings, dropped_log_lines=dropped_log_lines)
     stopping = asyncio.Event()
     reload = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
-    tasks = await start(sidecar, path, reload)
+    tasks = None
+    while tasks is None:
+        sidecar = compose(settings, dropped_log_lines=dropped_log_lines)
+        starting = asyncio.create_task(start(sidecar, path, reload))
+        newer = await _wait_for_start(starting, settings, path, stopping, reload)
+        if starting.done():
+            tasks = starting.result()
+            break
+        starting.cancel()
+        await asyncio.wait([starting])
+        await stop(sidecar)
+        if newer is None:
+            # Nothing has been accepted.
+            log_event(
+                logger, events.SIDECAR_STOPPED, cut=0, partly_read=0, unsent_bytes=0
+            )
+            return
+        settings = newer
+        await asyncio.sleep(REOPEN_DELAY_S)
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
@@ -114,6 +140,58 @@
     await stop(sidecar)
 
 
+async def _wait_for_start(
+    starting: asyncio.Task,
+    settings: SidecarSettings,
+    path: str,
+    stopping: asyncio.Event,
+    reload: asyncio.Event,
+) -> SidecarSettings | None:
+    """Wait until the listeners are open, or the start has to be given up.
+
+    Returns
+    -------
+    SidecarSettings or None
+        Settings to start again with; None once the start is complete or the process has
+        to stop.
+    """
+    known = file_stamp(path)
+    waits = [asyncio.create_task(event.wait()) for event in (stopping, reload)]
+    try:
+        while True:
+            await asyncio.wait(
+                [starting, *waits],
+                timeout=SETTINGS_POLL_INTERVAL_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if starting.done() or stopping.is_set():
+                return None
+            stamp = file_stamp(path)
+            if not reload.is_set() and stamp == known:
+                continue
+            known = stamp
+            if reload.is_set():
+                reload.clear()
+                waits[1] = asyncio.create_task(reload.wait())
+            newer = _load_or_keep(settings, path)
+            if newer != settings:
+                return newer
+    finally:
+        for task in waits:
+            task.cancel()
+
+
+def _load_or_keep(settings: SidecarSettings, path: str) -> SidecarSettings:
+    """Return the settings in the file, `settings` if they are invalid."""
+    try:
+        loaded = load_settings(path)
+    except SidecarSettingsError as error:
+        log_event(logger, events.SETTINGS_KEPT, reason=str(error))
+        return settings
+    log_event(logger, events.SETTINGS_RELOADED)
+    return loaded
+
+
 async def start(
     sidecar: Sidecar, path: str, reload: asyncio.Event | None = None
 ) -> list[asyncio.Task]:
@@ -160,12 +238,28 @@
 
 
 async def _open_listeners(sidecar: Sidecar) -> None:
+    """Open all listeners; wait for addresses that are not free.
+
+    The health check and the metrics answer before the others are open. Requests, calls
+    of other nodes and status reports are accepted once all are: a node without its peer
+    address must not publish a record, and one without its control address does not know
+    whether its backend server leaves.
+    """
     listeners = sidecar.settings.listeners
-    for name, server in sidecar.servers.items():
-        address = to_address(getattr(listeners, name))
-        await server.open(address.host, address.port)
-    peer = to_address(listeners.peer)
-    await sidecar.links.listen(peer.host, peer.port)
+    names = (*sidecar.servers, "peer")
+    sockets = ListenerSockets(
+        {name: to_address(getattr(listeners, name)) for name in names}
+    )
+
+    async def serve(name: str, sock: socket.socket) -> None:
+        server = sidecar.links if name == "peer" else sidecar.servers[name]
+        await server.serve(sock)
+
+    try:
+        await sockets.open([n for n in names if n in SERVED_EARLY], serve)
+    except BaseException:
+        sockets.close()
+        raise
 
 
 async def _become_ready(sidecar: Sidecar) -> None:
@@ -326,31 +420,19 @@
 
 
 async def _follow_settings(sidecar: Sidecar, path: str, reload: asyncio.Event) -> None:
-    known_mtime = _modification_time(path)
+    known = file_stamp(path)
     while True:
         try:
             async with asyncio.timeout(SETTINGS_POLL_INTERVAL_S):
                 await reload.wait()
         except TimeoutError:
             pass
-        mtime = _modification_time(path)
-        if not reload.is_set() and mtime == known_mtime:
+        stamp = file_stamp(path)
+        if not reload.is_set() and stamp == known:
             continue
         reload.clear()
-        known_mtime = mtime
-        try:
-            sidecar.settings = load_settings(path)
-        except SidecarSettingsError as error:
-            log_event(logger, events.SETTINGS_KEPT, reason=str(error))
-            continue
-        log_event(logger, events.SETTINGS_RELOADED)
-
-
-def _modification_time(path: str) -> float:
-    try:
-        return os.stat(path).st_mtime
-    except OSError:
-        return 0.0
+        known = stamp
+        sidecar.settings = _load_or_keep(sidecar.settings, path)
 
 
 async def drain(sidecar: Sidecar) -> None:
--- a/damaskproxy/sidecar/settings.py
+++ b/damaskproxy/sidecar/settings.py
@@ -1,5 +1,6 @@
 """Settings of a sidecar."""
 
+import os
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -13,7 +14,9 @@
     "ResponseSettings",
     "SidecarSettings",
     "SidecarSettingsError",
+    "file_stamp",
     "load_settings",
+    "to_address",
 ]
 
 AddressText = Annotated[str, msgspec.Meta(pattern=r"^[^:\s]+:[0-9]{1,5}\Z")]
@@ -129,6 +132,15 @@
     return Address(host, int(port))
 
 
+def file_stamp(path: str) -> tuple[int, ...]:
+    """Return values that differ once the file has changed; empty without a file."""
+    try:
+        status = os.stat(path)
+    except OSError:
+        return ()
+    return status.st_mtime_ns, status.st_size, status.st_ino
+
+
 def load_settings(path: str) -> SidecarSettings:
     """Read and validate a settings file.
 
