Refuse settings with a port above 65535

uvloop listens on the lower 16 bits of such a port: with 127.0.0.1:70000 as its peer address a node listened on 4464 and published an address that no other node can connect to. The settings are now invalid, and the message names the field. The new test failed before: the process did not end within 30 s.

--- a/damaskproxy/sidecar/settings.py
+++ b/damaskproxy/sidecar/settings.py
@@ -20,6 +20,7 @@
 ]
 
 AddressText = Annotated[str, msgspec.Meta(pattern=r"^[^:\s]+:[0-9]{1,5}\Z")]
+PORT_MAX = 65535
 Duration = Annotated[int, msgspec.Meta(ge=1, le=600_000)]
 
 
@@ -150,6 +151,28 @@
         If the file is unreadable or a field is invalid; the message names the field.
     """
     try:
-        return msgspec.json.decode(Path(path).read_bytes(), type=SidecarSettings)
+        settings = msgspec.json.decode(Path(path).read_bytes(), type=SidecarSettings)
     except (OSError, msgspec.MsgspecError) as error:
         raise SidecarSettingsError(f"settings {path}: {error}") from error
+    _check_ports(settings, path)
+    return settings
+
+
+def _check_ports(settings: SidecarSettings, path: str) -> None:
+    """Raise for a port that no address can have."""
+    addresses = {
+        "backend_address": settings.backend_address,
+        "store_address": settings.store_address,
+        **{f"seeds[{i}]": seed for i, seed in enumerate(settings.seeds)},
+        **{
+            f"listeners.{name}": address
+            for name, address in msgspec.structs.asdict(settings.listeners).items()
+            if address is not None
+        },
+    }
+    for field, address in addresses.items():
+        if to_address(address).port > PORT_MAX:
+            raise SidecarSettingsError(
+                f"settings {path}: Expected a port up to {PORT_MAX},"
+                f" got {address!r} - at `$.{field}`"
+            )
--- a/damaskproxy/sidecar/tests/test_listeners.py
+++ b/damaskproxy/sidecar/tests/test_listeners.py
@@ -168,3 +168,12 @@
             self.assertRaisesRegex(ListenerError, r"caller: 127\.0\.0\.1:80: .*denied"),
         ):
             await sockets.open([], lambda name, sock: None)
+
+    async def test_port_out_of_range_ends_with_a_message_that_names_the_field(self):
+        node = self.make_node()
+        node.settings["listeners"]["peer"] = f"{HOST}:70000"
+        node.write_settings()
+        await node.start()
+        self.assertEqual(await node.exit_status(), 2)
+        self.assertIn("$.listeners.peer", node.errors())
+        self.assertNotIn("Traceback", node.errors())
