Handle signals before the program loads its libraries

A SIGHUP in the first moments ended the process, since the handler was installed by the event loop, after all imports.

A SIGHUP before the event loop handles it is kept and the settings are loaded again. The stamp of the file (time in ns, size, inode) is taken before the file is read, so that a change between reading and the first check is noticed; before, the time was read afterwards and such a change was lost. SIGTERM and SIGINT before the event loop exit with status 0, since nothing has been accepted.

--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -25,6 +25,7 @@
 from damaskproxy.platform import decode_bounds
 from damaskproxy.sidecar import events
 from damaskproxy.sidecar.compose import Sidecar, compose
+from damaskproxy.sidecar.early_signals import EarlySignals
 from damaskproxy.sidecar.listening import ListenerError, ListenerSockets
 from damaskproxy.sidecar.memory import MemoryWatch
 from damaskproxy.sidecar.settings import (
@@ -80,6 +81,8 @@
     settings: SidecarSettings,
     path: str,
     dropped_log_lines: Callable[[], int] = lambda: 0,
+    stamp: tuple[int, ...] = (),
+    signals: EarlySignals | None = None,
 ) -> None:
     """Run a sidecar until SIGTERM, then drain and close it.
 
@@ -91,9 +94,13 @@
         Path of the settings file, which is reloaded when it changes.
     dropped_log_lines : callable
         Returns how many log lines were dropped because of a slow reader.
+    stamp : tuple of int
+        Stamp of the settings file from before it was read.
+    signals : EarlySignals, optional
+        Handled the signals before the event loop does.
     """
     try:
-        await _run(settings, path, dropped_log_lines)
+        await _run(settings, path, dropped_log_lines, stamp, signals)
     except ListenerError as error:
         log_event(logger, events.LISTENER_FAILED, reason=str(error))
         raise
@@ -103,7 +110,11 @@
 
 
 async def _run(
-    settings: SidecarSettings, path: str, dropped_log_lines: Callable[[], int]
+    settings: SidecarSettings,
+    path: str,
+    dropped_log_lines: Callable[[], int],
+    stamp: tuple[int, ...],
+    signals: EarlySignals | None,
 ) -> None:
     stopping = asyncio.Event()
     reload = asyncio.Event()
@@ -111,24 +122,30 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
-    tasks = None
+    # Read once the event loop handles the signal, so that none is lost in between.
+    if signals is not None and signals.is_reload_requested:
+        reload.set()
+    tasks: list[asyncio.Task] | None = None
     while tasks is None:
+        if reload.is_set() or file_stamp(path) != stamp:
+            reload.clear()
+            stamp = file_stamp(path)
+            settings = _load_or_keep(settings, path)
         sidecar = compose(settings, dropped_log_lines=dropped_log_lines)
-        starting = asyncio.create_task(start(sidecar, path, reload))
-        newer = await _wait_for_start(starting, settings, path, stopping, reload)
+        starting = asyncio.create_task(start(sidecar, path, reload, stamp))
+        await _wait_for_start(starting, path, stamp, stopping, reload)
         if starting.done():
             tasks = starting.result()
             break
         starting.cancel()
         await asyncio.wait([starting])
         await stop(sidecar)
-        if newer is None:
+        if stopping.is_set():
             # Nothing has been accepted.
             log_event(
                 logger, events.SIDECAR_STOPPED, cut=0, partly_read=0, unsent_bytes=0
             )
             return
-        settings = newer
         await asyncio.sleep(REOPEN_DELAY_S)
     gc.collect()
     gc.freeze()
@@ -142,40 +159,26 @@
 
 async def _wait_for_start(
     starting: asyncio.Task,
-    settings: SidecarSettings,
     path: str,
+    stamp: tuple[int, ...],
     stopping: asyncio.Event,
     reload: asyncio.Event,
-) -> SidecarSettings | None:
-    """Wait until the listeners are open, or the start has to be given up.
+) -> None:
+    """Wait until the start is complete, or has to be given up.
 
-    Returns
-    -------
-    SidecarSettings or None
-        Settings to start again with; None once the start is complete or the process has
-        to stop.
+    It is given up for a stop, and for a change of the settings, since a node whose
+    listeners wait for their addresses can start again with any settings.
     """
-    known = file_stamp(path)
     waits = [asyncio.create_task(event.wait()) for event in (stopping, reload)]
     try:
         while True:
-            await asyncio.wait(
+            done, _ = await asyncio.wait(
                 [starting, *waits],
                 timeout=SETTINGS_POLL_INTERVAL_S,
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if starting.done() or stopping.is_set():
-                return None
-            stamp = file_stamp(path)
-            if not reload.is_set() and stamp == known:
-                continue
-            known = stamp
-            if reload.is_set():
-                reload.clear()
-                waits[1] = asyncio.create_task(reload.wait())
-            newer = _load_or_keep(settings, path)
-            if newer != settings:
-                return newer
+            if done or file_stamp(path) != stamp:
+                return
     finally:
         for task in waits:
             task.cancel()
@@ -188,12 +191,20 @@
     except SidecarSettingsError as error:
         log_event(logger, events.SETTINGS_KEPT, reason=str(error))
         return settings
-    log_event(logger, events.SETTINGS_RELOADED)
+    changed = [
+        name
+        for name in loaded.__struct_fields__
+        if getattr(loaded, name) != getattr(settings, name)
+    ]
+    log_event(logger, events.SETTINGS_RELOADED, changed=changed)
     return loaded
 
 
 async def start(
-    sidecar: Sidecar, path: str, reload: asyncio.Event | None = None
+    sidecar: Sidecar,
+    path: str,
+    reload: asyncio.Event | None = None,
+    stamp: tuple[int, ...] | None = None,
 ) -> list[asyncio.Task]:
     """Open the listeners and start the background tasks.
 
@@ -205,6 +216,8 @@
         Path of the settings file.
     reload : asyncio.Event, optional
         Set to reload the settings file.
+    stamp : tuple of int, optional
+        Stamp of the settings file from before it was read; the current one by default.
 
     Returns
     -------
@@ -212,8 +225,15 @@
         Background tasks, to be cancelled by the caller.
     """
     reload = reload or asyncio.Event()
+    if stamp is None:
+        stamp = file_stamp(path)
     await _open_listeners(sidecar)
-    log_event(logger, events.SIDECAR_STARTED, node_id=sidecar.settings.node_id)
+    log_event(
+        logger,
+        events.SIDECAR_STARTED,
+        node_id=sidecar.settings.node_id,
+        service=sidecar.settings.service,
+    )
     jobs: list[Callable[[], Awaitable[None]]] = [
         sidecar.store_watcher.follow_configuration,
         sidecar.store_watcher.poll_members,
@@ -222,7 +242,7 @@
         lambda: _run_propagation(sidecar),
         lambda: _become_ready(sidecar),
         lambda: _run_maintenance(sidecar),
-        lambda: _follow_settings(sidecar, path, reload),
+        lambda: _follow_settings(sidecar, path, reload, stamp),
     ]
     return [asyncio.create_task(_run_with_restart(job)) for job in jobs]
 
@@ -419,8 +439,9 @@
         sidecar.backend.check_heartbeat()
 
 
-async def _follow_settings(sidecar: Sidecar, path: str, reload: asyncio.Event) -> None:
-    known = file_stamp(path)
+async def _follow_settings(
+    sidecar: Sidecar, path: str, reload: asyncio.Event, known: tuple[int, ...]
+) -> None:
     while True:
         try:
             async with asyncio.timeout(SETTINGS_POLL_INTERVAL_S):
--- a/damaskproxy/sidecar/settings.py
+++ b/damaskproxy/sidecar/settings.py
@@ -15,6 +15,7 @@
     "SidecarSettings",
     "SidecarSettingsError",
     "file_stamp",
+    "load_first_settings",
     "load_settings",
     "to_address",
 ]
@@ -142,6 +143,18 @@
     return status.st_mtime_ns, status.st_size, status.st_ino
 
 
+def load_first_settings(path: str) -> tuple[SidecarSettings, tuple[int, ...]]:
+    """Return the settings, and the stamp that the file had before it was read.
+
+    Raises
+    ------
+    SidecarSettingsError
+        Like `load_settings`.
+    """
+    stamp = file_stamp(path)
+    return load_settings(path), stamp
+
+
 def load_settings(path: str) -> SidecarSettings:
     """Read and validate a settings file.
 
--- a/damaskproxy/sidecar/tests/node_process.py
+++ b/damaskproxy/sidecar/tests/node_process.py
@@ -115,10 +115,7 @@
         """Wait for a condition; fail if the process exits before."""
         async with asyncio.timeout(WAIT_S):
             while not condition():
-                if self.process.returncode is not None:
-                    raise AssertionError(
-                        f"exit status {self.process.returncode}: {self.errors()}"
-                    )
+                self._check_running()
                 await asyncio.sleep(POLL_S)
 
     async def until_event(self, number: int, count: int = 1) -> None:
@@ -140,9 +137,15 @@
         """Wait until the health check succeeds."""
         async with asyncio.timeout(WAIT_S):
             while await self.ready_status() != 200:
-                await self.until(lambda: True)
+                self._check_running()
                 await asyncio.sleep(POLL_S)
 
+    def _check_running(self) -> None:
+        if self.process.returncode is not None:
+            raise AssertionError(
+                f"exit status {self.process.returncode}: {self.errors()}"
+            )
+
 
 class NodeProcessTestCase:
     """Mix-in that starts a store and kills the processes at the end."""
