Reload only the settings that a running node can change

A reload replaced all settings, though listeners, connections, limits and the record of a node are made from those of its start. With another node_id in the file a node took its own record for that of a peer and stated the new name on its status page.

A reload now changes service, seeds and the grace period of the stop. Event 12005 names the settings that have changed and those that need a restart.

--- a/damaskproxy/sidecar/events.py
+++ b/damaskproxy/sidecar/events.py
@@ -42,7 +42,11 @@
     "read in part, and the bytes of answers that it has not sent.",
 )
 SETTINGS_RELOADED = define(
-    12005, "settings-reloaded", logging.INFO, "The settings file was reloaded."
+    12005,
+    "settings-reloaded",
+    logging.INFO,
+    "The settings file was reloaded; the fields name the settings that have changed, "
+    "and those whose new value is in force after a restart.",
 )
 SETTINGS_KEPT = define(
     12006,
--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -68,6 +68,9 @@
 """Time after SIGTERM in which requests are still accepted: the platform takes a node
 out of rotation after two failed health checks, one second apart. A request accepted
 later might not complete before the platform kills the process."""
+RELOADED_FIELDS = frozenset({"bounds", "seeds", "service"})
+"""Settings that a reload changes in a running node, `bounds` only for its stop. The
+others are those of its listeners, connections and limits, and of its record."""
 SERVED_EARLY = frozenset({"readiness", "metrics"})
 """Listeners that answer before all listeners are open."""
 STOP_MARGIN_S = 0.3
@@ -187,17 +190,10 @@
 def _load_or_keep(settings: SidecarSettings, path: str) -> SidecarSettings:
     """Return the settings in the file, `settings` if they are invalid."""
     try:
-        loaded = load_settings(path)
+        return load_settings(path)
     except SidecarSettingsError as error:
         log_event(logger, events.SETTINGS_KEPT, reason=str(error))
         return settings
-    changed = [
-        name
-        for name in loaded.__struct_fields__
-        if getattr(loaded, name) != getattr(settings, name)
-    ]
-    log_event(logger, events.SETTINGS_RELOADED, changed=changed)
-    return loaded
 
 
 async def start(
@@ -453,7 +449,26 @@
             continue
         reload.clear()
         known = stamp
-        sidecar.settings = _load_or_keep(sidecar.settings, path)
+        _apply_settings(sidecar, _load_or_keep(sidecar.settings, path))
+
+
+def _apply_settings(sidecar: Sidecar, loaded: SidecarSettings) -> None:
+    """Change those settings of a running node that can be changed."""
+    if loaded is sidecar.settings:
+        return
+    changed = {
+        name: getattr(loaded, name)
+        for name in loaded.__struct_fields__
+        if getattr(loaded, name) != getattr(sidecar.settings, name)
+    }
+    applied = {name: changed.pop(name) for name in RELOADED_FIELDS & changed.keys()}
+    sidecar.settings = msgspec.structs.replace(sidecar.settings, **applied)
+    log_event(
+        logger,
+        events.SETTINGS_RELOADED,
+        changed=sorted(applied),
+        needs_restart=sorted(changed),
+    )
 
 
 async def drain(sidecar: Sidecar) -> None:
