Wait for settings that are being written at the start

The platform writes the settings file at every start and whenever they change. A node that read it while it was missing, empty or half written ended with status 2. It now reads such a file again for 3 s, and says so on standard error.

--- a/damaskproxy/sidecar/settings.py
+++ b/damaskproxy/sidecar/settings.py
@@ -1,12 +1,15 @@
 """Settings of a sidecar."""
 
 import os
+import sys
+import time
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal
 
 import msgspec
 
 from damaskproxy.common import DamaskError
+from damaskproxy.common.clock import boot_s
 from damaskproxy.model import Address
 
 __all__ = [
@@ -22,11 +25,28 @@
 
 AddressText = Annotated[str, msgspec.Meta(pattern=r"^[^:\s]+:[0-9]{1,5}\Z")]
 PORT_MAX = 65535
+FIRST_SETTINGS_WAIT_S = 3.0
+"""Time for which a starting node waits for complete settings: the platform writes the
+file at every start and whenever the settings change."""
+FIRST_SETTINGS_POLL_S = 0.05
 Duration = Annotated[int, msgspec.Meta(ge=1, le=600_000)]
 
 
 class SidecarSettingsError(DamaskError):
-    """The settings file is unreadable or invalid."""
+    """The settings file is unreadable or invalid.
+
+    Parameters
+    ----------
+    message : str
+        Names the file, and the field if there is one.
+    may_pass : bool
+        Whether the file may be incomplete because it is being written: it is missing,
+        unreadable or no complete JSON text. A field that is invalid does not change.
+    """
+
+    def __init__(self, message: str, *, may_pass: bool = False):
+        super().__init__(message)
+        self.may_pass = may_pass
 
 
 class Listeners(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -124,7 +144,7 @@
     bounds: dict[str, Any] = {}
     memory_limit_mb: Annotated[int, msgspec.Meta(ge=64)] = 300
     responses: ResponseSettings = ResponseSettings()
-    log_level: str = "INFO"
+    log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR", "CRITICAL"] = "INFO"
     log_lines_per_s: Annotated[int, msgspec.Meta(ge=1)] = 100
 
 
@@ -149,10 +169,21 @@
     Raises
     ------
     SidecarSettingsError
-        Like `load_settings`.
+        Like `load_settings`; an incomplete file is read again for a while before.
     """
-    stamp = file_stamp(path)
-    return load_settings(path), stamp
+    end_s = boot_s() + FIRST_SETTINGS_WAIT_S
+    is_reported = False
+    while True:
+        stamp = file_stamp(path)
+        try:
+            return load_settings(path), stamp
+        except SidecarSettingsError as error:
+            if not error.may_pass or boot_s() >= end_s:
+                raise
+            if not is_reported:
+                print(f"damaskproxy: {error}; trying again", file=sys.stderr)
+                is_reported = True
+        time.sleep(FIRST_SETTINGS_POLL_S)
 
 
 def load_settings(path: str) -> SidecarSettings:
@@ -165,8 +196,11 @@
     """
     try:
         settings = msgspec.json.decode(Path(path).read_bytes(), type=SidecarSettings)
-    except (OSError, msgspec.MsgspecError) as error:
+    except msgspec.ValidationError as error:
         raise SidecarSettingsError(f"settings {path}: {error}") from error
+    except (OSError, ValueError, RecursionError, msgspec.MsgspecError) as error:
+        message = f"settings {path}: {error}"
+        raise SidecarSettingsError(message, may_pass=True) from error
     _check_ports(settings, path)
     return settings
 
