Rebuild library folders that another machine or an interruption left

The build kept target/deps, and the Makefile kept .venv, whenever they were newer than the requirements: also when they came from another processor architecture or Python version, or when pip had been interrupted.

tools.build_folder installs into a new folder and writes a stamp last, with system, machine, Python version, ABI, checksums of the requirements and the command; a folder with another stamp or none is replaced. If the installation fails the build fails, and the former folder is put back.

--- a/Makefile
+++ b/Makefile
@@ -6,13 +6,15 @@
 
 all: test
 
-setup: $(VENV)/.installed
-
-$(VENV)/.installed: requirements.txt requirements-dev.txt pyproject.toml
-	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet -r requirements-dev.txt
-	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
-	touch $@
+# Installs anew when the machine, Python, the requirements or the path differ, or the
+# last installation did not finish.
+setup:
+	@$(PYTHON) -m tools.build_folder $(VENV) --input requirements.txt \
+		--input requirements-dev.txt --input pyproject.toml \
+		--fact "$(CURDIR)" --fact "$$(command -v $(PYTHON))" \
+		-- sh -c "$(PYTHON) -m venv {} \
+		&& {}/bin/pip install --quiet -r requirements-dev.txt \
+		&& {}/bin/pip install --quiet --no-deps --no-build-isolation -e ."
 
 demo: setup
 	$(BIN)/python -m demo
