Start without standard output

A process whose standard output was closed at its start ended with status 1 and AttributeError, since Python has no stream for it. Its log lines are now dropped and counted, like those for a reader that has gone.

--- a/damaskproxy/events/output.py
+++ b/damaskproxy/events/output.py
@@ -14,8 +14,9 @@
 
     Parameters
     ----------
-    stream : file object
-        Pipe or file whose descriptor is made non-blocking.
+    stream : file object or None
+        Pipe or file whose descriptor is made non-blocking. None, which Python has for a
+        stream that was closed when the process was started, drops all lines.
 
     Attributes
     ----------
@@ -23,16 +24,21 @@
         Lines dropped so far.
     """
 
-    def __init__(self, stream: TextIO):
+    def __init__(self, stream: TextIO | None):
         self.dropped_count = 0
-        self._descriptor = stream.fileno()
+        self._descriptor: int | None = None
         self._pending = b""
-        os.set_blocking(self._descriptor, False)
+        if stream is not None:
+            self._descriptor = stream.fileno()
+            os.set_blocking(self._descriptor, False)
 
     def write(self, text: str) -> None:
         """Write `text`; what the reader does not accept is buffered or dropped."""
         line = text.encode("utf-8", "replace")
-        if len(self._pending) + len(line) > PENDING_MAX_BYTES:
+        if (
+            self._descriptor is None
+            or len(self._pending) + len(line) > PENDING_MAX_BYTES
+        ):
             self.dropped_count += 1
         else:
             self._pending += line
