Restart a background task that awaited something cancelled

A background task whose awaited future or task was cancelled ended for good and without an event: a node could stop following the store or never become ready. Such a task is now started again like after any other exception, unless it was cancelled itself. The row of the test for CancelledError failed before: the task ended after its first run.

--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -248,9 +248,14 @@
         try:
             await job()
             return
+        except asyncio.CancelledError:
+            if asyncio.current_task().cancelling():
+                raise
+            # What the job waited for was cancelled, not the job.
+            log_event(logger, events.TASK_ENDED, exc_info=True)
         except Exception:
             log_event(logger, events.TASK_ENDED, exc_info=True)
-            await asyncio.sleep(TASK_RESTART_DELAY_S)
+        await asyncio.sleep(TASK_RESTART_DELAY_S)
 
 
 async def _open_listeners(sidecar: Sidecar) -> None:
--- a/damaskproxy/sidecar/tests/test_process_lives.py
+++ b/damaskproxy/sidecar/tests/test_process_lives.py
@@ -125,7 +125,7 @@
 class TaskTests(unittest.IsolatedAsyncioTestCase):
     """Guards against a background task that ends for good."""
 
-    @params(ValueError, RecursionError, MemoryError)
+    @params(ValueError, RecursionError, MemoryError, asyncio.CancelledError)
     async def test_task_that_raises_is_started_again(self, error):
         runs = 0
 
