Ignore SIGUSR1 and SIGUSR2

Both have no meaning for a node and ended it without a drain, with all requests in progress. Tools that rotate logs send them. The two rows of the test failed before.

--- a/damaskproxy/sidecar/early_signals.py
+++ b/damaskproxy/sidecar/early_signals.py
@@ -24,13 +24,16 @@
         self.is_reload_requested = False
 
     def install(self) -> None:
-        """Handle SIGHUP, SIGTERM and SIGINT.
+        """Handle SIGHUP, SIGTERM and SIGINT; ignore SIGUSR1 and SIGUSR2.
 
         SIGTERM and SIGINT end the process at once: nothing has been accepted yet.
         """
         signal.signal(signal.SIGHUP, self._request_reload)
         signal.signal(signal.SIGINT, _exit)
         signal.signal(signal.SIGTERM, _exit)
+        # Tools that rotate logs send these; without a handler they end the process.
+        signal.signal(signal.SIGUSR1, signal.SIG_IGN)
+        signal.signal(signal.SIGUSR2, signal.SIG_IGN)
 
     def _request_reload(self, number, frame) -> None:
         self.is_reload_requested = True
--- a/damaskproxy/sidecar/tests/test_process_lives.py
+++ b/damaskproxy/sidecar/tests/test_process_lives.py
@@ -110,7 +110,7 @@
 class SignalTests(NodeProcessTestCase, unittest.IsolatedAsyncioTestCase):
     """Guards against a process that is ended by a signal that does not ask for it."""
 
-    @params(signal.SIGPIPE, signal.SIGHUP)
+    @params(signal.SIGPIPE, signal.SIGUSR1, signal.SIGUSR2, signal.SIGHUP)
     async def test_signal_does_not_end_the_process(self, number):
         node = self.make_node()
         await node.start()
