Report start errors to a standard error that nobody reads

A message about incomplete settings ended the process when the reader of standard error had gone, and blocked it without end when the reader read nothing. Messages are now dropped like log lines. Both rows of the new test failed before: exit status 1, and not ready within 30 s.

--- a/damaskproxy/sidecar/command.py
+++ b/damaskproxy/sidecar/command.py
@@ -34,10 +34,12 @@
         print("usage: python -m damaskproxy.sidecar SETTINGS", file=sys.stderr)
         return EXIT_SETTINGS
     (path,) = arguments
+    # Nobody may read it: a message must neither wait for a reader nor raise.
+    errors = DroppingOutput(sys.stderr)
     try:
-        settings, stamp = load_first_settings(path)
+        settings, stamp = load_first_settings(path, errors.write)
     except SidecarSettingsError as error:
-        print(f"damaskproxy: {error}", file=sys.stderr)
+        errors.write(f"damaskproxy: {error}\n")
         return EXIT_SETTINGS
     output = DroppingOutput(sys.stdout)
     configure_logging(
@@ -51,6 +53,6 @@
             run_sidecar(settings, path, lambda: output.dropped_count, stamp, signals)
         )
     except ListenerError as error:
-        print(f"damaskproxy: {error}", file=sys.stderr)
+        errors.write(f"damaskproxy: {error}\n")
         return EXIT_SETTINGS
     return 0
--- a/damaskproxy/sidecar/settings.py
+++ b/damaskproxy/sidecar/settings.py
@@ -1,8 +1,8 @@
 """Settings of a sidecar."""
 
 import os
-import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
@@ -163,9 +163,18 @@
     return status.st_mtime_ns, status.st_size, status.st_ino
 
 
-def load_first_settings(path: str) -> tuple[SidecarSettings, tuple[int, ...]]:
+def load_first_settings(
+    path: str, report: Callable[[str], None] = lambda text: None
+) -> tuple[SidecarSettings, tuple[int, ...]]:
     """Return the settings, and the stamp that the file had before it was read.
 
+    Parameters
+    ----------
+    path : str
+        Path of the file.
+    report : callable
+        Called once with a line of text when the file is incomplete.
+
     Raises
     ------
     SidecarSettingsError
@@ -181,7 +190,7 @@
             if not error.may_pass or boot_s() >= end_s:
                 raise
             if not is_reported:
-                print(f"damaskproxy: {error}; trying again", file=sys.stderr)
+                report(f"damaskproxy: {error}; trying again\n")
                 is_reported = True
         time.sleep(FIRST_SETTINGS_POLL_S)
 
--- a/damaskproxy/sidecar/tests/test_process_lives.py
+++ b/damaskproxy/sidecar/tests/test_process_lives.py
@@ -80,6 +80,23 @@
         await asyncio.sleep(0.1)
         self.assertEqual(await node.ready_status(), 200)
 
+    @params("gone", "reads nothing")
+    async def test_incomplete_settings_are_waited_for_when_the_reader(self, state):
+        node = self.make_node()
+        text = node.path.read_bytes()
+        node.path.write_bytes(b"")
+        if state == "gone":
+            reader, writer = os.pipe()
+            os.close(reader)
+        else:
+            reader, writer = full_pipe()
+            self.addCleanup(os.close, reader)
+        await node.start(stderr=writer)
+        os.close(writer)
+        await asyncio.sleep(1.0)
+        node.path.write_bytes(text)
+        await node.until_ready()
+
 
 class ResourceTests(NodeProcessTestCase, unittest.IsolatedAsyncioTestCase):
     """Guards against a listener that is lost when descriptors are used up."""
