--- a/damaskproxy/sidecar/events.py
+++ b/damaskproxy/sidecar/events.py
@@ -6,6 +6,9 @@
 
 __all__ = [
     "FIRST_ROW_NOT_WRITTEN",
+    "LISTENER_FAILED",
+    "LISTENER_OPENED_LATE",
+    "LISTENER_WAITS",
     "MEMORY_HIGH",
     "NO_PEER_ANSWERED",
     "OWN_ROW_UNREADABLE",
@@ -40,7 +43,11 @@
     "read in part, and the bytes of answers that it has not sent.",
 )
 SETTINGS_RELOADED = define(
-    12005, "settings-reloaded", logging.INFO, "The settings file was reloaded."
+    12005,
+    "settings-reloaded",
+    logging.INFO,
+    "The settings file was reloaded; the fields name the settings that have changed, "
+    "and those whose new value is in force after a restart.",
 )
 SETTINGS_KEPT = define(
     12006,
@@ -95,3 +102,22 @@
     "The stored record of the backend server may lack a leave, and no peer that was up "
     "all the time knows that there is none; it is not served until it reports.",
 )
+LISTENER_WAITS = define(
+    12013,
+    "listener-waits",
+    logging.WARNING,
+    "The address of a listener is not free; the node tries again until it is, and is "
+    "not ready before. Logged once for each error.",
+)
+LISTENER_OPENED_LATE = define(
+    12014,
+    "listener-opened-late",
+    logging.INFO,
+    "The address of a listener that the node waited for is free; the listener is open.",
+)
+LISTENER_FAILED = define(
+    12015,
+    "listener-failed",
+    logging.CRITICAL,
+    "A listener cannot be opened, for a reason that does not pass; the process ends.",
+)
--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -4,8 +4,8 @@
 import contextlib
 import gc
 import logging
-import os
 import signal
+import socket
 import time
 from collections.abc import Awaitable, Callable
 
@@ -32,10 +32,13 @@
 from damaskproxy.platform import decode_bounds
 from damaskproxy.sidecar import events
 from damaskproxy.sidecar.compose import Sidecar, compose
+from damaskproxy.sidecar.early_signals import EarlySignals
+from damaskproxy.sidecar.listening import ListenerError, ListenerSockets
 from damaskproxy.sidecar.memory import MemoryWatch
 from damaskproxy.sidecar.settings import (
     SidecarSettings,
     SidecarSettingsError,
+    file_stamp,
     load_settings,
     to_address,
 )
@@ -79,6 +82,8 @@
 TASK_STEADY_S = 10.0
 REASON_MAX = 200
 """Characters of an exception in the log."""
+REOPEN_DELAY_S = 0.05
+"""Time in which the event loop closes the sockets of a start that was given up."""
 STOP_ACCEPT_S = 2.7
 """Time after SIGTERM in which requests are still accepted: the platform takes a node
 out of rotation after two failed health checks, one second apart. A request accepted
@@ -91,6 +96,11 @@
 """Time before the end at which requests that are still partly read are refused."""
 GOODBYE_TIMEOUT_S = 0.15
 """Three round trips between regions."""
+RELOADED_FIELDS = frozenset({"bounds", "seeds", "service"})
+"""Settings that a reload changes in a running node, `bounds` only for its stop. The
+others are those of its listeners, connections and limits, and of its record."""
+SERVED_EARLY = frozenset({"readiness", "metrics"})
+"""Listeners that answer before all listeners are open."""
 STOP_MARGIN_S = 0.3
 """The node has nothing in progress this long before the platform would kill it. It then
 takes leave of the other nodes and exits."""
@@ -103,6 +113,8 @@
     settings: SidecarSettings,
     path: str,
     dropped_log_lines: Callable[[], int] = lambda: 0,
+    stamp: tuple[int, ...] = (),
+    signals: EarlySignals | None = None,
 ) -> None:
     """Run a sidecar until SIGTERM, then drain and close it.
 
@@ -114,25 +126,59 @@
         Path of the settings file, which is reloaded when it changes.
     dropped_log_lines : callable
         Returns how many log lines were dropped because of a slow reader.
+    stamp : tuple of int
+        Stamp of the settings file from before it was read.
+    signals : EarlySignals, optional
+        Handled the signals before the event loop does.
     """
     try:
-        await _run(settings, path, dropped_log_lines)
+        await _run(settings, path, dropped_log_lines, stamp, signals)
+    except ListenerError as error:
+        log_event(logger, events.LISTENER_FAILED, reason=str(error))
+        raise
     except Exception:
         log_event(logger, events.PROCESS_FAILED, exc_info=True)
         raise
 
 
 async def _run(
-    settings: SidecarSettings, path: str, dropped_log_lines: Callable[[], int]
+    settings: SidecarSettings,
+    path: str,
+    dropped_log_lines: Callable[[], int],
+    stamp: tuple[int, ...],
+    signals: EarlySignals | None,
 ) -> None:
-    sidecar = compose(settings, dropped_log_lines=dropped_log_lines)
     stopping = asyncio.Event()
     reload = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
-    tasks = await start(sidecar, path, reload)
+    # Read once the event loop handles the signal, so that none is lost in between.
+    if signals is not None and signals.is_reload_requested:
+        reload.set()
+    tasks: list[asyncio.Task] | None = None
+    while tasks is None:
+        if reload.is_set() or file_stamp(path) != stamp:
+            reload.clear()
+            stamp = file_stamp(path)
+            settings = _load_or_keep(settings, path)
+        sidecar = compose(settings, dropped_log_lines=dropped_log_lines)
+        starting = asyncio.create_task(start(sidecar, path, reload, stamp))
+        await _wait_for_start(starting, path, stamp, stopping, reload)
+        if starting.done():
+            tasks = starting.result()
+            break
+        starting.cancel()
+        await asyncio.wait([starting])
+        await stop(sidecar)
+        if stopping.is_set():
+            # Nothing has been accepted.
+            log_event(
+                logger, events.SIDECAR_STOPPED, cut=0, partly_read=0, unsent_bytes=0
+            )
+            return
+        await asyncio.sleep(REOPEN_DELAY_S)
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
@@ -148,8 +194,47 @@
         signal.signal(number, signal.SIG_IGN)
 
 
+async def _wait_for_start(
+    starting: asyncio.Task,
+    path: str,
+    stamp: tuple[int, ...],
+    stopping: asyncio.Event,
+    reload: asyncio.Event,
+) -> None:
+    """Wait until the start is complete, or has to be given up.
+
+    It is given up for a stop, and for a change of the settings, since a node whose
+    listeners wait for their addresses can start again with any settings.
+    """
+    waits = [asyncio.create_task(event.wait()) for event in (stopping, reload)]
+    try:
+        while True:
+            done, _ = await asyncio.wait(
+                [starting, *waits],
+                timeout=SETTINGS_POLL_INTERVAL_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if done or file_stamp(path) != stamp:
+                return
+    finally:
+        for task in waits:
+            task.cancel()
+
+
+def _load_or_keep(settings: SidecarSettings, path: str) -> SidecarSettings:
+    """Return the settings in the file, `settings` if they are invalid."""
+    try:
+        return load_settings(path)
+    except SidecarSettingsError as error:
+        log_event(logger, events.SETTINGS_KEPT, reason=str(error))
+        return settings
+
+
 async def start(
-    sidecar: Sidecar, path: str, reload: asyncio.Event | None = None
+    sidecar: Sidecar,
+    path: str,
+    reload: asyncio.Event | None = None,
+    stamp: tuple[int, ...] | None = None,
 ) -> list[asyncio.Task]:
     """Open the listeners and start the background tasks.
 
@@ -161,6 +246,8 @@
         Path of the settings file.
     reload : asyncio.Event, optional
         Set to reload the settings file.
+    stamp : tuple of int, optional
+        Stamp of the settings file from before it was read; the current one by default.
 
     Returns
     -------
@@ -168,8 +255,15 @@
         Background tasks, to be cancelled by the caller.
     """
     reload = reload or asyncio.Event()
+    if stamp is None:
+        stamp = file_stamp(path)
     await _open_listeners(sidecar)
-    log_event(logger, events.SIDECAR_STARTED, node_id=sidecar.settings.node_id)
+    log_event(
+        logger,
+        events.SIDECAR_STARTED,
+        node_id=sidecar.settings.node_id,
+        service=sidecar.settings.service,
+    )
     jobs: list[Callable[[], Awaitable[None]]] = [
         sidecar.store_watcher.follow_configuration,
         sidecar.store_watcher.poll_members,
@@ -178,7 +272,7 @@
         lambda: _run_propagation(sidecar),
         lambda: _become_ready(sidecar),
         lambda: _run_maintenance(sidecar),
-        lambda: _follow_settings(sidecar, path, reload),
+        lambda: _follow_settings(sidecar, path, reload, stamp),
     ]
     return [asyncio.create_task(_run_with_restart(job)) for job in jobs]
 
@@ -192,30 +286,53 @@
         try:
             await job()
             return
+        except asyncio.CancelledError as error:
+            if asyncio.current_task().cancelling():
+                raise
+            # What the job waited for was cancelled, not the job.
+            failure = error
         except Exception as error:
-            if boot_s() - started_s >= TASK_STEADY_S:
-                pause_s = TASK_RESTART_DELAY_S
-                known = ""
-            reason = repr(error)[:REASON_MAX]
-            log_event(
-                logger,
-                events.TASK_ENDED,
-                exc_info=error if reason != known else False,
-                reason=reason,
-                pause_s=pause_s,
-            )
-            known = reason
+            failure = error
+        if boot_s() - started_s >= TASK_STEADY_S:
+            pause_s = TASK_RESTART_DELAY_S
+            known = ""
+        reason = repr(failure)[:REASON_MAX]
+        log_event(
+            logger,
+            events.TASK_ENDED,
+            exc_info=failure if reason != known else False,
+            reason=reason,
+            pause_s=pause_s,
+        )
+        known = reason
+        del failure
         await asyncio.sleep(pause_s)
         pause_s = min(2 * pause_s, TASK_RESTART_MAX_S)
 
 
 async def _open_listeners(sidecar: Sidecar) -> None:
+    """Open all listeners; wait for addresses that are not free.
+
+    The health check and the metrics answer before the others are open. Requests, calls
+    of other nodes and status reports are accepted once all are: a node without its peer
+    address must not publish a record, and one without its control address does not know
+    whether its backend server leaves.
+    """
     listeners = sidecar.settings.listeners
-    for name, server in sidecar.servers.items():
-        address = to_address(getattr(listeners, name))
-        await server.open(address.host, address.port)
-    peer = to_address(listeners.peer)
-    await sidecar.links.listen(peer.host, peer.port)
+    names = (*sidecar.servers, "peer")
+    sockets = ListenerSockets(
+        {name: to_address(getattr(listeners, name)) for name in names}
+    )
+
+    async def serve(name: str, sock: socket.socket) -> None:
+        server = sidecar.links if name == "peer" else sidecar.servers[name]
+        await server.serve(sock)
+
+    try:
+        await sockets.open([n for n in names if n in SERVED_EARLY], serve)
+    except BaseException:
+        sockets.close()
+        raise
 
 
 async def _become_ready(sidecar: Sidecar) -> None:
@@ -471,32 +588,40 @@
         sidecar.backend.check_heartbeat()
 
 
-async def _follow_settings(sidecar: Sidecar, path: str, reload: asyncio.Event) -> None:
-    known_mtime = _modification_time(path)
+async def _follow_settings(
+    sidecar: Sidecar, path: str, reload: asyncio.Event, known: tuple[int, ...]
+) -> None:
     while True:
         try:
             async with asyncio.timeout(SETTINGS_POLL_INTERVAL_S):
                 await reload.wait()
         except TimeoutError:
             pass
-        mtime = _modification_time(path)
-        if not reload.is_set() and mtime == known_mtime:
+        stamp = file_stamp(path)
+        if not reload.is_set() and stamp == known:
             continue
         reload.clear()
-        known_mtime = mtime
-        try:
-            sidecar.settings = load_settings(path)
-        except SidecarSettingsError as error:
-            log_event(logger, events.SETTINGS_KEPT, reason=str(error))
-            continue
-        log_event(logger, events.SETTINGS_RELOADED)
+        known = stamp
+        _apply_settings(sidecar, _load_or_keep(sidecar.settings, path))
 
 
-def _modification_time(path: str) -> float:
-    try:
-        return os.stat(path).st_mtime
-    except OSError:
-        return 0.0
+def _apply_settings(sidecar: Sidecar, loaded: SidecarSettings) -> None:
+    """Change those settings of a running node that can be changed."""
+    if loaded is sidecar.settings:
+        return
+    changed = {
+        name: getattr(loaded, name)
+        for name in loaded.__struct_fields__
+        if getattr(loaded, name) != getattr(sidecar.settings, name)
+    }
+    applied = {name: changed.pop(name) for name in RELOADED_FIELDS & changed.keys()}
+    sidecar.settings = msgspec.structs.replace(sidecar.settings, **applied)
+    log_event(
+        logger,
+        events.SETTINGS_RELOADED,
+        changed=sorted(applied),
+        needs_restart=sorted(changed),
+    )
 
 
 async def drain(sidecar: Sidecar) -> None:
--- a/damaskproxy/sidecar/settings.py
+++ b/damaskproxy/sidecar/settings.py
@@ -1,12 +1,15 @@
 """Settings of a sidecar."""
 
+import os
+import time
+from collections.abc import Callable
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal
 
 import msgspec
 
 from damaskproxy.common import DamaskError
-from damaskproxy.common.decoding import decode_or_raise
+from damaskproxy.common.clock import boot_s
 from damaskproxy.directory import is_ip_address
 from damaskproxy.model import Address
 
@@ -15,17 +18,37 @@
     "ResponseSettings",
     "SidecarSettings",
     "SidecarSettingsError",
+    "file_stamp",
+    "load_first_settings",
     "load_settings",
+    "to_address",
 ]
 
 AddressText = Annotated[str, msgspec.Meta(pattern=r"^[^:\s]+:[0-9]{1,5}\Z")]
 Text = Annotated[str, msgspec.Meta(max_length=1000, pattern=r"^[^\x00-\x1f\x7f]*\Z")]
-PORT_MAX = 65_535
+PORT_MAX = 65535
+FIRST_SETTINGS_WAIT_S = 3.0
+"""Time for which a starting node waits for complete settings: the platform writes the
+file at every start and whenever the settings change."""
+FIRST_SETTINGS_POLL_S = 0.05
 Duration = Annotated[int, msgspec.Meta(ge=1, le=600_000)]
 
 
 class SidecarSettingsError(DamaskError):
-    """The settings file is unreadable or invalid."""
+    """The settings file is unreadable or invalid.
+
+    Parameters
+    ----------
+    message : str
+        Names the file, and the field if there is one.
+    may_pass : bool
+        Whether the file may be incomplete because it is being written: it is missing,
+        unreadable or no complete JSON text. A field that is invalid does not change.
+    """
+
+    def __init__(self, message: str, *, may_pass: bool = False):
+        super().__init__(message)
+        self.may_pass = may_pass
 
 
 class Listeners(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -127,7 +150,7 @@
     bounds: dict[str, Any] = {}
     memory_limit_mb: Annotated[int, msgspec.Meta(ge=64)] = 300
     responses: ResponseSettings = ResponseSettings()
-    log_level: str = "INFO"
+    log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR", "CRITICAL"] = "INFO"
     log_lines_per_s: Annotated[int, msgspec.Meta(ge=1)] = 100
 
 
@@ -140,6 +163,47 @@
     return Address(host, int(port))
 
 
+def file_stamp(path: str) -> tuple[int, ...]:
+    """Return values that differ once the file has changed; empty without a file."""
+    try:
+        status = os.stat(path)
+    except OSError:
+        return ()
+    return status.st_mtime_ns, status.st_size, status.st_ino
+
+
+def load_first_settings(
+    path: str, report: Callable[[str], None] = lambda text: None
+) -> tuple[SidecarSettings, tuple[int, ...]]:
+    """Return the settings, and the stamp that the file had before it was read.
+
+    Parameters
+    ----------
+    path : str
+        Path of the file.
+    report : callable
+        Called once with a line of text when the file is incomplete.
+
+    Raises
+    ------
+    SidecarSettingsError
+        Like `load_settings`; an incomplete file is read again for a while before.
+    """
+    end_s = boot_s() + FIRST_SETTINGS_WAIT_S
+    is_reported = False
+    while True:
+        stamp = file_stamp(path)
+        try:
+            return load_settings(path), stamp
+        except SidecarSettingsError as error:
+            if not error.may_pass or boot_s() >= end_s:
+                raise
+            if not is_reported:
+                report(f"damaskproxy: {error}; trying again\n")
+                is_reported = True
+        time.sleep(FIRST_SETTINGS_POLL_S)
+
+
 def load_settings(path: str) -> SidecarSettings:
     """Read and validate a settings file.
 
@@ -149,27 +213,37 @@
         If the file is unreadable or a field is invalid; the message names the field.
     """
     try:
-        encoded = Path(path).read_bytes()
-        settings = decode_or_raise(_decoder.decode, encoded, SidecarSettingsError)
-        _check_addresses(settings)
-    except (OSError, SidecarSettingsError) as error:
+        settings = _decoder.decode(Path(path).read_bytes())
+    except msgspec.ValidationError as error:
         raise SidecarSettingsError(f"settings {path}: {error}") from error
+    except (OSError, ValueError, RecursionError, msgspec.MsgspecError) as error:
+        message = f"settings {path}: {error}"
+        raise SidecarSettingsError(message, may_pass=True) from error
+    _check_addresses(settings, path)
     return settings
 
 
-def _check_addresses(settings: SidecarSettings) -> None:
-    listeners = msgspec.structs.asdict(settings.listeners)
+def _check_addresses(settings: SidecarSettings, path: str) -> None:
+    """Raise for a port that no address can have, and for an odd address of the node."""
     addresses = {
-        **{f"listeners.{name}": text for name, text in listeners.items() if text},
-        **{f"seeds[{number}]": text for number, text in enumerate(settings.seeds)},
-        "store_address": settings.store_address,
         "backend_address": settings.backend_address,
+        "store_address": settings.store_address,
+        **{f"seeds[{i}]": seed for i, seed in enumerate(settings.seeds)},
+        **{
+            f"listeners.{name}": address
+            for name, address in msgspec.structs.asdict(settings.listeners).items()
+            if address is not None
+        },
     }
-    for name, text in addresses.items():
-        if to_address(text).port > PORT_MAX:
-            raise SidecarSettingsError(f"{name}: no port {to_address(text).port}")
+    for field, address in addresses.items():
+        if to_address(address).port > PORT_MAX:
+            raise SidecarSettingsError(
+                f"settings {path}: Expected a port up to {PORT_MAX},"
+                f" got {address!r} - at `$.{field}`"
+            )
     peer = to_address(settings.listeners.peer)
     if not is_ip_address(peer.host) or not peer.port:
         raise SidecarSettingsError(
-            "listeners.peer: other nodes need an IP address and a port"
+            f"settings {path}: Expected an IP address and a port for other nodes,"
+            f" got {settings.listeners.peer!r} - at `$.listeners.peer`"
         )
