Ask only running nodes to vouch for a restarted node's server

The three peers that a restarted node asks were chosen among all records, those of nodes that had stopped for good included. The more machines had been taken away, the less often a running node was asked, and the server waited for its next report.

Records of stopped nodes are left out. The test, with one running node and 40 that have stopped, failed before (503 instead of 200).

--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -284,9 +284,13 @@
 
 
 def _other_members(sidecar: Sidecar) -> list[MemberRecord]:
-    """Return the records of the other nodes in the directory."""
+    """Return the records of the other nodes that run, as far as known."""
     own_id = sidecar.settings.node_id
-    return [r for r in sidecar.directory.records() if r.node_id != own_id]
+    return [
+        record
+        for record in sidecar.directory.records()
+        if record.node_id != own_id and record.state is MemberState.SERVING
+    ]
 
 
 def _stored_record(sidecar: Sidecar) -> MemberRecord | None:
--- a/damaskproxy/sidecar/tests/test_leave.py
+++ b/damaskproxy/sidecar/tests/test_leave.py
@@ -7,7 +7,12 @@
 
 from nose2.tools import params
 
-from damaskproxy.directory import BackendRecord, MemberRecord, decode_member
+from damaskproxy.directory import (
+    BackendRecord,
+    MemberRecord,
+    decode_member,
+    encode_member,
+)
 from damaskproxy.directory.following import MEMBER_TABLE
 from damaskproxy.forwarding import StateFrame
 from damaskproxy.http1 import Request
@@ -226,6 +231,26 @@
         self.assertEqual(vouches(answer, stopped, 0.5, 60.0), expected)
 
 
+class WitnessTests(LeaveTestCase):
+    """Guards against a restarted node that asks only nodes that do not run."""
+
+    async def test_stopped_nodes_are_not_asked(self):
+        one = await self.start("n1", "stores")
+        one.sidecar.propagation.started_s -= 60
+        two = await self.start("n2")
+        await self.until_known(1)
+        await self.until_stored(two)
+        for number in range(40):
+            stopped = record(
+                node_id=f"gone-{number}", state_of_node=MemberState.STOPPED
+            )
+            self.rows.put(MEMBER_TABLE, stopped.node_id, encode_member(stopped))
+        await self.kill(two)
+        await self.restart(two, report=False)
+        await self.until(lambda: two.sidecar.is_ready)
+        self.assertEqual((await two.call(b"/read/1")).status, 200)
+
+
 class OutageTests(LeaveTestCase):
     """Guards against a leave that is lost since the store did not have it."""
 
