Free a closed connection at once instead of at the next garbage collection

A connection and its parser refer to each other, a client's connection also referred to itself through a bound method, and a server's connection to the fiber of its last request. So a closed connection stayed in memory until a collection, with its last response, or with the part of a body that its client had sent before it left. The counters of held bytes did not include it any more, so the limits did not apply.

Both forget the parser when the connection is lost, and the server its fiber. Bound methods are equal if their objects and functions are, so the client needs no stored one as a key. test_closed_connection_is_freed_at_once failed before in 3 of 3 rows at the server and 2 of 2 at the client, and passes now.

--- a/damaskproxy/http1/client.py
+++ b/damaskproxy/http1/client.py
@@ -63,8 +63,6 @@
         self._dead_peer_limits = dead_peer_limits
         self._limits = limits
         self._memory = memory
-        # One bound method, since it identifies this connection in `memory`.
-        self._abort_exchange = self._abort_largest
         self._received_bytes = 0
         self._body_bytes = 0
         self._field_count = 0
@@ -95,10 +93,12 @@
         """Fail the exchange in progress."""
         self.is_reusable = False
         waiter = self._waiter
+        if waiter is not None and not waiter.is_done and self._is_complete_at_eof(exc):
+            self._finish_response()
+        # The parser refers to this connection.
+        self._parser = None
         if waiter is None or waiter.is_done:
             return
-        if self._is_complete_at_eof(exc):
-            self._finish_response()
         if self._response is not None:
             waiter.set_result(self._response)
             return
@@ -118,7 +118,7 @@
             return
         failure = None
         self._received_bytes += len(data)
-        self._memory.add(self._abort_exchange, len(data))
+        self._memory.add(self._abort_largest, len(data))
         if waiter.is_done:
             return
         try:
@@ -201,7 +201,7 @@
             raise
         finally:
             self._waiter = None
-            self._memory.release(self._abort_exchange)
+            self._memory.release(self._abort_largest)
             self.idle_since_s = boot_s()
 
     def _check_limits(self) -> ResponseTooLarge | None:
--- a/damaskproxy/http1/server.py
+++ b/damaskproxy/http1/server.py
@@ -284,8 +284,11 @@
         self._release_body(self._held_bytes)
         self._server.unsent.release(self._cut_unsent)
         self._pending.clear()
-        if self._fiber is not None:
-            self._fiber.cancel()
+        fiber, self._fiber = self._fiber, None
+        if fiber is not None:
+            fiber.cancel()
+        # The parser refers to this connection.
+        self._parser = None
 
     def pause_writing(self):
         """Count the response that the client does not read, and start no other one."""
--- a/damaskproxy/http1/tests/test_client.py
+++ b/damaskproxy/http1/tests/test_client.py
@@ -260,3 +260,18 @@
         await ended.wait()
         await asyncio.sleep(0.02)
         self.assertIsNone(reference())
+
+    @params(
+        ("by the server", [response(b"1"), CLOSE]), ("by the pool", [response(b"1")])
+    )
+    async def test_closed_connection_is_freed_at_once(self, name, parts):
+        await self.exchange(b"1", *parts)
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        references = [weakref.ref(c) for c in self.pool._idle]
+        if name == "by the pool":
+            self.pool.close()
+        await asyncio.sleep(0.05)
+        self.pool.close_idle()
+        self.assertEqual([reference() for reference in references], [None])
--- a/damaskproxy/http1/tests/test_server.py
+++ b/damaskproxy/http1/tests/test_server.py
@@ -1,7 +1,9 @@
 """Requests that are pipelined, truncated, too large, too slow or malformed."""
 
 import asyncio
+import gc
 import unittest
+import weakref
 
 from nose2.tools import params
 
@@ -193,6 +195,22 @@
                 self.server.enforce_timeouts()
         self.assertEqual(received[-1_000_000:], b"x" * 1_000_000)
 
+    @params(
+        ("after a request", GET + b"\r\n"),
+        ("within a body", POST + b"Content-Length: 20\r\n\r\nabc"),
+        ("before a response", GET.replace(b"/a", b"/slow") + b"\r\n"),
+    )
+    async def test_closed_connection_is_freed_at_once(self, name, sent):
+        self.writer.write(sent)
+        await asyncio.sleep(0.05)
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        references = [weakref.ref(c) for c in self.server.connections]
+        self.writer.close()
+        await asyncio.sleep(0.05)
+        self.assertEqual([reference() for reference in references], [None])
+
     async def test_bodies_beyond_held_max_bytes_are_refused(self):
         self.server.bodies.limit_bytes = 30
         slow = b"POST /slow HTTP/1.1\r\nHost: x\r\nContent-Length: 20\r\n\r\n"
