Read the peak memory of a node from its own status

ru_maxrss of getrusage is kept over exec, so a node that a large process had started reported the memory of that process: 221 MB instead of 80 MB in test_memory_process when the whole suite ran it, and a warning about memory that the node did not have.

The peak is VmHWM of /proc/self/status now; getrusage remains for systems without it. test_peak_is_not_that_of_the_process_that_started_this_one failed before and passes now.

--- a/damaskproxy/sidecar/memory.py
+++ b/damaskproxy/sidecar/memory.py
@@ -1,6 +1,8 @@
 """Warns before the memory of the process reaches its limit."""
 
+import contextlib
 import logging
+import re
 import resource
 from collections.abc import Callable
 
@@ -12,12 +14,23 @@
 logger = logging.getLogger(__name__)
 
 BYTES_PER_KB = 1024
+PROCESS_STATUS = "/proc/self/status"
+PEAK = re.compile(rb"^VmHWM:\s+(\d+) kB$", re.MULTILINE)
 WARNING_SHARES = (0.7, 0.85, 0.95)
 """Shares of the limit at which a warning is logged, once each."""
 
 
 def peak_memory_bytes() -> int:
-    """Return the largest resident size that the process has had."""
+    """Return the largest resident size that the process has had.
+
+    Notes
+    -----
+    The value of ``getrusage`` may be that of the process that started this one.
+    """
+    with contextlib.suppress(OSError), open(PROCESS_STATUS, "rb") as status:
+        peak = PEAK.search(status.read())
+        if peak is not None:
+            return int(peak[1]) * BYTES_PER_KB
     return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * BYTES_PER_KB
 
 
--- a/damaskproxy/sidecar/tests/test_process_end.py
+++ b/damaskproxy/sidecar/tests/test_process_end.py
@@ -1,5 +1,7 @@
 """Events before a process ends: close to its memory limit, and by an exception."""
 
+import subprocess
+import sys
 import unittest
 from unittest import mock
 
@@ -28,9 +30,18 @@
         self.assertEqual([fields["peak_bytes"] for fields in logged], logged_bytes)
         self.assertTrue(all(fields["held_bytes"] == 5 for fields in logged))
 
-    def test_peak_is_that_of_the_process(self):
+    def test_peak_is_not_that_of_the_process_that_started_this_one(self):
+        held = b"x" * (150 << 20)
+        script = "from damaskproxy.sidecar.memory import *; print(peak_memory_bytes())"
+        printed = subprocess.check_output([sys.executable, "-c", script])
+        self.assertLess(int(printed), len(held))
+        self.assertGreater(int(printed), 5 << 20)
         self.assertGreater(peak_memory_bytes(), 5 << 20)
 
+    def test_peak_without_the_status_of_the_process(self):
+        with mock.patch("damaskproxy.sidecar.memory.PROCESS_STATUS", "/nothing"):
+            self.assertGreater(peak_memory_bytes(), 5 << 20)
+
 
 class ProcessFailedTests(unittest.IsolatedAsyncioTestCase):
     """Guards against a process that ends by an exception without an event."""
