--- a/damaskproxy/propagation/tests/virtual_mesh.py
+++ b/damaskproxy/propagation/tests/virtual_mesh.py
@@ -31,7 +31,7 @@
     READ_TIMEOUT_S,
 )
 from damaskproxy.propagation import Propagation
-from damaskproxy.sidecar.lifecycle import FIRST_READ_S
+from damaskproxy.sidecar.joining import FIRST_READ_S
 
 __all__ = ["VirtualMesh", "VirtualNode", "VirtualStore"]
 
--- /dev/null
+++ b/damaskproxy/sidecar/joining.py
@@ -0,0 +1,294 @@
+"""Joins a node to the mesh: own record, members, configuration."""
+
+import asyncio
+import contextlib
+import logging
+import time
+
+import msgspec
+
+from damaskproxy.common.clock import boot_s
+from damaskproxy.directory import (
+    MemberRecord,
+    RecordError,
+    StoreError,
+    decode_member,
+)
+from damaskproxy.events import log_event
+from damaskproxy.forwarding import (
+    STATE_PATH,
+    FrameError,
+    RecordRequestFrame,
+    StateFrame,
+    decode_state,
+)
+from damaskproxy.http1 import ConnectionPool, HttpError, Request
+from damaskproxy.model import MemberState
+from damaskproxy.sidecar import events
+from damaskproxy.sidecar.compose import Sidecar
+from damaskproxy.sidecar.settings import to_address
+
+__all__ = ["become_ready", "fetch_state", "join_from_seeds", "vouches"]
+
+logger = logging.getLogger(__name__)
+
+SEED_INTERVAL_S = 0.5
+SEED_TIMEOUT_S = 0.5
+FIRST_REPORT_WAIT_S = 4.0
+"""Time that a node waits for the first status report when the whole mesh starts, so
+that it writes one row instead of two; requests follow some ten seconds later."""
+FIRST_READ_S = 4.5
+"""Time from the first start of the whole mesh until a node reads the members. By then
+all nodes have written their rows, so that each one reads the complete mesh and only the
+first nodes of the data centres read the configuration from the store."""
+LEAVE_REQUEST_PEERS = 3
+"""Peers from which a restarted node requests a leave that it had confirmed; more than
+one, since a peer may be down."""
+LEAVE_REQUEST_TIMEOUT_S = 0.1
+"""Two round trips between regions. Short, since no peer has the record when all nodes
+start at the same time."""
+VOUCH_MARGIN_S = 3.0
+"""Time by which a peer must have been up longer than this process. Nodes that were
+killed together are not started at the same moment."""
+START_SPREAD_S = 1.5
+"""Time within which all nodes are started that start together."""
+MS_PER_S = 1000
+
+
+async def become_ready(sidecar: Sidecar) -> None:
+    """Publish the node once it has members and a configuration."""
+    created: MemberRecord | None = None
+    if sidecar.settings.is_first_start:
+        created = await _create_own_row(sidecar)
+    if created is not None:
+        # A leave may have been reported while the row was written.
+        if created is not sidecar.record:
+            sidecar.own_row_writer.publish(sidecar.record)
+        sidecar.own_record_restored.set()
+        await asyncio.sleep(sidecar.started_s + FIRST_READ_S - boot_s())
+    await sidecar.store_watcher.read_members()
+    if created is None:
+        stored = _stored_record(sidecar)
+        answers = await _request_own_record_of_peers(sidecar, stored)
+        if stored is not None:
+            _restore_own_record(sidecar, stored, answers)
+        sidecar.update_record()
+        sidecar.own_record_restored.set()
+    sidecar.propagation.start(is_first_start=created is not None)
+    await sidecar.configuration.wait_until_known()
+    sidecar.is_ready = True
+    log_event(
+        logger,
+        events.SIDECAR_READY,
+        configuration_version=sidecar.configuration.version,
+        members=len(sidecar.directory),
+    )
+
+
+async def _request_own_record_of_peers(
+    sidecar: Sidecar, stored: MemberRecord | None
+) -> list[StateFrame]:
+    """Return the records of this node that peers have.
+
+    Notes
+    -----
+    The store lacks a leave that was confirmed while it was unavailable, and has lost
+    one, or the whole row, if it returned from an older copy. The peers that received
+    the leave have it, and those that were up all the time without it know that there is
+    none. Calls are refused until the record of the backend server is restored, so a
+    node waits for all answers, but only for a short time.
+    """
+    peers = _other_members(sidecar)
+    if not peers:
+        return []
+    sidecar.rng.shuffle(peers)
+    if stored is not None:
+        peers.sort(key=lambda p: _started_after_s(p, stored) > START_SPREAD_S)
+    answers: list[StateFrame] = []
+    unreachable: list[MemberRecord] = []
+    asked = peers[:LEAVE_REQUEST_PEERS]
+    is_complete = asyncio.Event()
+
+    def check() -> None:
+        if len(answers) + len(unreachable) >= len(asked):
+            is_complete.set()
+
+    def receive(answer: StateFrame) -> None:
+        answers.append(answer)
+        check()
+
+    async def request(member: MemberRecord) -> None:
+        link = await sidecar.links.open(member)
+        if link is None:
+            unreachable.append(member)
+            check()
+        else:
+            link.write(RecordRequestFrame(sidecar.settings.node_id))
+
+    sidecar.propagation.on_record_answer = receive
+    tasks = [asyncio.create_task(request(member)) for member in asked]
+    try:
+        async with asyncio.timeout(LEAVE_REQUEST_TIMEOUT_S):
+            await is_complete.wait()
+    except TimeoutError:
+        pass
+    finally:
+        sidecar.propagation.on_record_answer = None
+        for task in tasks:
+            task.cancel()
+    if not answers:
+        log_event(logger, events.NO_PEER_ANSWERED, peers=len(peers))
+    return answers
+
+
+def _started_after_s(peer: MemberRecord, own: MemberRecord) -> float:
+    """Return how long after a record of this node a peer was started."""
+    return (peer.incarnation - own.incarnation) / MS_PER_S
+
+
+async def _create_own_row(sidecar: Sidecar) -> MemberRecord | None:
+    """Write the first row of this node before the members are read.
+
+    Of two nodes that start at the same time, at least one then reads the row of the
+    other. Returns None if the row exists or the store does not respond.
+    """
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(FIRST_REPORT_WAIT_S):
+            await sidecar.backend_reported.wait()
+    record = sidecar.record
+    try:
+        return record if await sidecar.own_row_writer.create(record) else None
+    except StoreError as error:
+        log_event(logger, events.FIRST_ROW_NOT_WRITTEN, reason=str(error))
+        return None
+
+
+def _other_members(sidecar: Sidecar) -> list[MemberRecord]:
+    """Return the records of the other nodes that run, as far as known."""
+    own_id = sidecar.settings.node_id
+    return [
+        record
+        for record in sidecar.directory.records()
+        if record.node_id != own_id and record.state is MemberState.SERVING
+    ]
+
+
+def _stored_record(sidecar: Sidecar) -> MemberRecord | None:
+    """Return the record that this node had stored before it was restarted."""
+    row = sidecar.store_watcher.own_row
+    if row is None or row.value is None:
+        return None
+    try:
+        return decode_member(row.value)
+    except RecordError as error:
+        log_event(logger, events.OWN_ROW_UNREADABLE, reason=str(error))
+        return None
+
+
+def _restore_own_record(
+    sidecar: Sidecar, stored: MemberRecord, answers: list[StateFrame]
+) -> None:
+    """Restore the stored record, and the backend server if it may be served."""
+    incarnation = max(sidecar.record.incarnation, stored.incarnation + 1)
+    sidecar.record = msgspec.structs.replace(sidecar.record, incarnation=incarnation)
+    backend = stored.backend
+    if stored.host != sidecar.record.host or backend is None:
+        return
+    if backend.is_leaving:
+        sidecar.backend.restore(backend)
+        return
+    own_uptime_s = boot_s() - sidecar.started_s
+    stored_age_s = time.time() - stored.incarnation / MS_PER_S
+    is_verified = backend.state is MemberState.SERVING and any(
+        vouches(answer, stored, own_uptime_s, stored_age_s) for answer in answers
+    )
+    if not is_verified and sidecar.backend.record is None:
+        log_event(
+            logger,
+            events.SERVER_UNVERIFIED,
+            instance_id=backend.instance_id,
+            stored_state=backend.state,
+            stored_age_s=round(stored_age_s, 3),
+            peer_uptimes_ms=[answer.uptime_ms for answer in answers],
+        )
+    backend = msgspec.structs.replace(backend, state=MemberState.SERVING)
+    sidecar.backend.restore(backend, is_verified=is_verified)
+
+
+def vouches(
+    answer: StateFrame,
+    stored: MemberRecord,
+    own_uptime_s: float,
+    stored_age_s: float,
+) -> bool:
+    """Return whether a peer knows that the stored backend server has not left.
+
+    Parameters
+    ----------
+    answer : StateFrame
+        Record of this node that the peer has, and its uptime.
+    stored : MemberRecord
+        Record that this node has stored.
+    own_uptime_s : float
+        Time since this process was started.
+    stored_age_s : float
+        Time since the process was started that stored the record.
+
+    Notes
+    -----
+    A leave that was confirmed without the store is known to the peers that were up at
+    that time. A peer that was started later has read the same row as this node. So it
+    has to have been up before the process that stored the record, except for the time
+    by which the starts of nodes differ that start together.
+
+    A planned stop ends with a record that has all leaves, since a node that stops
+    confirms none that is not stored. A peer that was started later, but before this
+    process, knows whether it is the last one; the store may have returned from an older
+    copy.
+    """
+    uptime_s = answer.uptime_ms / MS_PER_S
+    if uptime_s < own_uptime_s + VOUCH_MARGIN_S:
+        return False
+    was_up = uptime_s >= stored_age_s - START_SPREAD_S
+    is_stopped = stored.state is MemberState.STOPPED
+    return any(
+        record.node_id == stored.node_id
+        and record.backend is not None
+        and record.backend.incarnation_key == stored.backend.incarnation_key
+        and record.backend.state is MemberState.SERVING
+        and (was_up or (is_stopped and record.order == stored.order))
+        for record in answer.records
+    )
+
+
+async def join_from_seeds(sidecar: Sidecar) -> None:
+    """Fetch the state from seeds while the store is unavailable to a starting node."""
+    while not sidecar.store_watcher.has_read_members:
+        await asyncio.sleep(SEED_INTERVAL_S)
+        if (
+            sidecar.store_watcher.has_read_members
+            or not sidecar.store_watcher.is_store_unavailable
+        ):
+            continue
+        for seed in sidecar.settings.seeds:
+            if await fetch_state(sidecar, seed):
+                sidecar.is_ready = sidecar.configuration.current is not None
+                sidecar.update_record()
+                sidecar.propagation.start()
+                break
+
+
+async def fetch_state(sidecar: Sidecar, seed: str) -> bool:
+    """Apply the state of a seed; return whether it sent one."""
+    pool = ConnectionPool(to_address(seed), SEED_TIMEOUT_S)
+    request = Request(b"GET", STATE_PATH, [(b"Host", seed.encode())])
+    try:
+        async with asyncio.timeout(SEED_TIMEOUT_S):
+            response = await pool.exchange(request)
+        state = decode_state(response.body)
+    except (HttpError, TimeoutError, FrameError):
+        return False
+    finally:
+        pool.close()
+    sidecar.propagation.apply_state(state)
+    return True
--- a/damaskproxy/sidecar/tests/mesh.py
+++ b/damaskproxy/sidecar/tests/mesh.py
@@ -15,8 +15,9 @@
     report_request,
 )
 from damaskproxy.sidecar.compose import compose
-from damaskproxy.sidecar.lifecycle import start, stop
+from damaskproxy.sidecar.lifecycle import start
 from damaskproxy.sidecar.settings import load_settings, to_address
+from damaskproxy.sidecar.stopping import stop
 from demo.processes import free_ports
 
 __all__ = ["MeshTestCase"]
--- a/damaskproxy/sidecar/tests/test_leave.py
+++ b/damaskproxy/sidecar/tests/test_leave.py
@@ -17,7 +17,8 @@
 from damaskproxy.forwarding import StateFrame
 from damaskproxy.http1 import Request
 from damaskproxy.model import MemberState
-from damaskproxy.sidecar.lifecycle import drain, vouches
+from damaskproxy.sidecar.joining import vouches
+from damaskproxy.sidecar.stopping import drain
 from damaskproxy.sidecar.tests.mesh import MeshTestCase
 
 HOST = [(b"Host", b"c")]
--- a/damaskproxy/sidecar/tests/test_leave_soak.py
+++ b/damaskproxy/sidecar/tests/test_leave_soak.py
@@ -8,8 +8,8 @@
 from nose2.tools import params
 
 from damaskproxy.http1 import ConnectionPool, HttpError, Request
-from damaskproxy.sidecar.lifecycle import drain
 from damaskproxy.sidecar.settings import to_address
+from damaskproxy.sidecar.stopping import drain
 from damaskproxy.sidecar.tests.mesh import MeshTestCase
 
 DRAIN_S = 2.0
--- a/damaskproxy/sidecar/tests/test_mesh.py
+++ b/damaskproxy/sidecar/tests/test_mesh.py
@@ -18,9 +18,9 @@
 )
 from damaskproxy.model import MemberState
 from damaskproxy.platform.standins import encode_configuration
-from damaskproxy.sidecar import lifecycle
-from damaskproxy.sidecar.lifecycle import drain
+from damaskproxy.sidecar import stopping
 from damaskproxy.sidecar.settings import to_address
+from damaskproxy.sidecar.stopping import drain
 from damaskproxy.sidecar.tests.mesh import MeshTestCase
 
 STAMP = b"x-damaskproxy-server-stamp"
@@ -400,7 +400,7 @@
         one.backend.faults[b"/read/1"] = "hang"
         pending = asyncio.create_task(one.call(b"/read/1"))
         await self.until(lambda: one.backend.runs[b"1"] == 1)
-        with mock.patch.object(lifecycle, "STOP_ACCEPT_S", 0.2):
+        with mock.patch.object(stopping, "STOP_ACCEPT_S", 0.2):
             drain_task = asyncio.create_task(drain(one.sidecar))
             await asyncio.sleep(0.35)
             with self.assertRaises(ConnectFailed):
@@ -424,7 +424,7 @@
         address = to_address(one.sidecar.settings.listeners.caller)
         reader, writer = await asyncio.open_connection(address.host, address.port)
         writer.write(first)
-        with mock.patch.object(lifecycle, "STOP_ACCEPT_S", 0.1):
+        with mock.patch.object(stopping, "STOP_ACCEPT_S", 0.1):
             drain_task = asyncio.create_task(drain(one.sidecar))
             await asyncio.sleep(0.2)
             if kind == "half read":
--- a/damaskproxy/sidecar/tests/test_odd_rows.py
+++ b/damaskproxy/sidecar/tests/test_odd_rows.py
@@ -15,7 +15,7 @@
 from damaskproxy.http1 import HttpServer, Request, Response
 from damaskproxy.platform.standins import encode_configuration
 from damaskproxy.propagation import store_contact
-from damaskproxy.sidecar import lifecycle
+from damaskproxy.sidecar import joining
 from damaskproxy.sidecar.tests.mesh import MeshTestCase
 
 DEEP = b"[" * 20_000 + b"]" * 20_000
@@ -243,5 +243,5 @@
         self.addAsyncCleanup(server.close)
         one = await self.start("n1")
         seed = f"127.0.0.1:{server.port}"
-        has_state = await lifecycle._fetch_state(one.sidecar, seed)
+        has_state = await joining.fetch_state(one.sidecar, seed)
         self.assertEqual(has_state, body.endswith(b"\x91\x01"))
--- a/damaskproxy/sidecar/tests/test_planned_stop.py
+++ b/damaskproxy/sidecar/tests/test_planned_stop.py
@@ -11,8 +11,8 @@
 
 from damaskproxy.http1 import HttpError, Request
 from damaskproxy.platform.standins import ROUTES, encode_configuration
-from damaskproxy.sidecar import lifecycle
-from damaskproxy.sidecar.lifecycle import drain, stop
+from damaskproxy.sidecar import stopping
+from damaskproxy.sidecar.stopping import drain, stop
 from damaskproxy.sidecar.settings import to_address
 from damaskproxy.sidecar.tests.mesh import MeshTestCase
 
@@ -31,7 +31,7 @@
         await super().asyncSetUp()
         routes = {name: {**route, "timeoutMs": 5000} for name, route in ROUTES.items()}
         self.rows.put("op", "config", encode_configuration(2, routes))
-        patch = mock.patch.object(lifecycle, "STOP_ACCEPT_S", ACCEPT_S)
+        patch = mock.patch.object(stopping, "STOP_ACCEPT_S", ACCEPT_S)
         patch.start()
         self.addCleanup(patch.stop)
 
@@ -195,7 +195,7 @@
         for link in two.sidecar.links.open_links():
             link._transport.pause_reading()
         await asyncio.sleep(0.1)
-        with self.assertLogs("damaskproxy.sidecar.lifecycle", "INFO") as logs:
+        with self.assertLogs("damaskproxy.sidecar.stopping", "INFO") as logs:
             self.assertLess(await self.end_process(one), 1.0)
         fields = logs.records[-1].fields
         self.assertEqual((fields["cut"], fields["partly_read"]), (1, 0))
--- a/damaskproxy/sidecar/tests/test_soak.py
+++ b/damaskproxy/sidecar/tests/test_soak.py
@@ -11,8 +11,8 @@
 from damaskproxy.directory.following import MEMBER_TABLE
 from damaskproxy.http1 import ConnectionPool, HttpError, Request
 from damaskproxy.platform.standins import encode_configuration
-from damaskproxy.sidecar.lifecycle import drain
 from damaskproxy.sidecar.settings import to_address
+from damaskproxy.sidecar.stopping import drain
 from damaskproxy.sidecar.tests.mesh import MeshTestCase
 
 DRAIN_S = 2.0
