--- a/damaskproxy/forwarding/tests/test_large_frames.py
+++ b/damaskproxy/forwarding/tests/test_large_frames.py
@@ -205,7 +205,7 @@
     async def connect(self, origin_memory=None, target_memory=None):
         """Return the links of an origin, and the member that it calls."""
         target = self.make_links("n2", target_memory)
-        await target.listen("127.0.0.1", 0)
+        await target.serve(socket.create_server(("127.0.0.1", 0)))
         return self.make_links("n1", origin_memory), make_member("n2", port=target.port)
 
     async def listen_without_reading(self):
@@ -264,7 +264,7 @@
     async def test_results_that_a_peer_does_not_read_stay_within_the_limit(self):
         memory = make_memory(unsent_mb=20)
         links = self.make_links("n2", memory)
-        await links.listen("127.0.0.1", 0)
+        await links.serve(socket.create_server(("127.0.0.1", 0)))
         reader, writer = await asyncio.open_connection("127.0.0.1", links.port)
         writer.transport.pause_reading()
         self.waiters = []
