Free and count the bodies of lost calls until the crash check ends

A call whose connection to the backend server broke is kept, with its body, until the node has checked whether the server has crashed. Those that were lost while a check was connecting to the server, up to 0.3 s, were kept after it without another check, until the next call was lost. They were then reported as suspects of that later event. No account included the bodies: a server that cuts large uploads let the node hold them a second time, beyond the limits that protect the process.

The check now goes on until no lost call is left. If it finds a crash, all lost calls belong to that one; otherwise only those are dropped that were lost before the check began. Bodies count as bodies of calls until then.

Before: one call kept for good in test_calls_lost_during_a_crash_check_are_checked_and_freed, and 0 instead of 1000 counted bytes in test_bodies_of_lost_calls_are_counted_until_they_are_checked. Both pass now.

--- a/damaskproxy/forwarding/target.py
+++ b/damaskproxy/forwarding/target.py
@@ -372,20 +372,32 @@
 
     def _record_lost_call(self, call: Call) -> None:
         self._lost_calls.append(call)
+        self._bodies.hold(len(call.body))
         if self._crash_check is None:
             self._crash_check = asyncio.create_task(self._check_crash())
 
+    def _take_lost_calls(self, count: int) -> list[Call]:
+        """Return the first lost calls, which are no longer kept."""
+        taken, self._lost_calls = self._lost_calls[:count], self._lost_calls[count:]
+        self._bodies.release(sum(len(call.body) for call in taken))
+        return taken
+
     async def _check_crash(self) -> None:
         """Distinguish a crash, which breaks all connections, from one lost response."""
         try:
-            await asyncio.sleep(CRASH_CHECK_S)
-            lost, self._lost_calls = self._lost_calls, []
-            if self.in_flight or await self._is_listening():
-                return
-            self._backend.connection_refused()
-            log_event(logger, events.BACKEND_CRASHED, in_flight=len(lost))
-            self._poison_requests.record_crash([digest_of(call) for call in lost])
+            while self._lost_calls:
+                await asyncio.sleep(CRASH_CHECK_S)
+                count = len(self._lost_calls)
+                if self.in_flight or await self._is_listening():
+                    self._take_lost_calls(count)
+                    continue
+                # With those lost during the check, since it is one crash.
+                lost = self._take_lost_calls(len(self._lost_calls))
+                self._backend.connection_refused()
+                log_event(logger, events.BACKEND_CRASHED, in_flight=len(lost))
+                self._poison_requests.record_crash([digest_of(call) for call in lost])
         finally:
+            self._take_lost_calls(len(self._lost_calls))
             self._crash_check = None
 
     async def _is_listening(self) -> bool:
--- a/damaskproxy/forwarding/tests/test_target.py
+++ b/damaskproxy/forwarding/tests/test_target.py
@@ -298,3 +298,39 @@
         await asyncio.sleep(0.1)
         self.assertEqual(len(self.poison_requests.local_crashes), 1)
         self.assertFalse(self.backend.is_reachable)
+
+    async def test_calls_lost_during_a_crash_check_are_checked_and_freed(self):
+        self.pool.outcome = ExchangeLost("reset")
+        accepted = []
+
+        async def accept(reader, writer):
+            # Lost while the first check knows the outcome and has not ended.
+            if not accepted:
+                accepted.append(await self.target.run(make_call()))
+            writer.close()
+
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        self.pool.address = Address(*server.sockets[0].getsockname()[:2])
+        probe = self.target._is_listening
+
+        async def slow_probe():
+            is_listening = await probe()
+            await asyncio.sleep(0.05)
+            return is_listening
+
+        self.target._is_listening = slow_probe
+        await self.target.run(make_call())
+        await asyncio.sleep(0.3)
+        self.assertEqual(len(accepted), 1)
+        self.assertEqual(self.target._lost_calls, [])
+        self.assertIsNone(self.target._crash_check)
+        server.close()
+
+    async def test_bodies_of_lost_calls_are_counted_until_they_are_checked(self):
+        self.pool.outcome = ExchangeLost("reset")
+        bodies = self.target._bodies
+        for number in range(1, 4):
+            await self.target.run_remote(make_call(body=b"x" * 1000))
+            self.assertEqual(bodies.held_bytes, number * 1000)
+        await asyncio.sleep(0.3)
+        self.assertEqual(bodies.held_bytes, 0)
