Ignore further signals at the end of a start that is given up

A node that is stopped while it waits for the address of a listener returned without replacing its signal handlers, which the event loop removes when it closes. A further SIGTERM, or the SIGHUP of a changed settings file, then ended the process by the signal: whoever started it saw that status instead of 0, as if it had failed.

Both ends of the program now ignore signals from there on.

test_signals_until_the_end_do_not_change_the_exit_status of TakenPortTests, signals every 3 ms while the port of the callers is taken: status -15 before, 0 now.

--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -177,6 +177,7 @@
             log_event(
                 logger, events.SIDECAR_STOPPED, cut=0, partly_read=0, unsent_bytes=0
             )
+            _ignore_signals(loop)
             return
         await asyncio.sleep(REOPEN_DELAY_S)
     gc.collect()
@@ -187,8 +188,15 @@
     for task in tasks:
         task.cancel()
     await stop(sidecar)
-    # The event loop removes its handlers when it closes; a further signal would then
-    # end the process before it has returned its status.
+    _ignore_signals(loop)
+
+
+def _ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
+    """Ignore further signals until the process has returned its status.
+
+    The event loop removes its handlers when it closes, and a signal would then end the
+    process.
+    """
     for number in (*STOP_SIGNALS, signal.SIGHUP):
         loop.remove_signal_handler(number)
         signal.signal(number, signal.SIG_IGN)
--- a/damaskproxy/sidecar/tests/test_listeners.py
+++ b/damaskproxy/sidecar/tests/test_listeners.py
@@ -1,7 +1,9 @@
 """Start of a node while addresses of its listeners are not free."""
 
 import asyncio
+import contextlib
 import errno
+import os
 import signal
 import socket
 import time
@@ -108,6 +110,16 @@
         self.assertEqual(await node.exit_status(), 0)
         self.assertEqual(node.events(STOPPING), [])
 
+    async def test_signals_until_the_end_do_not_change_the_exit_status(self):
+        node, _ = await self.start_with_taken_ports("caller")
+        end_s = time.monotonic() + 10
+        while node.process.returncode is None and time.monotonic() < end_s:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(node.process.pid, signal.SIGTERM)
+                os.kill(node.process.pid, signal.SIGHUP)
+            await asyncio.sleep(0.003)
+        self.assertEqual(await node.exit_status(), 0)
+
     async def test_node_that_waits_takes_new_addresses_at_sighup(self):
         node, _ = await self.start_with_taken_ports("caller", "readiness")
         for name, port in zip(("caller", "readiness"), free_ports(2)):
