Accept status reports whatever number the row of the node has

A restarted node took over the number of the last status report from its row. If another writer had put a high number there, all reports of the running server were ignored as older ones: the node answered them with 200, published the server as starting, and never served it again.

The number of a restored record is 0 now. Reports from before the restart went to the former process, and leaves do not depend on the number: an incarnation that has left stays so with any report.

test_reports_count_after_a_row_with_a_high_sequence failed before (the server was not serving after three reports), and passes now. The tests of leaves after a restart, which send lower numbers on purpose, pass as before.

--- a/damaskproxy/forwarding/backend.py
+++ b/damaskproxy/forwarding/backend.py
@@ -118,6 +118,9 @@
         if self.record is not None:
             self.restore_named(record)
             return
+        # The next report counts whatever its number is: those from before the restart
+        # went to the former process, and another writer may have changed the row.
+        record = msgspec.structs.replace(record, sequence=0)
         self.record = self._with_left(
             self._with_limit_of_peers(record).with_leave_of(self._restored_leave)
         )
--- a/damaskproxy/sidecar/tests/test_odd_rows.py
+++ b/damaskproxy/sidecar/tests/test_odd_rows.py
@@ -191,6 +191,20 @@
             await self.until_known(1)
             self.assertEqual((await one.call(b"/read/1")).status, 200)
 
+    async def test_reports_count_after_a_row_with_a_high_sequence(self):
+        one, two = await self.start_pair()
+        await self.kill(two)
+        record = decode_member(self.rows.get(MEMBER_TABLE, "n2"))
+        backend = msgspec.structs.replace(record.backend, sequence=INTEGER_MAX)
+        record = msgspec.structs.replace(record, backend=backend)
+        self.rows.put(MEMBER_TABLE, "n2", encode_member(record))
+        await self.restart(two)
+        for _ in range(3):
+            await two.report()
+        self.assertTrue(two.sidecar.backend.is_serving)
+        await self.until_known(1)
+        self.assertEqual((await one.call(b"/read/1")).status, 200)
+
     async def test_outcome_of_a_connection_to_an_odd_address_is_reported(self):
         one = await self.start("n1")
         outcomes = []
