--- a/damaskproxy/directory/members.py
+++ b/damaskproxy/directory/members.py
@@ -74,7 +74,7 @@
         ``serving``, ``draining`` or ``stopped``.
     born_ms, sequence : int
         Unix time of its start and sequence number of its newest status report. They
-        identify stale reports, also after a restart of the node.
+        identify stale reports.
     warm_at_ms : int
         Unix time at which its cold start ends.
     max_calls_per_s : float, optional
