--- a/damaskproxy/forwarding/__init__.py
+++ b/damaskproxy/forwarding/__init__.py
@@ -7,18 +7,17 @@
 
 from damaskproxy.forwarding.answer_sizes import AnswerSizes
 from damaskproxy.forwarding.backend import Backend, StatusReport
+from damaskproxy.forwarding.frame_decoder import decode_state
 from damaskproxy.forwarding.frames import (
     STATE_PATH,
     ControlFrame,
-    FrameError,
     HelloFrame,
     RecordRequestFrame,
     StateFrame,
     StateRequestFrame,
-    decode_state,
 )
 from damaskproxy.forwarding.headers import HeaderNames
-from damaskproxy.forwarding.large_frames import LinkMemory
+from damaskproxy.forwarding.large_frames import FrameError, LinkMemory
 from damaskproxy.forwarding.link import LinkHandlers
 from damaskproxy.forwarding.links import Links
 from damaskproxy.forwarding.member_selection import MemberSelector
--- a/damaskproxy/forwarding/link.py
+++ b/damaskproxy/forwarding/link.py
@@ -20,13 +20,12 @@
     Result,
     Unknown,
 )
+from damaskproxy.forwarding.frame_decoder import FrameDecoder
 from damaskproxy.forwarding.frames import (
     AnswerFrame,
     CancelFrame,
     ControlFrame,
     Frame,
-    FrameDecoder,
-    FrameError,
     GoodbyeFrame,
     HelloFrame,
     NotRunFrame,
@@ -34,13 +33,13 @@
     PongFrame,
     RunFrame,
     StateRequestFrame,
-    StringTable,
     UnknownFrame,
     encode_frame,
     encode_large_frame,
     fits_frame,
 )
-from damaskproxy.forwarding.large_frames import LARGE_BYTES, LinkMemory
+from damaskproxy.forwarding.large_frames import LARGE_BYTES, FrameError, LinkMemory
+from damaskproxy.forwarding.string_table import StringTable
 from damaskproxy.http1.sockets import (
     enable_dead_peer_detection,
     unacknowledged_bytes,
--- a/damaskproxy/forwarding/tests/test_decisions.py
+++ b/damaskproxy/forwarding/tests/test_decisions.py
@@ -20,9 +20,11 @@
     NotRunReason,
     Unknown,
 )
-from damaskproxy.forwarding.frames import FrameDecoder, FrameError, StringTable
+from damaskproxy.forwarding.frame_decoder import FrameDecoder
+from damaskproxy.forwarding.large_frames import FrameError
 from damaskproxy.forwarding.link import DelayMeter
 from damaskproxy.forwarding.poison_requests import digest_of
+from damaskproxy.forwarding.string_table import StringTable
 from damaskproxy.forwarding.tests.builders import make_call, make_member, make_route
 from damaskproxy.forwarding.traffic_split import TrafficSplitter
 
--- a/damaskproxy/forwarding/tests/test_frames.py
+++ b/damaskproxy/forwarding/tests/test_frames.py
@@ -8,22 +8,21 @@
 
 from damaskproxy.common.decoding import INTEGER_MAX
 from damaskproxy.directory import MemberRecord
+from damaskproxy.forwarding.frame_decoder import FrameDecoder, decode_state
 from damaskproxy.forwarding.frames import (
     AnswerFrame,
     Frame,
-    FrameDecoder,
-    FrameError,
     HeartbeatFrame,
     StateFrame,
     SubscribeFrame,
-    decode_state,
     encode_frame,
 )
+from damaskproxy.forwarding.large_frames import FrameError
 from damaskproxy.forwarding.tests.builders import make_member
 
 HUGE = (1 << 64) - 1
 """Largest integer of msgpack."""
-LOGGER = "damaskproxy.forwarding.frames"
+LOGGER = "damaskproxy.forwarding.frame_decoder"
 ODD_RECORDS = (
     {"version": HUGE},
     {"incarnation": HUGE},
--- a/damaskproxy/forwarding/tests/test_large_frames.py
+++ b/damaskproxy/forwarding/tests/test_large_frames.py
@@ -25,17 +25,17 @@
     NotRunReason,
     Unknown,
 )
+from damaskproxy.forwarding.frame_decoder import FrameDecoder
 from damaskproxy.forwarding.frames import (
     FRAME_MAX_BYTES,
     AnswerFrame,
-    FrameDecoder,
-    FrameError,
     PingFrame,
     RunFrame,
     StateFrame,
     encode_frame,
     encode_large_frame,
 )
+from damaskproxy.forwarding.large_frames import FrameError
 from damaskproxy.forwarding.tests.builders import make_call, make_member
 
 MB = 1 << 20
--- a/damaskproxy/forwarding/tests/test_links.py
+++ b/damaskproxy/forwarding/tests/test_links.py
@@ -23,12 +23,8 @@
     NotRunReason,
     Unknown,
 )
-from damaskproxy.forwarding.frames import (
-    FrameDecoder,
-    GoodbyeFrame,
-    RunFrame,
-    encode_frame,
-)
+from damaskproxy.forwarding.frame_decoder import FrameDecoder
+from damaskproxy.forwarding.frames import GoodbyeFrame, RunFrame, encode_frame
 from damaskproxy.forwarding.link import PING_AFTER_S, PONG_TIMEOUT_S
 from damaskproxy.forwarding.links import CONNECT_TIMEOUT_S, IDLE_CLOSE_S
 from damaskproxy.forwarding.tests.builders import make_call, make_member
--- a/damaskproxy/platform/tests/test_odd_bodies.py
+++ b/damaskproxy/platform/tests/test_odd_bodies.py
@@ -13,7 +13,8 @@
 from damaskproxy.directory import RecordError, decode_member, encode_member
 from damaskproxy.forwarding import Backend, HelloFrame
 from damaskproxy.forwarding.calls import to_priority
-from damaskproxy.forwarding.frames import FrameDecoder, HeartbeatFrame, encode_frame
+from damaskproxy.forwarding.frame_decoder import FrameDecoder
+from damaskproxy.forwarding.frames import HeartbeatFrame, encode_frame
 from damaskproxy.forwarding.link import Link, LinkHandlers
 from damaskproxy.forwarding.tests.builders import make_call, make_member
 from damaskproxy.forwarding.traffic_split import TrafficSplitter
--- a/damaskproxy/propagation/tests/test_odd_rows.py
+++ b/damaskproxy/propagation/tests/test_odd_rows.py
@@ -10,7 +10,7 @@
 from damaskproxy.common.decoding import INTEGER_MAX
 from damaskproxy.directory import Directory, MemberRecord, encode_member
 from damaskproxy.directory.following import MEMBER_TABLE
-from damaskproxy.forwarding.frames import FrameDecoder
+from damaskproxy.forwarding.frame_decoder import FrameDecoder
 from damaskproxy.propagation import StoreContact
 from damaskproxy.propagation.sources import Sources
 from damaskproxy.propagation.tests.test_schedules import (
