Answer a request whose handler awaited something that was cancelled

The HTTP server took any CancelledError of a handler for the disconnection of its client. If a future or task that the handler awaited was cancelled, the client got no answer, and its connection stayed busy for ever: no time-out applied, further requests on it waited, and a planned stop waited for it until the grace time was over.

The request is answered with 502 and the error is logged, unless the connection is closing.

test_request_whose_handler_awaits_something_cancelled_is_answered, for fibers and tasks: no answer before, 502 and then 200 for the next request on the connection now.

--- a/damaskproxy/http1/server.py
+++ b/damaskproxy/http1/server.py
@@ -478,8 +478,12 @@
     async def _serve(self, request: Request, is_last: bool) -> None:
         try:
             response = await self._server.handle(request)
-        except asyncio.CancelledError:
-            return
+        except asyncio.CancelledError as error:
+            if self._transport.is_closing():
+                return
+            # What the handler waited for was cancelled, not the request.
+            self._report_error(error)
+            response = Response(502)
         except Exception as error:
             self._report_error(error)
             response = Response(502)
--- a/damaskproxy/http1/tests/test_server.py
+++ b/damaskproxy/http1/tests/test_server.py
@@ -7,6 +7,7 @@
 
 from nose2.tools import params
 
+from damaskproxy.common.fibers import BackgroundTask, Fiber
 from damaskproxy.http1 import ClientLimits, HttpServer, Request, Response
 from damaskproxy.http1.messages import end_to_end
 
@@ -229,6 +230,23 @@
             while self.server.held_bytes:  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
 
+    @params(Fiber, BackgroundTask)
+    async def test_request_whose_handler_awaits_something_cancelled_is_answered(
+        self, run
+    ):
+        async def handle(request):
+            if request.target == b"/a":
+                return Response(200)
+            future = asyncio.get_running_loop().create_future()
+            asyncio.get_running_loop().call_later(0.02, future.cancel)
+            await future
+
+        self.server.run, self.server.handle = run, handle
+        with self.assertLogs("damaskproxy.http1.server", "ERROR"):
+            self.writer.write(b"GET /b HTTP/1.1\r\nHost: x\r\n\r\n" + GET + b"\r\n")
+            self.assertEqual(await self.read_statuses(2), [502, 200])
+        self.assertEqual(self.server.busy_count, 0)
+
     async def test_unexpected_error_gets_status_502(self):
         with self.assertLogs("damaskproxy.http1.server", "ERROR"):
             self.writer.write(b"GET /broken HTTP/1.1\r\nHost: x\r\n\r\n")
