Close a connection that opens just as its request is given up

A connection to a server is opened in a task of its own. If the request was cancelled after the task had ended and before the request was resumed, nobody had the connection: it stayed open, unused and unknown to the pool, until the server closed it, and took one of those that the server accepts.

The pool closes it now. test_connection_of_a_request_given_up_while_it_opens_is_closed, cancelled after 0 to 7 rounds of the event loop: one row of eight failed before, none now.

--- a/damaskproxy/http1/client.py
+++ b/damaskproxy/http1/client.py
@@ -333,7 +333,13 @@
         connection = self._take_idle(max_idle_share)
         if connection is None:
             # In a task, since `asyncio.timeout` needs a current task; a fiber has none.
-            connection = await asyncio.create_task(self._connect())
+            opening = asyncio.create_task(self._connect())
+            try:
+                connection = await opening
+            except asyncio.CancelledError:
+                # It may have been opened just before, and has no owner then.
+                opening.add_done_callback(_close_unused)
+                raise
         self._busy.add(connection)
         try:
             return await connection.exchange(request, accept)
@@ -388,3 +394,8 @@
             raise ConnectFailed(f"cannot connect to {self.address}: {error}") from error
         self.opened_count += 1
         return connection
+
+
+def _close_unused(opening: asyncio.Task[ClientConnection]) -> None:
+    if not opening.cancelled() and opening.exception() is None:
+        opening.result().transport.close()
--- a/damaskproxy/http1/tests/test_client.py
+++ b/damaskproxy/http1/tests/test_client.py
@@ -7,6 +7,7 @@
 import unittest
 import weakref
 
+import uvloop
 from nose2.tools import params
 
 from damaskproxy.common.fibers import Fiber
@@ -275,3 +276,31 @@
         await asyncio.sleep(0.05)
         self.pool.close_idle()
         self.assertEqual([reference() for reference in references], [None])
+
+
+class GivenUpTests(unittest.TestCase):
+    """Guards against open connections that no pool knows."""
+
+    @params(*range(8))
+    def test_connection_of_a_request_given_up_while_it_opens_is_closed(self, rounds):
+        open_connections = []
+
+        async def accept(reader, writer):
+            open_connections.append(writer)
+            await reader.read()
+            open_connections.remove(writer)
+            writer.close()
+
+        async def give_up():
+            server = await asyncio.start_server(accept, "127.0.0.1", 0)
+            pool = ConnectionPool(Address(*server.sockets[0].getsockname()[:2]))
+            fiber = Fiber(pool.exchange(Request(b"GET", b"/", [])), self.fail)
+            for _ in range(rounds):
+                await asyncio.sleep(0)
+            fiber.cancel()
+            await asyncio.sleep(0.05)
+            self.assertEqual(open_connections, [])
+            server.close()
+
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(give_up())
