Close links that were replaced while their peer did not respond

When a peer did not respond, a new link to it took the place of the old one, which was kept open for calls that cannot be repeated. Nothing closed it later: each freeze of a peer cost a connection at both nodes for good, and with it descriptors, which are limited.

Replaced links are closed like others, once they have been idle and no call is in flight. test_link_that_was_replaced_is_closed_once_it_is_idle failed before (the links stayed open) and passes now.

--- a/damaskproxy/forwarding/links.py
+++ b/damaskproxy/forwarding/links.py
@@ -59,6 +59,7 @@
         self._handlers = handlers
         self._volatile = volatile
         self._outgoing: dict[str, Link] = {}
+        self._replaced: set[Link] = set()
         self._links: set[Link] = set()
         self._opening: dict[str, asyncio.Task] = {}
         self._unreachable: set[str] = set()
@@ -154,7 +155,8 @@
     def close_idle(self) -> None:
         """Close connections without calls for `IDLE_CLOSE_S`."""
         idle_before_s = boot_s() - IDLE_CLOSE_S
-        for link in self._outgoing.values():
+        self._replaced = {link for link in self._replaced if link.is_open}
+        for link in (*self._outgoing.values(), *self._replaced):
             is_busy = link.running_count or link.has_calls_in_flight
             if link.last_used_s < idle_before_s and not is_busy:
                 link.close()
@@ -250,6 +252,10 @@
             return None
         self._unreachable.discard(member.node_id)
         link.peer_id = member.node_id
+        replaced = self._outgoing.get(member.node_id)
+        if replaced is not None and replaced.is_open:
+            # It may still have calls that cannot be repeated.
+            self._replaced.add(replaced)
         self._outgoing[member.node_id] = link
         self._on_open(member.node_id)
         log_event(logger, events.LINK_OPENED, peer=member.node_id)
--- a/damaskproxy/forwarding/tests/test_links.py
+++ b/damaskproxy/forwarding/tests/test_links.py
@@ -165,6 +165,23 @@
         self.two.waiters[0].set_result(RESULTS[0])
         self.assertEqual(await task, RESULTS[0])
 
+    async def test_link_that_was_replaced_is_closed_once_it_is_idle(self):
+        task = asyncio.create_task(self.one.links.run(self.member, make_call()))
+        await self.until(lambda: self.two.waiters)
+        (first,) = self.one.links.open_links()
+        for number in range(2, 4):
+            self.one.links._outgoing["n2"].is_unresponsive = True
+            await self.one.links.open(self.member)
+            await self.until(lambda n=number: len(self.one.links.open_links()) == n)
+        for link in self.one.links.open_links():
+            link.last_used_s -= IDLE_CLOSE_S + 1
+        self.one.links.close_idle()
+        await self.until(lambda: self.one.links.open_links() == [first])
+        self.two.waiters[0].set_result(RESULTS[0])
+        self.assertEqual(await task, RESULTS[0])
+        self.one.links.close_idle()
+        await self.until(lambda: not self.one.links.open_links())
+
     async def test_lost_connection_makes_calls_unknown_and_cancels_their_runs(self):
         tasks = [
             asyncio.create_task(self.one.links.run(self.member, make_call()))
