Serve a server from before a restart only after its health check

A leave that was confirmed while the store did not answer was known only to processes. When all of them were killed, the row in the store said that the server serves, and one ready report that had been on its way made the new process serve it: requests reached the server until it exited. A peer that had not heard of the leave vouched for the server in the same way.

Cause: what proved that a server had not left was the absence of a leave in processes that can end together, or in one that had been cut off, and a report whose time of sending is not known. The server itself knows that it leaves as long as it can get requests, and its health check says so (PROTOCOL.md: 200 "while the instance considers itself healthy and is not leaving").

A process serves an incarnation that may have started before it only after a health check of that incarnation has succeeded, which it repeats until then. Vouching is removed, so this holds after a restart of one node as well, with or without the store. A server without a health check is served once a ready report arrives more than 10 s after the start of the process.

--- a/damaskproxy/forwarding/__init__.py
+++ b/damaskproxy/forwarding/__init__.py
@@ -24,6 +24,7 @@
 from damaskproxy.forwarding.origin import Origin
 from damaskproxy.forwarding.parent_requests import ParentRequests
 from damaskproxy.forwarding.poison_requests import PoisonRequestDetector
+from damaskproxy.forwarding.server_check import ServerCheck
 from damaskproxy.forwarding.stats import LATENCY_BUCKETS_S, RequestStats
 from damaskproxy.forwarding.target import Target
 
@@ -47,6 +48,7 @@
     "Links",
     "Origin",
     "RequestStats",
+    "ServerCheck",
     "StatusReport",
     "Target",
     "StateFrame",
--- a/damaskproxy/forwarding/backend.py
+++ b/damaskproxy/forwarding/backend.py
@@ -26,6 +26,8 @@
 attempt for each call."""
 LEFT_MAX = 16
 """Servers remembered as left; an address is reused by few within the life of a node."""
+REPORT_DELAY_MAX_S = 10.0
+"""Longest time that a status report is on its way."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,8 +81,11 @@
         self.record: BackendRecord | None = None
         self._heartbeat_s = heartbeat_interval_ms / MS_PER_S
         self._on_change = on_change
+        self._started_s = boot_s()
         self._reported_s = boot_s()
         self._is_overdue = False
+        self._verified: tuple[str, int] | None = None
+        self._verified_from_ms = 0
         self._unreachable_until_s = 0.0
         self._restored_leave: BackendRecord | None = None
         self._restored_limit: BackendRecord | None = None
@@ -94,6 +99,17 @@
             self.record is not None
             and self.record.state is MemberState.SERVING
             and not self._is_overdue
+            and self._is_verified(self.record)
+        )
+
+    @property
+    def must_verify(self) -> bool:
+        """Whether it would be served if it were known that it has not left."""
+        return (
+            self.record is not None
+            and self.record.state is MemberState.SERVING
+            and not self._is_overdue
+            and not self._is_verified(self.record)
         )
 
     @property
@@ -101,19 +117,11 @@
         """Whether it has not refused a connection within `RETRY_CONNECT_S`."""
         return boot_s() >= self._unreachable_until_s
 
-    def restore(self, record: BackendRecord, *, is_verified: bool = True) -> None:
+    def restore(self, record: BackendRecord) -> None:
         """Apply the record that this node stored before its restart.
 
         A status report may have arrived before the record was read. It does not say
         what the server has named in its answers.
-
-        Parameters
-        ----------
-        record : BackendRecord
-            Record that was stored.
-        is_verified : bool
-            Whether no later leave can have been confirmed. Otherwise the server is not
-            served until it reports its status.
         """
         if self.record is not None:
             self.restore_named(record)
@@ -125,7 +133,7 @@
             self._with_limit_of_peers(record).with_leave_of(self._restored_leave)
         )
         self._reported_s = boot_s()
-        self._is_overdue = not is_verified
+        self._is_overdue = False
         self._on_change()
 
     def restore_named(self, record: BackendRecord) -> None:
@@ -157,6 +165,11 @@
         self._reported_s = boot_s()
         was_overdue, self._is_overdue = self._is_overdue, False
         self._unreachable_until_s = 0.0
+        becomes_verified = False
+        if boot_s() - self._started_s > REPORT_DELAY_MAX_S and not report.is_draining:
+            # Sent after this process began, which a server that has left does not do.
+            becomes_verified = self.must_verify
+            self._verified = (report.instance_id, report.born_ms)
         warm_at_ms = int(time.time() * MS_PER_S) + report.cold_ms
         if is_same_incarnation and current.instance_id == report.instance_id:
             warm_at_ms = current.warm_at_ms
@@ -173,9 +186,28 @@
         if current is None:
             record = self._with_limit_of_peers(record)
         record = self._with_left(record.with_leave_of(self._restored_leave))
-        self._apply(record, force=was_overdue)
+        self._apply(record, force=was_overdue or becomes_verified)
         return True
 
+    def require_verification(self, from_ms: int) -> None:
+        """Serve an incarnation that may have left before only after `verify`.
+
+        Parameters
+        ----------
+        from_ms : int
+            Unix time of the earliest start of an incarnation that cannot have left
+            before this process began.
+        """
+        was_serving, self._verified_from_ms = self.is_serving, from_ms
+        if was_serving and not self.is_serving:
+            self._on_change()
+
+    def verify(self, incarnation: tuple[str, int]) -> None:
+        """Record that an incarnation has not left before this process began."""
+        was_serving, self._verified = self.is_serving, incarnation
+        if self.is_serving and not was_serving:
+            self._on_change()
+
     def mark_stopped(self, instance_id: str, born_ms: int | None = None) -> None:
         """Record that an incarnation leaves and sends no further reports.
 
@@ -271,14 +303,21 @@
     def published_record(self) -> BackendRecord | None:
         """Return the record for other nodes.
 
-        A leave stays in it when reports are overdue: the row is all that the node has
-        of it after a restart.
+        A leave stays in it when reports are overdue, so that the node knows it after a
+        restart.
         """
         record = self.record
-        if record is not None and self._is_overdue and not record.is_leaving:
+        if record is not None and not self.is_serving and not record.is_leaving:
             return _with_state(record, MemberState.STARTING)
         return record
 
+    def _is_verified(self, record: BackendRecord) -> bool:
+        """Tell whether an incarnation has not left before this process began."""
+        return (
+            record.born_ms >= self._verified_from_ms
+            or record.incarnation_key == self._verified
+        )
+
     def _with_left(self, record: BackendRecord) -> BackendRecord:
         """Return a record, stopped if its incarnation was marked as stopped."""
         left_born_ms = self._left.get(record.instance_id)
--- a/damaskproxy/forwarding/events.py
+++ b/damaskproxy/forwarding/events.py
@@ -18,6 +18,8 @@
     "LINK_SILENT",
     "RECORD_IGNORED",
     "REQUEST_NOT_SERVED",
+    "SERVER_UNVERIFIED",
+    "SERVER_VERIFIED",
 ]
 
 BACKEND_CRASHED = define(
@@ -96,3 +98,18 @@
     logging.INFO,
     "The backend server named another limit on its requests, or no longer names one.",
 )
+SERVER_VERIFIED = define(
+    10114,
+    "server-verified",
+    logging.INFO,
+    "The health check of the backend server has succeeded after a start of the node; "
+    "it has not left and is served.",
+)
+SERVER_UNVERIFIED = define(
+    10115,
+    "server-unverified",
+    logging.INFO,
+    "The health check of the backend server has failed after a start of the node; it "
+    "may leave and is not served until a check succeeds. Logged once for each "
+    "incarnation.",
+)
--- a/damaskproxy/forwarding/headers.py
+++ b/damaskproxy/forwarding/headers.py
@@ -28,6 +28,8 @@
         Calls per second that the backend server takes from all nodes together.
     server_leaving : bytes
         Set to ``1`` by a backend server that leaves.
+    instance_id : bytes
+        Id of the incarnation that answered a health check.
     """
 
     request_id: bytes
@@ -38,6 +40,7 @@
     stamp: bytes
     server_limit: bytes
     server_leaving: bytes
+    instance_id: bytes
 
     def lower(self, field: str) -> bytes:
         """Return the name of a field's header in lower case, for comparison."""
--- a/damaskproxy/forwarding/tests/builders.py
+++ b/damaskproxy/forwarding/tests/builders.py
@@ -17,6 +17,7 @@
     stamp=b"X-Stamp",
     server_limit=b"X-Limit",
     server_leaving=b"X-Leaving",
+    instance_id=b"X-Instance",
 )
 
 
--- a/damaskproxy/platform/headers.py
+++ b/damaskproxy/platform/headers.py
@@ -16,6 +16,7 @@
     stamp=b"X-Damaskproxy-Server-Stamp",
     server_limit=b"Server-Limit",
     server_leaving=b"Server-Leaving",
+    instance_id=b"X-Damaskproxy-Instance-Id",
 )
 
 VOLATILE_HEADERS = frozenset(
--- a/damaskproxy/platform/standins/stamped.py
+++ b/damaskproxy/platform/standins/stamped.py
@@ -8,6 +8,7 @@
 __all__ = ["StampedBackend"]
 
 
+HEALTH_PATH = b"/health"
 ENDLESS_BYTES = 1 << 20
 """Length of a header that stands for one without end; beyond all limits."""
 
@@ -35,6 +36,10 @@
         Sizes of bodies by path, other than that of the usual body.
     extra_headers : list of tuple of bytes
         Headers that are added to all responses to executed requests.
+    is_leaving : bool
+        Whether its health check fails, as from the moment at which it leaves.
+    health_checks : int
+        Number of health checks.
     padding : bytes
         Appended to the body of all responses to executed requests.
     """
@@ -50,6 +55,8 @@
         self.answer_bytes: dict[bytes, int] = {}
         self.extra_headers: list[tuple[bytes, bytes]] = []
         self.padding = b""
+        self.is_leaving = False
+        self.health_checks = 0
         self.work_s = 0.0
         self.server = HttpServer("stamped backend", self._handle)
 
@@ -63,6 +70,8 @@
         await self.server.close()
 
     async def _handle(self, request: Request) -> Response:
+        if request.target == HEALTH_PATH:
+            return self._check_health()
         request_id = request.header(b"x-damaskproxy-request-id")
         echo = (b"X-Damaskproxy-Request-Id", request_id)
         target = request.header(b"x-damaskproxy-target-instance")
@@ -97,3 +106,8 @@
         body = b"from " + self.instance_id.encode() if size is None else b"x" * size
         body += self.padding
         return Response(status, headers, body)
+
+    def _check_health(self) -> Response:
+        self.health_checks += 1
+        headers = [(b"X-Damaskproxy-Instance-Id", self.instance_id.encode())]
+        return Response(503 if self.is_leaving else 200, headers)
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -34,6 +34,7 @@
     PoisonRequestDetector,
     RecordRequestFrame,
     RequestStats,
+    ServerCheck,
     StateFrame,
     Target,
 )
@@ -87,6 +88,9 @@
 for 300 members."""
 PROBE_LIMITS = ClientLimits(max_body_bytes=4 << 10)
 PROBE_HELD_BYTES, PROBE_UNSENT_BYTES = 64 << 10, 1 << 20
+START_MARGIN_MS = 5000
+"""Time after the start of this process from which on a start of the backend server is
+certainly later; the clock of the machine may be set in between."""
 RETRY_SLACK_SHARE = 0.6
 """Share of the platform's retry slack that the retry budgets of all nodes may hold."""
 RETRY_CAPACITY_MIN, RETRY_CAPACITY_MAX = 1.0, 2.0
@@ -109,6 +113,7 @@
     configuration: CurrentConfiguration
     directory: Directory
     backend: Backend
+    server_check: ServerCheck
     target: Target
     pool: ConnectionPool
     links: Links
@@ -123,6 +128,7 @@
     rng: random.Random
     stats: RequestStats
     started_s: float
+    started_ms: int
     dropped_log_lines: Callable[[], int]
     backend_reported: asyncio.Event
     response_memory: ResponseMemory
@@ -161,7 +167,7 @@
         if not self.own_row_writer.has_stored:
             return "no record has been stored since the start"
         if self.is_stopping:
-            # The stored record says that it has all leaves.
+            # It would end before the record is stored.
             return "the node is stopping"
         known = self.backend.record
         has_peers = any(
@@ -173,10 +179,14 @@
             known is not None and known.incarnation_key == self.acknowledged_leave
         )
         if has_peers and not is_acknowledged:
-            # They would vouch for the backend server after a restart of this node.
+            # After a restart, this node would learn the leave from them.
             return "no other node has acknowledged it"
         return ""
 
+    def require_verification(self) -> None:
+        """Serve no backend server that may have left before this process began."""
+        self.backend.require_verification(self.started_ms + START_MARGIN_MS)
+
     def announce_leave(self) -> None:
         """Send the own record to all connected nodes and request it back from them."""
         for link in self.links.open_links():
@@ -253,6 +263,7 @@
         Returns how many log lines were dropped because of a slow reader.
     """
     rng = random.Random(seed)
+    started_ms = int(time.time() * MS_PER_S)
     sidecar: Sidecar
     configuration = CurrentConfiguration()
     poison_detector = PoisonRequestDetector(
@@ -291,6 +302,7 @@
 
     def backend_changed() -> None:
         backend_reported.set()
+        server_check.backend_changed()
         target.apply_backend_state()
         sidecar.update_record(backend=backend.published_record())
 
@@ -325,6 +337,7 @@
         ),
         memory=response_memory,
     )
+    server_check = ServerCheck(backend, pool, HEADERS, configuration)
     parent_requests = ParentRequests()
     stats = RequestStats()
     target = Target(
@@ -438,6 +451,7 @@
         configuration=configuration,
         directory=directory,
         backend=backend,
+        server_check=server_check,
         target=target,
         pool=pool,
         links=links,
@@ -450,7 +464,7 @@
         servers=servers,
         record=MemberRecord(
             settings.node_id,
-            int(time.time() * MS_PER_S),
+            started_ms,
             0,
             settings.data_centre,
             peer.host,
@@ -460,6 +474,7 @@
         rng=rng,
         stats=stats,
         started_s=boot_s(),
+        started_ms=started_ms,
         dropped_log_lines=dropped_log_lines,
         backend_reported=backend_reported,
         response_memory=response_memory,
@@ -470,6 +485,8 @@
         servers["metrics"] = _make_probe_server(
             "metrics", make_metrics_handler(sidecar)
         )
+    if not settings.is_first_start:
+        sidecar.require_verification()
     return sidecar
 
 
--- a/damaskproxy/sidecar/events.py
+++ b/damaskproxy/sidecar/events.py
@@ -13,7 +13,6 @@
     "NO_PEER_ANSWERED",
     "OWN_ROW_UNREADABLE",
     "PROCESS_FAILED",
-    "SERVER_UNVERIFIED",
     "SETTINGS_KEPT",
     "SETTINGS_RELOADED",
     "SIDECAR_READY",
@@ -95,13 +94,6 @@
     "The memory of the process has come close to its limit, above which the platform "
     "kills it; the fields name what it holds.",
 )
-SERVER_UNVERIFIED = define(
-    12020,
-    "restored-server-unverified",
-    logging.INFO,
-    "The stored record of the backend server may lack a leave, and no peer that was up "
-    "all the time knows that there is none; it is not served until it reports.",
-)
 LISTENER_WAITS = define(
     12013,
     "listener-waits",
--- a/damaskproxy/sidecar/joining.py
+++ b/damaskproxy/sidecar/joining.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import logging
-import time
 
 import msgspec
 
@@ -28,7 +27,7 @@
 from damaskproxy.sidecar.compose import Sidecar
 from damaskproxy.sidecar.settings import to_address
 
-__all__ = ["become_ready", "fetch_state", "join_from_seeds", "vouches"]
+__all__ = ["become_ready", "fetch_state", "join_from_seeds"]
 
 logger = logging.getLogger(__name__)
 
@@ -47,9 +46,9 @@
 LEAVE_REQUEST_TIMEOUT_S = 0.1
 """Two round trips between regions. Short, since no peer has the record when all nodes
 start at the same time."""
-VOUCH_MARGIN_S = 3.0
-"""Time by which a peer must have been up longer than this process. Nodes that were
-killed together are not started at the same moment."""
+CHECK_TIMEOUT_S = 0.1
+"""Time that a restarted node waits for the health check of its backend server before it
+is ready; until then it would refuse the calls to it."""
 START_SPREAD_S = 1.5
 """Time within which all nodes are started that start together."""
 MS_PER_S = 1000
@@ -60,6 +59,8 @@
     created: MemberRecord | None = None
     if sidecar.settings.is_first_start:
         created = await _create_own_row(sidecar)
+        if created is None:
+            sidecar.require_verification()
     if created is not None:
         # A leave may have been reported while the row was written.
         if created is not sidecar.record:
@@ -69,13 +70,16 @@
     await sidecar.store_watcher.read_members()
     if created is None:
         stored = _stored_record(sidecar)
-        answers = await _request_own_record_of_peers(sidecar, stored)
+        await _request_own_record_of_peers(sidecar, stored)
         if stored is not None:
-            _restore_own_record(sidecar, stored, answers)
+            _restore_own_record(sidecar, stored)
         sidecar.update_record()
         sidecar.own_record_restored.set()
     sidecar.propagation.start(is_first_start=created is not None)
     await sidecar.configuration.wait_until_known()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(CHECK_TIMEOUT_S):
+            await sidecar.server_check.wait_until_settled()
     sidecar.is_ready = True
     log_event(
         logger,
@@ -87,40 +91,40 @@
 
 async def _request_own_record_of_peers(
     sidecar: Sidecar, stored: MemberRecord | None
-) -> list[StateFrame]:
-    """Return the records of this node that peers have.
+) -> None:
+    """Ask peers for the record of this node that they have; its leave is applied.
 
     Notes
     -----
     The store lacks a leave that was confirmed while it was unavailable, and has lost
     one, or the whole row, if it returned from an older copy. The peers that received
-    the leave have it, and those that were up all the time without it know that there is
-    none. Calls are refused until the record of the backend server is restored, so a
-    node waits for all answers, but only for a short time.
+    the leave have it. Calls are refused until the record of the backend server is
+    restored, so a node waits for all answers, but only for a short time.
     """
     peers = _other_members(sidecar)
     if not peers:
-        return []
+        return
     sidecar.rng.shuffle(peers)
     if stored is not None:
         peers.sort(key=lambda p: _started_after_s(p, stored) > START_SPREAD_S)
-    answers: list[StateFrame] = []
-    unreachable: list[MemberRecord] = []
     asked = peers[:LEAVE_REQUEST_PEERS]
+    answer_count = unreachable_count = 0
     is_complete = asyncio.Event()
 
     def check() -> None:
-        if len(answers) + len(unreachable) >= len(asked):
+        if answer_count + unreachable_count >= len(asked):
             is_complete.set()
 
     def receive(answer: StateFrame) -> None:
-        answers.append(answer)
+        nonlocal answer_count
+        answer_count += 1
         check()
 
     async def request(member: MemberRecord) -> None:
+        nonlocal unreachable_count
         link = await sidecar.links.open(member)
         if link is None:
-            unreachable.append(member)
+            unreachable_count += 1
             check()
         else:
             link.write(RecordRequestFrame(sidecar.settings.node_id))
@@ -136,9 +140,8 @@
         sidecar.propagation.on_record_answer = None
         for task in tasks:
             task.cancel()
-    if not answers:
+    if not answer_count:
         log_event(logger, events.NO_PEER_ANSWERED, peers=len(peers))
-    return answers
 
 
 def _started_after_s(peer: MemberRecord, own: MemberRecord) -> float:
@@ -185,80 +188,16 @@
         return None
 
 
-def _restore_own_record(
-    sidecar: Sidecar, stored: MemberRecord, answers: list[StateFrame]
-) -> None:
-    """Restore the stored record, and the backend server if it may be served."""
+def _restore_own_record(sidecar: Sidecar, stored: MemberRecord) -> None:
+    """Restore the stored record and the backend server."""
     incarnation = max(sidecar.record.incarnation, stored.incarnation + 1)
     sidecar.record = msgspec.structs.replace(sidecar.record, incarnation=incarnation)
-    backend = stored.backend
-    if stored.host != sidecar.record.host or backend is None:
+    if stored.host != sidecar.record.host or stored.backend is None:
         return
-    if backend.is_leaving:
-        sidecar.backend.restore(backend)
-        return
-    own_uptime_s = boot_s() - sidecar.started_s
-    stored_age_s = time.time() - stored.incarnation / MS_PER_S
-    is_verified = backend.state is MemberState.SERVING and any(
-        vouches(answer, stored, own_uptime_s, stored_age_s) for answer in answers
-    )
-    if not is_verified and sidecar.backend.record is None:
-        log_event(
-            logger,
-            events.SERVER_UNVERIFIED,
-            instance_id=backend.instance_id,
-            stored_state=backend.state,
-            stored_age_s=round(stored_age_s, 3),
-            peer_uptimes_ms=[answer.uptime_ms for answer in answers],
-        )
-    backend = msgspec.structs.replace(backend, state=MemberState.SERVING)
-    sidecar.backend.restore(backend, is_verified=is_verified)
-
-
-def vouches(
-    answer: StateFrame,
-    stored: MemberRecord,
-    own_uptime_s: float,
-    stored_age_s: float,
-) -> bool:
-    """Return whether a peer knows that the stored backend server has not left.
-
-    Parameters
-    ----------
-    answer : StateFrame
-        Record of this node that the peer has, and its uptime.
-    stored : MemberRecord
-        Record that this node has stored.
-    own_uptime_s : float
-        Time since this process was started.
-    stored_age_s : float
-        Time since the process was started that stored the record.
-
-    Notes
-    -----
-    A leave that was confirmed without the store is known to the peers that were up at
-    that time. A peer that was started later has read the same row as this node. So it
-    has to have been up before the process that stored the record, except for the time
-    by which the starts of nodes differ that start together.
-
-    A planned stop ends with a record that has all leaves, since a node that stops
-    confirms none that is not stored. A peer that was started later, but before this
-    process, knows whether it is the last one; the store may have returned from an older
-    copy.
-    """
-    uptime_s = answer.uptime_ms / MS_PER_S
-    if uptime_s < own_uptime_s + VOUCH_MARGIN_S:
-        return False
-    was_up = uptime_s >= stored_age_s - START_SPREAD_S
-    is_stopped = stored.state is MemberState.STOPPED
-    return any(
-        record.node_id == stored.node_id
-        and record.backend is not None
-        and record.backend.incarnation_key == stored.backend.incarnation_key
-        and record.backend.state is MemberState.SERVING
-        and (was_up or (is_stopped and record.order == stored.order))
-        for record in answer.records
-    )
+    backend = stored.backend
+    if not backend.is_leaving:
+        backend = msgspec.structs.replace(backend, state=MemberState.SERVING)
+    sidecar.backend.restore(backend)
 
 
 async def join_from_seeds(sidecar: Sidecar) -> None:
--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -223,6 +223,7 @@
         sidecar.store_watcher.follow_configuration,
         sidecar.store_watcher.poll_members,
         sidecar.own_row_writer.write_published_records,
+        sidecar.server_check.run,
         lambda: join_from_seeds(sidecar),
         lambda: _run_propagation(sidecar),
         lambda: become_ready(sidecar),
--- a/damaskproxy/sidecar/tests/mesh.py
+++ b/damaskproxy/sidecar/tests/mesh.py
@@ -47,6 +47,8 @@
     async def report(self, state="ready", **status):
         """Send a status report and return the status code of the response."""
         self.sequence += 1
+        if state == "draining":
+            self.backend.is_leaving = True
         request = report_request(
             self.backend.instance_id,
             self.sidecar.settings.backend_address,
