Confirm an ignored draining report like any other

A draining report with a number that is not newer than the last one was ignored and answered 200 at once. So the second of two equal reports was confirmed although the first had got 503, since neither the store nor another node knew the leave; and a draining report that a ready report had overtaken was confirmed while the server went on getting requests.

Cause: the answer to a report that changes nothing was not distinguished from a confirmation. A leave is final for an incarnation, so its order among the reports does not matter: a draining report of the running incarnation is now in force whatever its number, and every draining report waits for the store like the first one.

Two of the three new tests failed before (200 instead of 503; serving instead of draining); the third, a late report of a former incarnation, held before and after.

--- a/damaskproxy/forwarding/backend.py
+++ b/damaskproxy/forwarding/backend.py
@@ -235,7 +235,7 @@
             self._apply(left, force=True)
 
     def leave_named(self, incarnation: tuple[str, int]) -> bool:
-        """Record that an incarnation said in an answer that it leaves.
+        """Record that an incarnation has said that it leaves.
 
         Returns
         -------
--- a/damaskproxy/platform/control.py
+++ b/damaskproxy/platform/control.py
@@ -98,7 +98,10 @@
                 reason="a newer report or another incarnation is known",
                 sequence=status.sequence,
             )
-        elif status.is_draining:
+            if status.is_draining:
+                # A leave is final, whatever reports have overtaken this one.
+                backend.leave_named((instance_id, status.born_ms))
+        if status.is_draining:
             return await confirm_leave(instance_id)
         return _json(200, b"{}")
 
--- a/damaskproxy/sidecar/tests/test_leave.py
+++ b/damaskproxy/sidecar/tests/test_leave.py
@@ -323,6 +323,54 @@
         self.assertEqual(answer.status, 503)
 
 
+class LateDrainingReportTests(LeaveTestCase):
+    """Guards against a draining report that is confirmed because it is ignored."""
+
+    async def report_draining(self, member, sequence, **changes):
+        """Send a draining report with a number; return the status of the answer."""
+        member.sequence = sequence - 1
+        return await member.report("draining", **changes)
+
+    async def test_repeated_report_is_confirmed_only_once_the_leave_is_known(self):
+        one = await self.start("n1", "stores")
+        two = await self.start("n2")
+        await self.until_known(1)
+        await one.call(b"/read/1")
+        await self.until_stored(two)
+        self.rows.status = 503
+        for link in two.sidecar.links.open_links():
+            link.write = lambda frame: True
+        for _ in range(2):
+            self.assertEqual(await self.report_draining(two, 5), 503)
+        self.rows.status = 200
+        await self.until_stored(two)
+        self.assertEqual(await self.report_draining(two, 5), 200)
+        self.assertIs(self.stored_state(two), MemberState.DRAINING)
+
+    async def test_report_that_a_ready_report_has_overtaken_is_in_force(self):
+        two = await self.start("n2")
+        two.sequence = 8
+        await two.report("ready")
+        self.assertEqual(await self.report_draining(two, 5), 200)
+        self.assertIn(
+            self.stored_state(two), (MemberState.DRAINING, MemberState.STOPPED)
+        )
+        await self.check_not_served(two, callers=(two,))
+
+    async def test_report_of_the_former_incarnation_leaves_the_next_one_in_service(
+        self,
+    ):
+        two = await self.start("n2")
+        former, two.born_ms = two.born_ms, 2000
+        two.backend.instance_id = "i-next"
+        await two.report("ready")
+        await two.sidecar.server_check.wait_until_settled()
+        two.born_ms, two.backend.instance_id = former, "i-n2"
+        self.assertEqual(await self.report_draining(two, 9), 200)
+        two.born_ms, two.backend.instance_id = 2000, "i-next"
+        self.assertEqual((await two.call(b"/read/1")).status, 200)
+
+
 class OtherWriterTests(LeaveTestCase):
     """Guards against a leave that is lost with the row of its node."""
 
