Deliver late ready reports in the soak of leaves

The soak sent no report after a leave, so it could not find a server that one brings back. A ready report from before the leave now arrives up to 5 s after it began, and the stand-in of the server fails its health check from then on.

--- a/damaskproxy/sidecar/tests/mesh.py
+++ b/damaskproxy/sidecar/tests/mesh.py
@@ -44,9 +44,14 @@
         """Send one request to the control listener, as the backend server does."""
         return await self._exchange("control", request)
 
-    async def report(self, state="ready", **status):
-        """Send a status report and return the status code of the response."""
-        self.sequence += 1
+    async def report(self, state="ready", *, sequence=None, **status):
+        """Send a status report and return the status code of the response.
+
+        Its number follows the last one, unless `sequence` is given.
+        """
+        if sequence is None:
+            self.sequence += 1
+            sequence = self.sequence
         if state == "draining":
             self.backend.is_leaving = True
         request = report_request(
@@ -55,7 +60,7 @@
             self.backend.service,
             slots=4,
             born_ms=self.born_ms,
-            sequence=self.sequence,
+            sequence=sequence,
             state=state,
             **status,
         )
--- a/damaskproxy/sidecar/tests/test_leave.py
+++ b/damaskproxy/sidecar/tests/test_leave.py
@@ -326,11 +326,6 @@
 class LateDrainingReportTests(LeaveTestCase):
     """Guards against a draining report that is confirmed because it is ignored."""
 
-    async def report_draining(self, member, sequence, **changes):
-        """Send a draining report with a number; return the status of the answer."""
-        member.sequence = sequence - 1
-        return await member.report("draining", **changes)
-
     async def test_repeated_report_is_confirmed_only_once_the_leave_is_known(self):
         one = await self.start("n1", "stores")
         two = await self.start("n2")
@@ -341,17 +336,16 @@
         for link in two.sidecar.links.open_links():
             link.write = lambda frame: True
         for _ in range(2):
-            self.assertEqual(await self.report_draining(two, 5), 503)
+            self.assertEqual(await two.report("draining", sequence=5), 503)
         self.rows.status = 200
         await self.until_stored(two)
-        self.assertEqual(await self.report_draining(two, 5), 200)
+        self.assertEqual(await two.report("draining", sequence=5), 200)
         self.assertIs(self.stored_state(two), MemberState.DRAINING)
 
     async def test_report_that_a_ready_report_has_overtaken_is_in_force(self):
         two = await self.start("n2")
-        two.sequence = 8
-        await two.report("ready")
-        self.assertEqual(await self.report_draining(two, 5), 200)
+        await two.report("ready", sequence=9)
+        self.assertEqual(await two.report("draining", sequence=5), 200)
         self.assertIn(
             self.stored_state(two), (MemberState.DRAINING, MemberState.STOPPED)
         )
@@ -366,7 +360,7 @@
         await two.report("ready")
         await two.sidecar.server_check.wait_until_settled()
         two.born_ms, two.backend.instance_id = former, "i-n2"
-        self.assertEqual(await self.report_draining(two, 9), 200)
+        self.assertEqual(await two.report("draining", sequence=9), 200)
         two.born_ms, two.backend.instance_id = 2000, "i-next"
         self.assertEqual((await two.call(b"/read/1")).status, 200)
 
--- a/damaskproxy/sidecar/tests/test_leave_soak.py
+++ b/damaskproxy/sidecar/tests/test_leave_soak.py
@@ -17,6 +17,7 @@
 REPORT_S = 0.4
 ANSWER_S = 1.0
 LEAVE_RETRY_S = 0.05
+REPORT_DELAY_MAX_S = 5.0
 SETTLE_S = 4.0
 NODES = ("orders", "orders", "orders", "orders", "stores")
 
@@ -106,7 +107,8 @@
         if len(candidates) < 2:
             return
         member = self.rng.choice(candidates)
-        member.is_leaving = True
+        member.is_leaving = member.backend.is_leaving = True
+        late = asyncio.create_task(self.report_late(member, member.sequence + 1))
         is_delete = self.rng.random() < 0.6
         path = f"/api/instances/{member.backend.instance_id}".encode()
         body = json.dumps({"born": member.born_ms}).encode()
@@ -121,6 +123,18 @@
             await asyncio.sleep(LEAVE_RETRY_S)
         self.confirmed_s[member.name] = asyncio.get_running_loop().time()
         self.leaves += 1
+        await late
+
+    async def report_late(self, member, sequence):
+        """Deliver a ready report from before the leave seconds later."""
+        await asyncio.sleep(self.rng.uniform(0.0, REPORT_DELAY_MAX_S))
+        while True:
+            try:
+                async with asyncio.timeout(ANSWER_S):
+                    await member.report("ready", sequence=sequence)
+                return
+            except (HttpError, TimeoutError, AttributeError):
+                await asyncio.sleep(LEAVE_RETRY_S)
 
     async def report_draining(self, member):
         """Report that a server drains; return the status of the answer."""
