Confirm an unstored leave only if another node has acknowledged it

A node that knew of no other running node confirmed a leave after 0.6 s although neither the store nor another process had it. Killed before the write, it restored a row that said that the server serves, and only the health check of the server kept requests away.

The exemption for a node without peers is removed: it answers 503, and the server asks again or exits some seconds later.

--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -170,15 +170,10 @@
             # It would end before the record is stored.
             return "the node is stopping"
         known = self.backend.record
-        has_peers = any(
-            record.state is MemberState.SERVING
-            for record in self.directory.records()
-            if record.node_id != self.settings.node_id
-        )
         is_acknowledged = (
             known is not None and known.incarnation_key == self.acknowledged_leave
         )
-        if has_peers and not is_acknowledged:
+        if not is_acknowledged:
             # After a restart, this node would learn the leave from them.
             return "no other node has acknowledged it"
         return ""
