Authenticate requests with the API keys of organisations

The configuration may have organisations with API keys. Their keys were neither checked nor removed, so that backend servers received keys and forged organisation names, and requests without a key ran. A request to a route that is not public now needs a known key and gets 401 without one. Backend servers receive the name of the organisation; calls of servers belong to the organisation of their root request, and its priority comes before that of the route. Without organisations in the configuration nothing changes.

--- a/damaskproxy/directory/configuration.py
+++ b/damaskproxy/directory/configuration.py
@@ -5,6 +5,11 @@
 from dataclasses import dataclass, field
 
 from damaskproxy.http1 import ClientLimits
+from damaskproxy.organisations import (
+    Authentication,
+    CombinedPriorities,
+    Organisations,
+)
 
 __all__ = ["Configuration", "CurrentConfiguration", "Route", "ServiceEntry"]
 
@@ -32,6 +37,8 @@
         Latency objective.
     priority : int
         Priority level, 0 is the highest.
+    is_public : bool
+        Whether its requests need no API key.
     """
 
     name: str
@@ -43,6 +50,7 @@
     timeout_ms: int
     objective_ms: int
     priority: int
+    is_public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +78,13 @@
         Limits on client connections.
     encoded : bytes
         As read from the store, to pass on to other nodes.
+    organisations : Organisations, optional
+        Organisations; None if requests need no API key.
+
+    Attributes
+    ----------
+    authentication : Authentication or None
+        Authentication of requests, None without organisations.
     """
 
     version: int
@@ -77,6 +92,13 @@
     services: Mapping[str, ServiceEntry]
     limits: ClientLimits
     encoded: bytes
+    organisations: Organisations | None = None
+    authentication: Authentication | None = field(
+        default=None, init=False, compare=False, repr=False
+    )
+    _priorities: CombinedPriorities | None = field(
+        default=None, init=False, compare=False, repr=False
+    )
     _by_host: dict[str, list[Route]] = field(
         default_factory=dict, compare=False, repr=False
     )
@@ -84,6 +106,16 @@
     def __post_init__(self):
         for route in sorted(self.routes, key=lambda route: -len(route.prefix)):
             self._by_host.setdefault(route.host, []).append(route)
+        if self.organisations is None:
+            return
+        priorities = CombinedPriorities(
+            (each.priority for each in self.organisations),
+            (route.priority for route in self.routes),
+        )
+        # The usual way to set a derived field of a frozen data class.
+        object.__setattr__(self, "_priorities", priorities)
+        authentication = Authentication(self.organisations)
+        object.__setattr__(self, "authentication", authentication)
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of `host` with the longest prefix of `path`, or None."""
@@ -92,6 +124,20 @@
                 return route
         return None
 
+    def rank(self, route: Route, organisation_priority: int | None) -> int:
+        """Return the rank of a root request, 0 is the most urgent.
+
+        Parameters
+        ----------
+        route : Route
+            Route of the request.
+        organisation_priority : int or None
+            Priority of its organisation, None if it has none.
+        """
+        if self._priorities is None:
+            return route.priority
+        return self._priorities.rank(organisation_priority, route.priority)
+
 
 class CurrentConfiguration:
     """Newest configuration that this node has received; it never reverts.
--- a/damaskproxy/forwarding/calls.py
+++ b/damaskproxy/forwarding/calls.py
@@ -46,6 +46,7 @@
     PEER_UNREACHABLE = "peer-unreachable"
     NO_MEMBER = "no-member"
     NO_CONFIGURATION = "no-configuration"
+    UNKNOWN_PARENT = "unknown-parent"
     RETRY_BUDGET = "retry-budget"
     MEMORY = "memory"
 
@@ -98,6 +99,8 @@
         Remaining time until the deadline.
     is_repeat : bool
         Whether this run, or that of an ancestor, is a retry.
+    organisation : str
+        Name of the organisation of the root request, empty without one.
     """
 
     service: str
@@ -112,6 +115,7 @@
     is_idempotent: bool
     deadline_ms: int
     is_repeat: bool = False
+    organisation: str = ""
 
 
 class Answer(msgspec.Struct, array_like=True):
--- a/damaskproxy/forwarding/events.py
+++ b/damaskproxy/forwarding/events.py
@@ -17,6 +17,7 @@
     "LINK_REFUSED",
     "LINK_SILENT",
     "RECORD_IGNORED",
+    "REQUEST_NOT_AUTHENTICATED",
     "REQUEST_NOT_SERVED",
     "SERVER_UNVERIFIED",
     "SERVER_VERIFIED",
@@ -55,6 +56,12 @@
     logging.INFO,
     "A request was refused or got no response; the results of its attempts are given.",
 )
+REQUEST_NOT_AUTHENTICATED = define(
+    10116,
+    "request-not-authenticated",
+    logging.INFO,
+    "A request had no API key or an unknown one, and was answered 401.",
+)
 CALL_NOT_ANSWERED = define(
     10107,
     "call-not-answered",
--- a/damaskproxy/forwarding/frames.py
+++ b/damaskproxy/forwarding/frames.py
@@ -85,6 +85,8 @@
         Version in force at the sender.
     sent_ms : int
         Clock of the sender, from which the receiver estimates the network delay.
+    organisation : int, bytes or None
+        None without an organisation. Senders of earlier releases leave it out.
     """
 
     call_id: int
@@ -102,6 +104,7 @@
     is_idempotent: bool
     deadline_ms: int
     is_repeat: bool
+    organisation: Item | None = None
 
 
 class AnswerFrame(msgspec.Struct, array_like=True, tag=2):
--- a/damaskproxy/forwarding/headers.py
+++ b/damaskproxy/forwarding/headers.py
@@ -30,6 +30,8 @@
         Set to ``1`` by a backend server that leaves.
     instance_id : bytes
         Id of the incarnation that answered a health check.
+    organisation : bytes
+        Name of the organisation that a request belongs to.
     """
 
     request_id: bytes
@@ -41,6 +43,7 @@
     server_limit: bytes
     server_leaving: bytes
     instance_id: bytes
+    organisation: bytes
 
     def lower(self, field: str) -> bytes:
         """Return the name of a field's header in lower case, for comparison."""
--- a/damaskproxy/forwarding/link.py
+++ b/damaskproxy/forwarding/link.py
@@ -439,6 +439,7 @@
             call.is_idempotent,
             call.deadline_ms,
             call.is_repeat,
+            pack(call.organisation.encode()) if call.organisation else None,
         )
 
     def _handle(self, frame: Frame) -> None:
@@ -484,6 +485,7 @@
             frame.is_idempotent,
             max(0, frame.deadline_ms - delay_ms),
             frame.is_repeat,
+            "" if frame.organisation is None else unpack(frame.organisation).decode(),
         )
         self._request_newer_configuration(frame.configuration_version)
         fiber = Fiber(self._run_call(frame, call), self._log_error)
--- a/damaskproxy/forwarding/origin.py
+++ b/damaskproxy/forwarding/origin.py
@@ -11,7 +11,13 @@
 from damaskproxy.common import Priority, ordinal_of
 from damaskproxy.common.clock import boot_s
 from damaskproxy.common.deadline import Deadline
-from damaskproxy.directory import CurrentConfiguration, Directory, MemberRecord, Route
+from damaskproxy.directory import (
+    Configuration,
+    CurrentConfiguration,
+    Directory,
+    MemberRecord,
+    Route,
+)
 from damaskproxy.events import log_event
 from damaskproxy.forwarding import events
 from damaskproxy.forwarding.answer_sizes import AnswerSizes
@@ -31,12 +37,14 @@
     Parent,
     ParentRequests,
     RouteLevels,
+    is_call_id,
     root_id_of,
 )
 from damaskproxy.forwarding.poison_requests import PoisonRequestDetector
 from damaskproxy.forwarding.stats import RequestStats
 from damaskproxy.forwarding.traffic_split import TrafficSplitter
 from damaskproxy.http1 import Request, Response, end_to_end
+from damaskproxy.organisations import ANONYMOUS, AuthenticationFailure, Identity
 from damaskproxy.retries import RetryBudget
 
 __all__ = ["Origin"]
@@ -44,6 +52,7 @@
 logger = logging.getLogger(__name__)
 
 MS_PER_S = 1000
+AUTHORIZATION = b"authorization"
 REFUSALS_MAX = 3
 """Refusals by nodes after which a request is refused; each costs a round trip."""
 RETRY_MIN_S = 0.02
@@ -157,6 +166,10 @@
             names.lower(name)
             for name in ("request_id", "deadline_ms", "caller", "target_instance")
         )
+        self._confidential_headers = self._reserved_headers | {
+            AUTHORIZATION,
+            names.lower("organisation"),
+        }
         configuration.on_change(lambda _: self._splitter.reset())
 
     async def handle(self, request: Request) -> Response:
@@ -180,8 +193,11 @@
         if budget_ms <= 0:
             return self._refuse(request_id, NotRunReason.DEADLINE_PASSED, 0.0)
         parent = self._parent_requests.parent_of(request_id)
+        identity = self._identify(configuration, request, request_id, route, parent)
+        if isinstance(identity, AuthenticationFailure):
+            return self._not_authenticated(request_id, route, identity)
         attempts = Attempts(
-            self._make_call(request, request_id, route, budget_ms, parent),
+            self._make_call(request, request_id, route, budget_ms, parent, identity),
             route,
             boot_s() + budget_ms / MS_PER_S,
             parent=parent,
@@ -228,21 +244,69 @@
         route: Route,
         budget_ms: int,
         parent: Parent | None,
+        identity: Identity,
     ) -> Call:
+        configuration = self._configuration.current
+        owner = identity.organisation
+        rank = (
+            configuration.rank(route, None if owner is None else owner.priority)
+            if parent is None
+            else parent.priority
+        )
+        reserved = (
+            self._reserved_headers
+            if configuration.authentication is None
+            else self._confidential_headers
+        )
         return Call(
             self._splitter.next_service(route),
             route.name,
             request.method,
             request.target,
-            end_to_end(request.headers, self._reserved_headers),
+            end_to_end(request.headers, reserved),
             request.body,
             request_id,
             self._service(),
-            route.priority if parent is None else parent.priority,
+            rank,
             route.is_idempotent,
             budget_ms,
             parent is not None and parent.is_repeat,
+            identity.name,
+        )
+
+    def _identify(
+        self,
+        configuration: Configuration,
+        request: Request,
+        request_id: bytes,
+        route: Route,
+        parent: Parent | None,
+    ) -> Identity | AuthenticationFailure:
+        if configuration.authentication is None:
+            return ANONYMOUS
+        return configuration.authentication.identify(
+            request.header(AUTHORIZATION),
+            is_public=route.is_public,
+            parent_organisation=None if parent is None else parent.organisation,
+            is_call=is_call_id(request_id),
+        )
+
+    def _not_authenticated(
+        self, request_id: bytes, route: Route, failure: AuthenticationFailure
+    ) -> Response:
+        if failure is AuthenticationFailure.UNKNOWN_PARENT:
+            reason = NotRunReason.UNKNOWN_PARENT
+            return self._refuse(request_id, reason, RETRY_AFTER_MIN_S)
+        self._stats.request_refused(failure)
+        log_event(
+            logger,
+            events.REQUEST_NOT_AUTHENTICATED,
+            request_id=request_id.decode("latin-1"),
+            route=route.name,
+            status=401,
+            reason=failure,
         )
+        return Response(401, [(b"WWW-Authenticate", b"Bearer")])
 
     async def _attempt_all(self, attempts: Attempts) -> Response:
         call = attempts.call
--- a/damaskproxy/forwarding/parent_requests.py
+++ b/damaskproxy/forwarding/parent_requests.py
@@ -10,7 +10,7 @@
 from damaskproxy.common.clock import boot_s
 from damaskproxy.forwarding.calls import Call
 
-__all__ = ["ParentRequests", "Parent", "RouteLevels", "root_id_of"]
+__all__ = ["ParentRequests", "Parent", "RouteLevels", "is_call_id", "root_id_of"]
 
 SEPARATOR = b"."
 LEVEL_WEIGHT = 0.2
@@ -25,6 +25,11 @@
     return request_id.partition(SEPARATOR)[0]
 
 
+def is_call_id(request_id: bytes) -> bool:
+    """Tell whether an id has the form of that of a call of a backend server."""
+    return SEPARATOR in request_id
+
+
 @dataclass(slots=True)
 class Parent:
     """Request that runs on the local backend server.
@@ -37,11 +42,14 @@
         Rank of its root request.
     is_repeat : bool
         Whether this run, or that of an ancestor, is a retry.
+    organisation : str
+        Name of the organisation of its root request, empty without one.
     """
 
     route: str
     priority: int
     is_repeat: bool
+    organisation: str = ""
 
 
 class _ReportedLevel:
@@ -93,7 +101,7 @@
 
     def call_started(self, call: Call) -> None:
         """Record that `call` runs on the backend server."""
-        parent = Parent(call.route, call.priority, call.is_repeat)
+        parent = Parent(call.route, call.priority, call.is_repeat, call.organisation)
         self._parents[call.request_id] = parent
 
     def call_ended(self, call: Call) -> None:
--- a/damaskproxy/forwarding/target.py
+++ b/damaskproxy/forwarding/target.py
@@ -264,6 +264,8 @@
             (names.caller, call.caller.encode()),
             (names.target_instance, record.instance_id.encode()),
         ]
+        if call.organisation:
+            headers.append((names.organisation, call.organisation.encode()))
         request = Request(call.method, call.target, headers, call.body)
         reserved = self._answer_sizes.reserve(call.route)
         if reserved is None:
--- a/damaskproxy/forwarding/tests/builders.py
+++ b/damaskproxy/forwarding/tests/builders.py
@@ -18,6 +18,7 @@
     server_limit=b"X-Limit",
     server_leaving=b"X-Leaving",
     instance_id=b"X-Instance",
+    organisation=b"X-Organisation",
 )
 
 
--- a/damaskproxy/forwarding/tests/test_origin.py
+++ b/damaskproxy/forwarding/tests/test_origin.py
@@ -51,14 +51,15 @@
     return Answer(200, [], b"", LoadReport(1, 0, 4, 10, level))
 
 
-class OriginTests(unittest.IsolatedAsyncioTestCase):
-    """Guards against false "not run" statuses, duplicate orders and retry storms."""
+class OriginFixture:
+    """Mix-in with an origin whose calls get prepared results."""
 
     def setUp(self):
         self.sent = []
         self.results = []
         self.parent_requests = ParentRequests()
         configuration, directory = CurrentConfiguration(), Directory()
+        self.configuration = configuration
         configuration.apply_if_newer(Configuration(1, ROUTES, {}, ClientLimits(), b""))
         for number in range(6):
             directory.merge(make_member(f"n{number}"))
@@ -88,6 +89,10 @@
             await asyncio.sleep(3600)
         return result
 
+
+class OriginTests(OriginFixture, unittest.IsolatedAsyncioTestCase):
+    """Guards against false "not run" statuses, duplicate orders and retry storms."""
+
     async def send(self, target=b"/a/1", request_id=b"1", deadline=b"5000"):
         fields = [(b"Host", b"H:80"), (b"X-Id", request_id), (b"X-Deadline", deadline)]
         return await self.origin.handle(Request(b"GET", target, fields))
--- a/damaskproxy/http1/messages.py
+++ b/damaskproxy/http1/messages.py
@@ -40,6 +40,7 @@
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
--- a/damaskproxy/platform/headers.py
+++ b/damaskproxy/platform/headers.py
@@ -17,6 +17,7 @@
     server_limit=b"Server-Limit",
     server_leaving=b"Server-Leaving",
     instance_id=b"X-Damaskproxy-Instance-Id",
+    organisation=b"X-Damaskproxy-Tenant",
 )
 
 VOLATILE_HEADERS = frozenset(
--- a/damaskproxy/platform/messages.py
+++ b/damaskproxy/platform/messages.py
@@ -27,6 +27,7 @@
 from damaskproxy.directory.rows import Row, Rows, RowWrite, StorePosition
 from damaskproxy.forwarding import StatusReport
 from damaskproxy.http1 import ClientLimits
+from damaskproxy.organisations import Organisation, Organisations
 
 __all__ = [
     "FeedBody",
@@ -74,6 +75,7 @@
     priority: OperatorCount = 0
     service: str = ""
     traffic_split: list[SplitPart] = []
+    public: bool = False
 
 
 class ServiceBody(msgspec.Struct, rename="camel"):
@@ -92,6 +94,15 @@
     idle_timeout_ms: OperatorPositiveCount = 15000
 
 
+class OrganisationBody(msgspec.Struct, rename="camel"):
+    """Organisation in the operator's configuration."""
+
+    api_keys: list[str] = []
+    priority: OperatorCount = 0
+    rate_per_s: Rate = 0.0
+    burst: Rate = 0.0
+
+
 class ConfigurationBody(msgspec.Struct):
     """Complete configuration."""
 
@@ -99,6 +110,7 @@
     routes: dict[str, RouteBody]
     services: dict[str, ServiceBody]
     limits: LimitsBody = msgspec.field(default_factory=LimitsBody)
+    tenants: dict[Name, OrganisationBody] | None = None
 
 
 class InfoBody(msgspec.Struct):
@@ -187,7 +199,14 @@
         body.limits.header_timeout_ms,
         body.limits.idle_timeout_ms,
     )
-    return Configuration(body.version, routes, services, limits, encoded)
+    return Configuration(
+        body.version,
+        routes,
+        services,
+        limits,
+        encoded,
+        None if body.tenants is None else _organisations(body.tenants),
+    )
 
 
 def decode_report(instance_id: str, encoded: bytes, address: str) -> StatusReport:
@@ -353,4 +372,18 @@
         min(body.timeout_ms, TIMEOUT_MAX_MS),
         min(body.target_latency_ms, TIMEOUT_MAX_MS),
         min(body.priority, PRIORITY_MAX),
+        body.public,
+    )
+
+
+def _organisations(bodies: dict[str, OrganisationBody]) -> Organisations:
+    return Organisations(
+        Organisation(
+            name,
+            tuple(key.encode() for key in body.api_keys),
+            min(body.priority, PRIORITY_MAX),
+            body.rate_per_s,
+            body.burst,
+        )
+        for name, body in bodies.items()
     )
--- a/damaskproxy/platform/tests/test_messages.py
+++ b/damaskproxy/platform/tests/test_messages.py
@@ -77,6 +77,33 @@
         self.assertEqual(found.limits.idle_timeout_ms, 9000)
         self.assertEqual(found.services["stores"].max_connections, 532)
 
+    def test_organisations_are_translated(self):
+        body = changed(CONFIGURATION, "routes.one.public", True)
+        body["tenants"] = {
+            "guild": {"apiKeys": ["k1"], "priority": 1, "ratePerS": 4, "burst": 2},
+            "cooperative": {"apiKeys": []},
+        }
+        found = decode_configuration(msgspec.json.encode(body))
+        self.assertEqual([route.is_public for route in found.routes], [True, False])
+        guild = found.organisations.find(b"Bearer k1")
+        fields = (guild.name, guild.priority, guild.rate_per_s, guild.burst)
+        self.assertEqual(fields, ("guild", 1, 4.0, 2.0))
+        self.assertFalse(found.organisations.get("cooperative").is_limited)
+
+    @params(("absent", None, False), ("empty", {}, True))
+    def test_keys_are_needed_if_organisations_are_configured(self, name, value, needed):
+        body = (
+            dict(CONFIGURATION) if value is None else {**CONFIGURATION, "tenants": {}}
+        )
+        found = decode_configuration(msgspec.json.encode(body))
+        self.assertEqual(found.authentication is not None, needed, name)
+
+    def test_error_does_not_show_a_key(self):
+        body = {**CONFIGURATION, "tenants": {"guild": {"apiKeys": ["secret", 7]}}}
+        with self.assertRaises(RecordError) as raised:
+            decode_configuration(msgspec.json.encode(body))
+        self.assertNotIn("secret", str(raised.exception))
+
     def test_unknown_fields_are_ignored(self):
         body = {**CONFIGURATION, "later": {"field": 1}}
         self.assertEqual(decode_configuration(msgspec.json.encode(body)).version, 7)
