Wait for the replaced link before the test closes idle ones

A link counts as open as soon as its connection is, but replaces the earlier one only after the hello frame of the peer. On a busy machine (load average 11) the test closed idle links in between, so the newest one stayed open and the test timed out: one link-lost event for each end of one link instead of two links.

--- a/damaskproxy/forwarding/tests/test_links.py
+++ b/damaskproxy/forwarding/tests/test_links.py
@@ -173,6 +173,8 @@
             self.one.links._outgoing["n2"].is_unresponsive = True
             await self.one.links.open(self.member)
             await self.until(lambda n=number: len(self.one.links.open_links()) == n)
+            # A link is open before it has replaced the other one.
+            await self.until(lambda: not self.one.links._opening)
         for link in self.one.links.open_links():
             link.last_used_s -= IDLE_CLOSE_S + 1
         self.one.links.close_idle()
