Limit organisations over all nodes together

The rate and the burst of an organisation in the configuration had no effect: one that sent many times its usual demand took the servers from all others. Its owner, a node chosen by rendezvous hashing, now keeps a token bucket. Nodes admit requests without asking it while the organisation is far below its limit, and ask otherwise. A request over the allowance gets 429 with Retry-After and does not run.

--- /dev/null
+++ b/damaskproxy/allowances/__init__.py
@@ -0,0 +1,24 @@
+"""Allowances: requests that organisations may send, over all nodes together.
+
+Each organisation with a limit has an owner, which keeps its token bucket (`Ledger`).
+Every node admits requests by itself while the organisation is far below its limit, and
+asks the owner otherwise (`Gate`). See ``docs/design/allowances.md``.
+"""
+
+from damaskproxy.allowances.allowances import Allowances
+from damaskproxy.allowances.gate import Gate, OrganisationState
+from damaskproxy.allowances.ledger import Ledger
+from damaskproxy.allowances.limits import AllowanceBounds, Limit
+from damaskproxy.allowances.owners import Owners
+from damaskproxy.allowances.stats import AllowanceStats
+
+__all__ = [
+    "AllowanceBounds",
+    "AllowanceStats",
+    "Allowances",
+    "Gate",
+    "Ledger",
+    "Limit",
+    "OrganisationState",
+    "Owners",
+]
--- a/damaskproxy/forwarding/attempts.py
+++ b/damaskproxy/forwarding/attempts.py
@@ -15,6 +15,7 @@
     Unknown,
 )
 from damaskproxy.forwarding.parent_requests import Parent
+from damaskproxy.organisations import Organisation
 
 __all__ = ["Attempts"]
 
@@ -44,6 +45,10 @@
         as result of a cancelled one.
     end : str
         Why no retry was made, for the log.
+    organisation : Organisation or None
+        Organisation whose allowance the request counts against.
+    is_counted : bool
+        Whether it was counted against the allowance.
     """
 
     call: Call
@@ -60,6 +65,8 @@
     last_refusal: NotRunReason = NotRunReason.NO_MEMBER
     parent: Parent | None = None
     breaker: RouteBreaker | None = None
+    organisation: Organisation | None = None
+    is_counted: bool = False
 
     def record(self, node_id: str, result: Result | None) -> None:
         """Record the result of an attempt."""
@@ -67,6 +74,13 @@
             result = msgspec.structs.replace(result, body=b"")
         self.history.append((node_id, result))
 
+    def count_reached(self) -> int:
+        """Return how many attempts reached a server, or may have."""
+        return sum(
+            result.reached_backend if isinstance(result, NotRun) else True
+            for _, result in self.history
+        )
+
     def describe_results(self) -> list[str]:
         """Return a description of the result of each attempt, for the log."""
         return [f"{node_id}: {_describe(result)}" for node_id, result in self.history]
--- a/damaskproxy/forwarding/calls.py
+++ b/damaskproxy/forwarding/calls.py
@@ -49,6 +49,7 @@
     UNKNOWN_PARENT = "unknown-parent"
     RETRY_BUDGET = "retry-budget"
     MEMORY = "memory"
+    ALLOWANCE = "allowance"
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
--- a/damaskproxy/forwarding/frame_decoder.py
+++ b/damaskproxy/forwarding/frame_decoder.py
@@ -15,6 +15,10 @@
     CALL_TAG,
     FRAME_MAX_BYTES,
     LENGTH_BYTES,
+    AllowanceAskFrame,
+    AllowanceGrantFrame,
+    AllowanceNoticeFrame,
+    AllowanceReportFrame,
     AnswerFrame,
     CancelFrame,
     Frame,
@@ -83,6 +87,10 @@
     | RecordDigestsFrame
     | RecordRequestFrame
     | GoodbyeFrame
+    | AllowanceReportFrame
+    | AllowanceNoticeFrame
+    | AllowanceAskFrame
+    | AllowanceGrantFrame
 )
 
 _decoder = msgspec.msgpack.Decoder(_ReceivedFrame)
--- a/damaskproxy/forwarding/link.py
+++ b/damaskproxy/forwarding/link.py
@@ -22,6 +22,7 @@
 )
 from damaskproxy.forwarding.frame_decoder import FrameDecoder
 from damaskproxy.forwarding.frames import (
+    AllowanceFrame,
     AnswerFrame,
     CancelFrame,
     ControlFrame,
@@ -83,12 +84,17 @@
         Handles a frame about configuration or members, with the link that it came on.
     lost : callable
         Called with a link after its connection was lost.
+    handle_allowance : callable
+        Handles a frame about allowances, with the link that it came on.
     """
 
     run: Callable[[Call], Awaitable[Result]]
     configuration_version: Callable[[], int]
     handle_control: Callable[["Link", ControlFrame], None]
     lost: Callable[["Link"], None] = lambda link: None
+    handle_allowance: Callable[["Link", AllowanceFrame], None] = lambda link, frame: (
+        None
+    )
 
 
 class DelayMeter:
@@ -455,6 +461,9 @@
         elif isinstance(frame, ControlFrame):
             self.last_used_s = boot_s()
             self._handlers.handle_control(self, frame)
+        elif isinstance(frame, AllowanceFrame):
+            self.last_used_s = boot_s()
+            self._handlers.handle_allowance(self, frame)
         elif isinstance(frame, PingFrame):
             self.write(PongFrame())
         elif isinstance(frame, PongFrame):
--- a/damaskproxy/forwarding/origin.py
+++ b/damaskproxy/forwarding/origin.py
@@ -4,6 +4,7 @@
 import logging
 import random
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 import msgspec
 
@@ -44,7 +45,12 @@
 from damaskproxy.forwarding.stats import RequestStats
 from damaskproxy.forwarding.traffic_split import TrafficSplitter
 from damaskproxy.http1 import Request, Response, end_to_end
-from damaskproxy.organisations import ANONYMOUS, AuthenticationFailure, Identity
+from damaskproxy.organisations import (
+    ANONYMOUS,
+    AuthenticationFailure,
+    Identity,
+    Organisation,
+)
 from damaskproxy.retries import RetryBudget
 
 __all__ = ["Origin"]
@@ -82,6 +88,19 @@
 """Reasons that apply to every call to a member and start its back-off."""
 
 
+class Allowances(Protocol):
+    """Allowances of organisations, see `damaskproxy.allowances`."""
+
+    def check(self, organisation: Organisation) -> float | None:
+        """Return the wait of a request, 0 if it is admitted, None if it has to ask."""
+
+    async def ask(self, organisation: Organisation, timeout_s: float) -> float:
+        """Return the wait of a request after asking, 0 if it is admitted."""
+
+    def finish(self, organisation: Organisation, reached_count: int) -> None:
+        """Record how many servers an admitted request has reached."""
+
+
 class Origin:
     """Routes requests, selects members for them and retries failed attempts.
 
@@ -116,6 +135,8 @@
     answer_sizes : AnswerSizes, optional
         Memory for answers that clients do not read. A request whose answer is expected
         to have no room is refused.
+    allowances : Allowances, optional
+        Allowances of organisations; without them no organisation is limited.
 
     Attributes
     ----------
@@ -140,6 +161,7 @@
         stats: RequestStats,
         rng: random.Random,
         answer_sizes: AnswerSizes | None = None,
+        allowances: Allowances | None = None,
     ):
         self.is_stopping = False
         self._node_id = node_id
@@ -160,6 +182,7 @@
         self._deadline_ms = names.lower("deadline_ms")
         self._rng = rng
         self._answer_sizes = answer_sizes or AnswerSizes(lambda count: True, 0)
+        self._allowances = allowances
         self._splitter = TrafficSplitter()
         self._loop: asyncio.AbstractEventLoop | None = None
         self._reserved_headers = frozenset(
@@ -201,6 +224,7 @@
             route,
             boot_s() + budget_ms / MS_PER_S,
             parent=parent,
+            organisation=identity.organisation,
         )
         if self._loop is None:
             self._loop = asyncio.get_running_loop()
@@ -220,6 +244,8 @@
             response = Response(504)
         finally:
             deadline.close()
+            if attempts.is_counted:
+                self._allowances.finish(attempts.organisation, attempts.count_reached())
             self._answer_sizes.finish(route.name, reserved, answer_bytes)
         elapsed_s = budget_ms / MS_PER_S - (attempts.deadline_s - boot_s())
         service = attempts.call.service
@@ -325,6 +351,9 @@
         while (member := self._next_member(attempts)) is not None:
             if attempts.history:
                 self._stats.record_retry(attempts.history[-1][1])
+            elif (wait_s := await self._allowance_wait_s(attempts)) > 0:
+                reason = NotRunReason.ALLOWANCE
+                return self._refuse(call.request_id, reason, wait_s, status=429)
             result = await self._send(member, attempts)
             self._credit_first_attempt(attempts, result)
             if isinstance(result, Answer):
@@ -343,6 +372,22 @@
                     break
         return self._failure_response(attempts)
 
+    async def _allowance_wait_s(self, attempts: Attempts) -> float:
+        """Count a request against its allowance; return its wait if it is refused."""
+        organisation = attempts.organisation
+        if (
+            organisation is None
+            or self._allowances is None
+            or not organisation.is_limited
+        ):
+            return 0.0
+        wait_s = self._allowances.check(organisation)
+        if wait_s is None:
+            remaining_s = attempts.deadline_s - boot_s()
+            wait_s = await self._allowances.ask(organisation, remaining_s - RETRY_MIN_S)
+        attempts.is_counted = wait_s == 0
+        return wait_s
+
     def _credit_first_attempt(self, attempts: Attempts, result: Result) -> None:
         """Credit the retry budget when the first attempt has reached a server.
 
@@ -468,21 +513,26 @@
         return self._not_run_response(wait_s)
 
     def _refuse(
-        self, request_id: bytes, reason: NotRunReason, wait_s: float
+        self,
+        request_id: bytes,
+        reason: NotRunReason,
+        wait_s: float,
+        *,
+        status: int = 503,
     ) -> Response:
         self._stats.request_refused(reason)
         log_event(
             logger,
             events.REQUEST_NOT_SERVED,
             request_id=request_id.decode("latin-1"),
-            status=503,
+            status=status,
             reason=reason,
         )
-        return self._not_run_response(wait_s)
+        return self._not_run_response(wait_s, status)
 
-    def _not_run_response(self, wait_s: float) -> Response:
+    def _not_run_response(self, wait_s: float, status: int = 503) -> Response:
         headers = [(b"Retry-After", b"%.2f" % wait_s)] if wait_s > 0 else []
-        return Response(503, headers)
+        return Response(status, headers)
 
     def _log_failure(self, attempts: Attempts, status: int) -> None:
         log_event(
--- a/damaskproxy/platform/bounds.py
+++ b/damaskproxy/platform/bounds.py
@@ -24,11 +24,19 @@
         Retries of a service allowed beyond the ratio, over all nodes.
     stop_grace_s : float
         Time from SIGTERM until the platform kills the process.
+    quota_window_s : float
+        Length of the windows in which the requests of an organisation are counted.
+    quota_overshoot, quota_slack : float
+        Requests beyond the allowance of an organisation that are tolerated in a window,
+        as a share of the allowance and as a number.
     """
 
     retry_ratio: float = 0.2
     retry_slack: float = 47
     stop_grace_s: float = 6.0
+    quota_window_s: float = 5.0
+    quota_overshoot: float = 0.1
+    quota_slack: float = 20.0
 
 
 PLATFORM_NAMES = {
@@ -36,12 +44,20 @@
     "budgetSlack": "retry_slack",
     "graceS": "stop_grace_s",
 }
+OPTIONAL_NAMES = {
+    "quotaWindowS": "quota_window_s",
+    "quotaOvershoot": "quota_overshoot",
+    "quotaSlack": "quota_slack",
+}
+"""Bounds that most platforms leave out, since they limit no organisation."""
 
 
 def decode_bounds(settings: Mapping[str, object]) -> Bounds:
     """Return the bounds in `settings`; one that is not a number keeps its default."""
     bounds = {}
-    for name, field in PLATFORM_NAMES.items():
+    for name, field in {**PLATFORM_NAMES, **OPTIONAL_NAMES}.items():
+        if name in OPTIONAL_NAMES and name not in settings:
+            continue
         value = settings.get(name)
         if isinstance(value, (int, float)):
             bounds[field] = value
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -10,6 +10,7 @@
 
 from damaskproxy.admission import AdmissionController
 from damaskproxy.admission.settings import AdmissionSettings
+from damaskproxy.allowances import AllowanceBounds, Allowances
 from damaskproxy.common.clock import boot_s
 from damaskproxy.common.fibers import Fiber
 from damaskproxy.common.memory import NEW_WORK_SHARE, MemoryAccount, MemoryBudget
@@ -38,6 +39,7 @@
     StateFrame,
     Target,
 )
+from damaskproxy.forwarding.link import Link
 from damaskproxy.http1 import (
     ClientLimits,
     ConnectionPool,
@@ -134,6 +136,7 @@
     response_memory: ResponseMemory
     memory: MemoryBudget
     link_memory: LinkMemory
+    allowances: Allowances
     own_record_restored: asyncio.Event = field(default_factory=asyncio.Event)
     acknowledged_leave: tuple[str, int] | None = None
     connect_tasks: set[asyncio.Task] = field(default_factory=set)
@@ -289,6 +292,7 @@
             member_selector.reset(record.node_id)
             links.close_outdated(record)
         member_selector.apply_limit(record)
+        allowances.members_changed()
         propagation.member_changed(record)
 
     directory = Directory(member_changed)
@@ -350,18 +354,33 @@
         AnswerSizes(has_room_for_responses, response_memory.account.limit_bytes // 2),
     )
     configuration.on_change(lambda _: target.apply_backend_state())
+
+    def link_lost(link: Link) -> None:
+        propagation.lost(link)
+        allowances.lost(link)
+
     links = Links(
         lambda: HelloFrame(settings.node_id, sidecar.record.incarnation, True),
         LinkHandlers(
             target.run_remote,
             lambda: configuration.version,
             lambda link, frame: propagation.handle(link, frame),
-            lambda link: propagation.lost(link),
+            lambda link: link_lost(link),
+            lambda link, frame: allowances.handle(link, frame),
         ),
         VOLATILE_HEADERS,
         member_selector.clear_backoff,
         link_memory,
     )
+    allowances = Allowances(
+        settings.node_id,
+        directory,
+        links.open,
+        AllowanceBounds(
+            bounds.quota_window_s, bounds.quota_overshoot, bounds.quota_slack
+        ),
+    )
+    configuration.on_change(allowances.apply)
     origin = Origin(
         settings.node_id,
         lambda: sidecar.settings.service,
@@ -377,6 +396,7 @@
         stats,
         rng,
         AnswerSizes(has_room_for_unread, account_bytes // 2),
+        allowances,
     )
     propagation = Propagation(
         lambda: sidecar.record,
@@ -475,6 +495,7 @@
         response_memory=response_memory,
         memory=memory,
         link_memory=link_memory,
+        allowances=allowances,
     )
     if settings.listeners.metrics is not None:
         servers["metrics"] = _make_probe_server(
--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -37,6 +37,9 @@
 change without SIGHUP."""
 PROPAGATION_TICK_S = 0.2
 """Half of the interval between heartbeats."""
+ALLOWANCE_FLUSH_S = 0.1
+"""Interval at which reports on spent allowances are sent if they are due; owners learn
+of a burst after this time at the latest."""
 TASK_RESTART_DELAY_S = 0.2
 TASK_RESTART_MAX_S = 5.0
 """First and longest pause before a failed task is started again. It doubles while the
@@ -228,6 +231,7 @@
         lambda: _run_propagation(sidecar),
         lambda: become_ready(sidecar),
         lambda: _run_maintenance(sidecar),
+        lambda: _flush_allowances(sidecar),
         lambda: _follow_settings(sidecar, path, reload, stamp),
     ]
     return [asyncio.create_task(_run_with_restart(job)) for job in jobs]
@@ -297,6 +301,12 @@
         sidecar.propagation.tick()
 
 
+async def _flush_allowances(sidecar: Sidecar) -> None:
+    while True:
+        await asyncio.sleep(ALLOWANCE_FLUSH_S)
+        sidecar.allowances.flush()
+
+
 async def _run_maintenance(sidecar: Sidecar) -> None:
     memory = MemoryWatch(sidecar.settings.memory_limit_mb << 20, sidecar.held_bytes)
     while True:
--- a/damaskproxy/sidecar/stopping.py
+++ b/damaskproxy/sidecar/stopping.py
@@ -107,6 +107,7 @@
         await server.close()
     for task in sidecar.connect_tasks:
         task.cancel()
+    sidecar.allowances.close()
     await sidecar.links.close()
     sidecar.pool.close()
     sidecar.store.close()
