Serve calls of begun requests before new requests of their class

A target treated the fourth call of a request like the first call of a new one.

With organisations in the configuration, the origin of a call marks it if the request that causes it runs on the local backend server. In the queue such calls go before new requests of their class, and they may exceed the admission level by one class. Without organisations no call is marked.

--- a/damaskproxy/admission/controller.py
+++ b/damaskproxy/admission/controller.py
@@ -32,6 +32,9 @@
 INTERVAL_SHARE = 1.0
 IDLE_SHARE = 0.5
 CALM_SHARE = 0.5
+BEGUN_MARGIN = ORDINAL_COUNT
+"""Positions by which calls of begun requests may exceed the level. When it falls,
+requests are in progress that were begun at any position of the class that it cuts."""
 
 
 class AdmissionController:
@@ -99,7 +102,9 @@
             return _refusal(RefusalReason.START_BY_PASSED)
         in_flight = self._in_flight
         limit = self._limit.value
-        if position >= self._level.value and in_flight >= limit * IDLE_SHARE:
+        margin = BEGUN_MARGIN if ticket.has_begun else 0
+        is_beyond_level = position - margin >= self._level.value
+        if is_beyond_level and in_flight >= limit * IDLE_SHARE:
             return _refusal(RefusalReason.OVERLOAD_LEVEL, self._retry_after_ms())
         cost = self._costs.get(ticket.route)
         is_long = ticket.long_work_hint or (cost is not None and cost.is_long)
--- a/damaskproxy/admission/queue.py
+++ b/damaskproxy/admission/queue.py
@@ -77,10 +77,14 @@
 
 
 class CallQueue:
-    """Queued calls by priority, and within one by ordinal or newest first."""
+    """Queued calls by priority, and within one by ordinal or newest first.
+
+    Calls of requests that servers have already worked on go before new requests of the
+    same priority. A full queue refuses the last call in this order.
+    """
 
     def __init__(self):
-        self._lanes = [(_Lane(), _Lane()) for _ in Priority]
+        self._lanes = [(_Lane(), _Lane()) for _ in range(2 * len(Priority))]
         self._sequence = 0
         self._short_count = 0
         self._count = 0
@@ -98,7 +102,7 @@
         self._sequence += 1
         call.sequence = self._sequence
         call.is_queued = True
-        self._lanes[call.ticket.priority][call.is_long].push(call)
+        self._lanes[_rank(call.ticket)][call.is_long].push(call)
         self._count += 1
         self._short_count += not call.is_long
 
@@ -107,7 +111,7 @@
         if not call.is_queued:
             return
         call.is_queued = False
-        self._lanes[call.ticket.priority][call.is_long].count -= 1
+        self._lanes[_rank(call.ticket)][call.is_long].count -= 1
         self._count -= 1
         self._short_count -= not call.is_long
 
@@ -140,15 +144,16 @@
 
         Notes
         -----
-        Within the ticket's own priority the number is estimated from the ordinal, so
-        that the cost does not grow with the length of the queue.
+        Among calls of its own rank the number is estimated from the ordinal, so that
+        the cost does not grow with the length of the queue.
         """
         count = 0
-        for short, long in self._lanes[: ticket.priority]:
+        rank = _rank(ticket)
+        for short, long in self._lanes[:rank]:
             count += short.count + long.count
         if newest_first:
             return count
-        short, long = self._lanes[ticket.priority]
+        short, long = self._lanes[rank]
         return count + (short.count + long.count) * (ticket.ordinal + 1) // 128
 
     def calls(self) -> list[QueuedCall]:
@@ -158,6 +163,11 @@
         ]
 
 
+def _rank(ticket: Ticket) -> int:
+    """Return the index of the lanes of a call, which are served in this order."""
+    return 2 * ticket.priority + (not ticket.has_begun)
+
+
 def _sort_key(call: QueuedCall, newest_first: bool) -> tuple[int, int]:
     if newest_first:
         return (0, -call.sequence)
--- a/damaskproxy/admission/tickets.py
+++ b/damaskproxy/admission/tickets.py
@@ -27,6 +27,9 @@
         Latest end and latest start, on the controller's clock.
     long_work_hint : bool
         Whether the caller has marked this call as long-running.
+    has_begun : bool
+        Whether servers have already worked on its root request. Such a call goes before
+        new root requests of its class.
     """
 
     priority: Priority
@@ -35,6 +38,7 @@
     deadline_s: float
     start_by_s: float = math.inf
     long_work_hint: bool = False
+    has_begun: bool = False
 
 
 @dataclass(slots=True, eq=False)
--- a/damaskproxy/forwarding/calls.py
+++ b/damaskproxy/forwarding/calls.py
@@ -101,6 +101,9 @@
         Whether this run, or that of an ancestor, is a retry.
     organisation : str
         Name of the organisation of the root request, empty without one.
+    has_begun : bool
+        Whether servers have already worked on the root request. False unless the
+        configuration has organisations.
     """
 
     service: str
@@ -116,6 +119,7 @@
     deadline_ms: int
     is_repeat: bool = False
     organisation: str = ""
+    has_begun: bool = False
 
 
 class Answer(msgspec.Struct, array_like=True):
--- a/damaskproxy/forwarding/frames.py
+++ b/damaskproxy/forwarding/frames.py
@@ -87,6 +87,8 @@
         Clock of the sender, from which the receiver estimates the network delay.
     organisation : int, bytes or None
         None without an organisation. Senders of earlier releases leave it out.
+    has_begun : bool
+        Senders of earlier releases leave it out.
     """
 
     call_id: int
@@ -105,6 +107,7 @@
     deadline_ms: int
     is_repeat: bool
     organisation: Item | None = None
+    has_begun: bool = False
 
 
 class AnswerFrame(msgspec.Struct, array_like=True, tag=2):
--- a/damaskproxy/forwarding/link.py
+++ b/damaskproxy/forwarding/link.py
@@ -440,6 +440,7 @@
             call.deadline_ms,
             call.is_repeat,
             pack(call.organisation.encode()) if call.organisation else None,
+            call.has_begun,
         )
 
     def _handle(self, frame: Frame) -> None:
@@ -486,6 +487,7 @@
             max(0, frame.deadline_ms - delay_ms),
             frame.is_repeat,
             "" if frame.organisation is None else unpack(frame.organisation).decode(),
+            frame.has_begun,
         )
         self._request_newer_configuration(frame.configuration_version)
         fiber = Fiber(self._run_call(frame, call), self._log_error)
--- a/damaskproxy/forwarding/origin.py
+++ b/damaskproxy/forwarding/origin.py
@@ -272,6 +272,7 @@
             budget_ms,
             parent is not None and parent.is_repeat,
             identity.name,
+            parent is not None and configuration.authentication is not None,
         )
 
     def _identify(
--- a/damaskproxy/forwarding/target.py
+++ b/damaskproxy/forwarding/target.py
@@ -171,6 +171,7 @@
             ordinal_of(root_id_of(call.request_id)),
             call.route,
             deadline_s,
+            has_begun=call.has_begun,
         )
         permit = admission.try_acquire(ticket)
         if permit is None:
--- a/damaskproxy/forwarding/tests/virtual_service.py
+++ b/damaskproxy/forwarding/tests/virtual_service.py
@@ -31,7 +31,7 @@
 from damaskproxy.sidecar.compose import ADMISSION_SETTINGS
 from tools.faults.virtual_time import now_s
 
-__all__ = ["VirtualServer", "VirtualService", "virtual_clock"]
+__all__ = ["VirtualNode", "VirtualServer", "VirtualService", "virtual_clock"]
 
 LINK_S = 0.0015
 SPREAD_S = 0.1
@@ -74,6 +74,9 @@
     headers: list = field(default_factory=list)
     arrivals_s: list = field(default_factory=list)
     address: Address = Address("127.0.0.1", 1)
+    slots: int = SLOTS
+    service: str = "orders"
+    caller_name: str = "stores"
 
     async def exchange(self, request, *, accept, max_idle_share):
         """Run a request."""
@@ -111,7 +114,7 @@
         configuration = CurrentConfiguration()
         self.directory = Directory(lambda record: selector.apply_limit(record))
         selector = self.service.make_selector(self.directory, rng)
-        configuration.apply_if_newer(Configuration(1, ROUTES, {}, ClientLimits(), b""))
+        configuration.apply_if_newer(self.service.configuration)
         poison, stats = (
             PoisonRequestDetector(self.node_id, lambda: None),
             RequestStats(),
@@ -131,7 +134,7 @@
         )
         self.origin = Origin(
             self.node_id,
-            lambda: "stores",
+            lambda: "stores" if self.server is None else self.server.caller_name,
             configuration,
             self.directory,
             selector,
@@ -149,7 +152,9 @@
         if stored is not None:
             self.backend.restore(stored)
         elif self.server is not None:
-            self.backend.report(make_report(slots=SLOTS))
+            self.backend.report(
+                make_report(slots=self.server.slots, service=self.server.service)
+            )
         else:
             self._backend_changed()
 
@@ -179,6 +184,8 @@
         Servers of the service.
     """
 
+    configuration = Configuration(1, ROUTES, {}, ClientLimits(), b"")
+
     def __init__(self, nodes, servers):
         self.records = {}
         self.nodes = {}
