Do not begin requests whose calls would be refused

The admission level of the callees hardly reached the origins. Between reports it rose by a full range per second, and each hop averaged it with weight 0.2: at 9 results a second an origin settled 228 positions above the reported level, and each hop before it added its own error. So origins refused next to nothing, servers worked on requests, and callers got a 500 or a time-out after that. A server that rejected everything at once had no queue and was preferred to servers with one.

With organisations in the configuration, reported levels are used unchanged for 0.5 s and averaged over 0.1 s; the target of a new request compares it with the level of its callees too, before its server starts; and members whose calls fail come after those with full queues.

--- a/damaskproxy/forwarding/calls.py
+++ b/damaskproxy/forwarding/calls.py
@@ -104,6 +104,8 @@
     has_begun : bool
         Whether servers have already worked on the root request. False unless the
         configuration has organisations.
+    is_shared : bool
+        Whether the configuration has organisations, which share scarce servers.
     """
 
     service: str
@@ -120,6 +122,7 @@
     is_repeat: bool = False
     organisation: str = ""
     has_begun: bool = False
+    is_shared: bool = False
 
 
 class Answer(msgspec.Struct, array_like=True):
--- a/damaskproxy/forwarding/frames.py
+++ b/damaskproxy/forwarding/frames.py
@@ -87,8 +87,8 @@
         Clock of the sender, from which the receiver estimates the network delay.
     organisation : int, bytes or None
         None without an organisation. Senders of earlier releases leave it out.
-    has_begun : bool
-        Senders of earlier releases leave it out.
+    has_begun, is_shared : bool
+        Senders of earlier releases leave them out.
     """
 
     call_id: int
@@ -108,6 +108,7 @@
     is_repeat: bool
     organisation: Item | None = None
     has_begun: bool = False
+    is_shared: bool = False
 
 
 class AnswerFrame(msgspec.Struct, array_like=True, tag=2):
--- a/damaskproxy/forwarding/link.py
+++ b/damaskproxy/forwarding/link.py
@@ -441,6 +441,7 @@
             call.is_repeat,
             pack(call.organisation.encode()) if call.organisation else None,
             call.has_begun,
+            call.is_shared,
         )
 
     def _handle(self, frame: Frame) -> None:
@@ -488,6 +489,7 @@
             frame.is_repeat,
             "" if frame.organisation is None else unpack(frame.organisation).decode(),
             frame.has_begun,
+            frame.is_shared,
         )
         self._request_newer_configuration(frame.configuration_version)
         fiber = Fiber(self._run_call(frame, call), self._log_error)
--- a/damaskproxy/forwarding/member_selection.py
+++ b/damaskproxy/forwarding/member_selection.py
@@ -21,6 +21,10 @@
 share of the limit allows the next call."""
 FAILURE_COST = 3.0
 """Cost of a server whose recent calls all failed."""
+AVOIDED_FAILURE_COST = 10.0
+"""The same, but higher than the cost of a server with a full queue of two calls per
+slot. A server that rejects everything at once has no queue and would get the calls that
+the others have no room for."""
 FAILURE_WEIGHT = 0.15
 """Weight of the newest result in the moving average of the failure share."""
 FAILURE_HALF_LIFE_S = 2.0
@@ -106,9 +110,24 @@
         self._stats: dict[str, _MemberStats] = {}
 
     def choose(
-        self, members: Sequence[MemberRecord], excluded: set[str]
+        self,
+        members: Sequence[MemberRecord],
+        excluded: set[str],
+        *,
+        avoids_failing: bool = False,
     ) -> MemberRecord | None:
-        """Return the member with the lowest expected cost, None if none is usable."""
+        """Return the member with the lowest expected cost, None if none is usable.
+
+        Parameters
+        ----------
+        members : sequence of MemberRecord
+            Members of the service.
+        excluded : set of str
+            Ids of the nodes that were tried before.
+        avoids_failing : bool
+            Whether a member whose calls fail comes after those with a full queue.
+        """
+        failure_cost = AVOIDED_FAILURE_COST if avoids_failing else FAILURE_COST
         now_s = boot_s()
         candidates = [(member, self._stats_of(member.node_id)) for member in members]
         latencies_s = [stats.latency_s for _, stats in candidates if stats.latency_s]
@@ -118,6 +137,8 @@
             if stats.retry_at_s > now_s or member.node_id in excluded:
                 continue
             cost = self._cost(member, stats, now_s, fastest_s)
+            if stats.failure_share:
+                cost += failure_cost * stats.failures(now_s)
             if best is None or cost < best_cost:
                 best, best_cost = member, cost
         return best
@@ -234,8 +255,6 @@
     ) -> float:
         utilization = stats.utilization(member.backend.slots, now_s)
         cost = utilization + self._rng.random() * TIE_BREAK_COST
-        if stats.failure_share:
-            cost += FAILURE_COST * stats.failures(now_s)
         is_paced = stats.paced_per_s is not None and now_s < stats.next_call_s
         if utilization >= 1 or is_paced:
             cost += FULL_COST
--- a/damaskproxy/forwarding/origin.py
+++ b/damaskproxy/forwarding/origin.py
@@ -80,6 +80,8 @@
     }
 )
 """Reasons that apply to every call to a member and start its back-off."""
+FINAL_REASONS = frozenset({NotRunReason.QUARANTINED, NotRunReason.OVERLOAD_BELOW})
+"""Reasons that hold at all members of a service."""
 
 
 class Origin:
@@ -273,6 +275,7 @@
             parent is not None and parent.is_repeat,
             identity.name,
             parent is not None and configuration.authentication is not None,
+            configuration.authentication is not None,
         )
 
     def _identify(
@@ -335,7 +338,7 @@
                 attempts.reached += 1
             elif isinstance(result, NotRun):
                 self._record_refusal(attempts, member, result)
-                if result.reason is NotRunReason.QUARANTINED:
+                if result.reason in FINAL_REASONS:
                     break
             else:
                 attempts.reached += 1
@@ -370,7 +373,9 @@
         if attempts.tried and attempts.deadline_s - boot_s() < RETRY_MIN_S:
             return None
         members = self._directory.serving(service)
-        member = self._member_selector.choose(members, attempts.tried)
+        member = self._member_selector.choose(
+            members, attempts.tried, avoids_failing=attempts.call.is_shared
+        )
         if member is None:
             return None
         if attempts.reached and not self._may_retry(attempts.call):
@@ -438,10 +443,11 @@
     def _record_level(self, attempts: Attempts, result: Result | None) -> None:
         if result is None or result.load is None:
             return
+        call, level = attempts.call, result.load.level
         if attempts.parent is not None:
-            self._parent_requests.report(attempts.parent, result.load.level)
+            self._parent_requests.report(attempts.parent, level, is_held=call.is_shared)
         else:
-            self._route_levels.report(attempts.call.route, result.load.level)
+            self._route_levels.report(call.route, level, is_held=call.is_shared)
 
     def _record_refusal(
         self, attempts: Attempts, member: MemberRecord, result: NotRun
--- a/damaskproxy/forwarding/parent_requests.py
+++ b/damaskproxy/forwarding/parent_requests.py
@@ -18,6 +18,14 @@
 REOPEN_S = 1.0
 """Time without reports after which a level is fully open, so that a route without
 traffic is tried again soon."""
+HOLD_S = 0.5
+"""Time for which a held level is used unchanged, in which most nodes get another
+report. A level that rises at once is far too high at a node with few reports: with 9 a
+second it settles 230 positions, almost two classes, above the reported one, and again
+at each hop."""
+REPORT_WINDOW_S = 0.1
+"""Time over which held levels are averaged, the window in which servers change theirs.
+A longer one would delay a lower level at each hop."""
 
 
 def root_id_of(request_id: bytes) -> bytes:
@@ -55,22 +63,33 @@
 class _ReportedLevel:
     """Moving average of the admission level reported with the results of a route."""
 
-    __slots__ = ("_reported_s", "_value")
+    __slots__ = ("_is_held", "_reported_s", "_value")
 
     def __init__(self):
         self._value = float(LEVEL_COUNT)
         self._reported_s = 0.0
+        self._is_held = False
 
     def current_level(self) -> int:
         """Return the level, which rises with the time since the last report."""
         age_s = boot_s() - self._reported_s
-        return min(LEVEL_COUNT, int(self._value + LEVEL_COUNT * age_s / REOPEN_S))
+        if self._is_held:
+            rise = max(0.0, age_s - HOLD_S) / (REOPEN_S - HOLD_S)
+        else:
+            rise = age_s / REOPEN_S
+        return min(LEVEL_COUNT, int(self._value + LEVEL_COUNT * rise))
 
-    def report(self, level: int) -> None:
+    def report(self, level: int, *, is_held: bool = False) -> None:
         """Add a report to the average."""
         average = self.current_level()
-        self._value = average + (level - average) * LEVEL_WEIGHT
-        self._reported_s = boot_s()
+        weight = LEVEL_WEIGHT
+        now_s = boot_s()
+        if is_held:
+            age_s = now_s - self._reported_s
+            weight = min(1.0, max(LEVEL_WEIGHT, age_s / REPORT_WINDOW_S))
+        self._value = average + (level - average) * weight
+        self._reported_s = now_s
+        self._is_held = is_held
 
 
 class RouteLevels:
@@ -79,12 +98,22 @@
     def __init__(self):
         self._levels: dict[str, _ReportedLevel] = {}
 
-    def report(self, route: str, level: int) -> None:
-        """Record the level that came with a result of `route`."""
+    def report(self, route: str, level: int, *, is_held: bool = False) -> None:
+        """Record the level that came with a result of `route`.
+
+        Parameters
+        ----------
+        route : str
+            Name of the route.
+        level : int
+            Level in a load report.
+        is_held : bool
+            Whether the level is used unchanged for `HOLD_S` instead of rising at once.
+        """
         average = self._levels.get(route)
         if average is None:
             average = self._levels[route] = _ReportedLevel()
-        average.report(level)
+        average.report(level, is_held=is_held)
 
     def current_level(self, route: str) -> int:
         """Return the level of `route`, fully open before the first report."""
@@ -113,9 +142,9 @@
         prefix, separator, _ = request_id.rpartition(SEPARATOR)
         return self._parents.get(prefix) if separator else None
 
-    def report(self, parent: Parent, level: int) -> None:
+    def report(self, parent: Parent, level: int, *, is_held: bool = False) -> None:
         """Record the level that came with the result of a call of `parent`."""
-        self._callee_levels.report(parent.route, level)
+        self._callee_levels.report(parent.route, level, is_held=is_held)
 
     def callee_level(self, route: str) -> int:
         """Return the admission level of the callees of requests of `route`."""
--- a/damaskproxy/forwarding/target.py
+++ b/damaskproxy/forwarding/target.py
@@ -6,7 +6,12 @@
 
 import msgspec
 
-from damaskproxy.admission import AdmissionController, Permit, Ticket
+from damaskproxy.admission import (
+    AdmissionController,
+    Permit,
+    Ticket,
+    admission_position,
+)
 from damaskproxy.common import Outcome, Refusal, RefusalReason, ordinal_of
 from damaskproxy.common.clock import boot_s
 from damaskproxy.common.memory import MemoryAccount
@@ -173,6 +178,11 @@
             deadline_s,
             has_begun=call.has_begun,
         )
+        if call.is_shared and not call.has_begun:
+            position = admission_position(ticket.priority, ticket.ordinal)
+            if position >= self._parent_requests.callee_level(call.route):
+                # Refused before the backend server works on it in vain.
+                return self._not_run(call, NotRunReason.OVERLOAD_BELOW)
         permit = admission.try_acquire(ticket)
         if permit is None:
             permit = await admission.acquire(ticket, counted=True)
--- a/damaskproxy/forwarding/tests/test_target.py
+++ b/damaskproxy/forwarding/tests/test_target.py
@@ -24,6 +24,7 @@
     NotRunReason,
     Unknown,
 )
+from damaskproxy.forwarding.parent_requests import Parent
 from damaskproxy.forwarding.tests.builders import NAMES, make_call, make_report
 from damaskproxy.http1 import ConnectFailed, ConnectionPool, ExchangeLost, Response
 from damaskproxy.model import Address
@@ -68,12 +69,13 @@
         self.poison_requests = PoisonRequestDetector("n1", lambda: None)
         self.backend = Backend(1000, lambda: self.target.apply_backend_state())
         settings = AdmissionSettings(adaptive_limit=False, newest_first=False)
+        self.parent_requests = ParentRequests()
         self.target = Target(
             self.backend,
             self.pool,
             NAMES,
             self.poison_requests,
-            ParentRequests(),
+            self.parent_requests,
             lambda slots: AdmissionController(slots, now_s=boot_s, settings=settings),
             RequestStats(),
             lambda service: self.max_connections,
@@ -209,6 +211,22 @@
         self.assertEqual((result.reason, result.reached_backend), (reason, False), name)
         self.assertFalse(self.pool.requests)
 
+    @params(
+        ({"is_shared": True}, NotRun),
+        ({"is_shared": True, "has_begun": True}, Answer),
+        ({"is_shared": True, "priority": 0}, Answer),
+        ({}, Answer),
+    )
+    async def test_new_request_is_not_begun_beyond_the_level_of_its_callees(
+        self, changes, kind
+    ):
+        """Its calls would be refused after the server has worked on it."""
+        parent = Parent("r", 1, False)
+        self.parent_requests.report(parent, 128, is_held=True)
+        result = await self.target.run(make_call(**changes))
+        self.assertIsInstance(result, kind)
+        self.assertEqual(len(self.pool.requests), kind is Answer)
+
     async def test_stopping_node_refuses_calls(self):
         self.target.is_stopping = True
         result = await self.target.run(make_call())
--- a/damaskproxy/forwarding/tests/virtual_graph.py
+++ b/damaskproxy/forwarding/tests/virtual_graph.py
@@ -16,7 +16,14 @@
 from damaskproxy.organisations import Organisation, Organisations
 from tools.faults.virtual_time import now_s
 
-__all__ = ["RATES_PER_S", "Load", "VirtualGraph", "make_graph", "organisations_of"]
+__all__ = [
+    "RATES_PER_S",
+    "REJECTING",
+    "Load",
+    "VirtualGraph",
+    "make_graph",
+    "organisations_of",
+]
 
 RATES_PER_S = {
     "ride-list": 62.4,
@@ -187,7 +194,7 @@
         node_id = load.nodes[number] or self.rng.choice(list(self.nodes))
         node = self.nodes[node_id]
         is_impatient = load.is_impatient and self.rng.random() < IMPATIENT_SHARE
-        for attempt in range(1 + REPEATS if is_impatient else 2):
+        for _ in range(1 + REPEATS if is_impatient else 2):
             response = await self._send_once(node, route, name, deadline_s)
             self.counts[route, response.status] += 1
             wait_s = response.header(b"retry-after")
