Refuse the requests of the organisation that sends most first

With organisations in the configuration, the target of the first call counts requests by organisation and sets the ordinal of the request, so that the level refuses what exceeds an equal rate; at most three times the hash, so that none keeps less than a quarter of the served share of all. Origins see only their own traffic, so a result carries the level translated for its organisation, and a call the number of requests that its origin refused before it.

--- a/damaskproxy/forwarding/calls.py
+++ b/damaskproxy/forwarding/calls.py
@@ -106,6 +106,12 @@
         configuration has organisations.
     is_shared : bool
         Whether the configuration has organisations, which share scarce servers.
+    ordinal : int or None
+        Position of the root request within its class, if the target of its first call
+        has set it; otherwise it is the hash of the root id.
+    earlier_refusals : int
+        Requests of this route and organisation that their origin refused since it sent
+        the last one, so that targets know what the organisation wanted to send.
     """
 
     service: str
@@ -123,6 +129,8 @@
     organisation: str = ""
     has_begun: bool = False
     is_shared: bool = False
+    ordinal: int | None = None
+    earlier_refusals: int = 0
 
 
 class Answer(msgspec.Struct, array_like=True):
--- a/damaskproxy/forwarding/frames.py
+++ b/damaskproxy/forwarding/frames.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from damaskproxy.common.decoding import INTEGER_MAX, Count
+from damaskproxy.common.ids import ORDINAL_COUNT
 from damaskproxy.directory import UNKNOWN_ERA, MemberRecord
 from damaskproxy.forwarding.calls import LoadReport, NotRunReason
 from damaskproxy.forwarding.large_frames import (
@@ -51,6 +52,7 @@
 """Larger than the largest body that the limits of a configuration usually allow."""
 
 Era = Annotated[int, msgspec.Meta(ge=UNKNOWN_ERA, le=INTEGER_MAX)]
+Ordinal = Annotated[int, msgspec.Meta(ge=0, lt=ORDINAL_COUNT)]
 Item = int | bytes
 HeaderItem = int | bytes | tuple[Item, bytes]
 
@@ -88,7 +90,7 @@
     organisation : int, bytes or None
         None without an organisation. Senders of earlier releases leave it out.
     has_begun, is_shared : bool
-        Senders of earlier releases leave them out.
+        Senders of earlier releases leave them out, and the next two.
     """
 
     call_id: int
@@ -109,6 +111,8 @@
     organisation: Item | None = None
     has_begun: bool = False
     is_shared: bool = False
+    ordinal: Ordinal | None = None
+    earlier_refusals: Count = 0
 
 
 class AnswerFrame(msgspec.Struct, array_like=True, tag=2):
--- a/damaskproxy/forwarding/link.py
+++ b/damaskproxy/forwarding/link.py
@@ -442,6 +442,8 @@
             pack(call.organisation.encode()) if call.organisation else None,
             call.has_begun,
             call.is_shared,
+            call.ordinal,
+            call.earlier_refusals,
         )
 
     def _handle(self, frame: Frame) -> None:
@@ -490,6 +492,8 @@
             "" if frame.organisation is None else unpack(frame.organisation).decode(),
             frame.has_begun,
             frame.is_shared,
+            frame.ordinal,
+            frame.earlier_refusals,
         )
         self._request_newer_configuration(frame.configuration_version)
         fiber = Fiber(self._run_call(frame, call), self._log_error)
--- a/damaskproxy/forwarding/origin.py
+++ b/damaskproxy/forwarding/origin.py
@@ -34,6 +34,7 @@
 from damaskproxy.forwarding.headers import HeaderNames
 from damaskproxy.forwarding.member_selection import MemberSelector
 from damaskproxy.forwarding.parent_requests import (
+    LevelKey,
     Parent,
     ParentRequests,
     RouteLevels,
@@ -276,6 +277,7 @@
             identity.name,
             parent is not None and configuration.authentication is not None,
             configuration.authentication is not None,
+            None if parent is None else parent.ordinal,
         )
 
     def _identify(
@@ -398,6 +400,9 @@
             deadline_ms=max(remaining_ms - QUEUE_MARGIN_MS, 1),
             is_repeat=attempts.call.is_repeat or attempts.reached > 0,
         )
+        if call.is_shared and attempts.parent is None:
+            key = _level_key(call)
+            call.earlier_refusals = self._route_levels.take_refusals(key)
         started_s = boot_s()
         result = None
         self._member_selector.started(member)
@@ -438,7 +443,7 @@
         """
         ordinal = ordinal_of(root_id_of(call.request_id))
         position = admission_position(to_priority(call.priority), ordinal)
-        return position >= self._route_levels.current_level(call.route)
+        return self._route_levels.refuses(_level_key(call), position)
 
     def _record_level(self, attempts: Attempts, result: Result | None) -> None:
         if result is None or result.load is None:
@@ -447,7 +452,8 @@
         if attempts.parent is not None:
             self._parent_requests.report(attempts.parent, level, is_held=call.is_shared)
         else:
-            self._route_levels.report(call.route, level, is_held=call.is_shared)
+            key = _level_key(call)
+            self._route_levels.report(key, level, is_held=call.is_shared)
 
     def _record_refusal(
         self, attempts: Attempts, member: MemberRecord, result: NotRun
@@ -507,6 +513,11 @@
         )
 
 
+def _level_key(call: Call) -> LevelKey:
+    """Return the key under which the level of the callees of a request is kept."""
+    return (call.route, call.organisation) if call.is_shared else call.route
+
+
 def _host(request: Request) -> str:
     host = request.header(b"host") or b""
     return host.decode("latin-1").partition(":")[0].lower()
--- a/damaskproxy/forwarding/parent_requests.py
+++ b/damaskproxy/forwarding/parent_requests.py
@@ -10,7 +10,14 @@
 from damaskproxy.common.clock import boot_s
 from damaskproxy.forwarding.calls import Call
 
-__all__ = ["ParentRequests", "Parent", "RouteLevels", "is_call_id", "root_id_of"]
+__all__ = [
+    "LevelKey",
+    "Parent",
+    "ParentRequests",
+    "RouteLevels",
+    "is_call_id",
+    "root_id_of",
+]
 
 SEPARATOR = b"."
 LEVEL_WEIGHT = 0.2
@@ -28,6 +35,13 @@
 A longer one would delay a lower level at each hop."""
 
 
+LEVELS_MAX = 10_000
+"""Levels at one node. Beyond that the oldest is removed, and is open until the next
+report; they take some 2 MB."""
+
+LevelKey = str | tuple[str, str]
+
+
 def root_id_of(request_id: bytes) -> bytes:
     """Return the id of the root request of a call."""
     return request_id.partition(SEPARATOR)[0]
@@ -52,23 +66,27 @@
         Whether this run, or that of an ancestor, is a retry.
     organisation : str
         Name of the organisation of its root request, empty without one.
+    ordinal : int or None
+        Ordinal of its root request, if a target has set it.
     """
 
     route: str
     priority: int
     is_repeat: bool
     organisation: str = ""
+    ordinal: int | None = None
 
 
 class _ReportedLevel:
     """Moving average of the admission level reported with the results of a route."""
 
-    __slots__ = ("_is_held", "_reported_s", "_value")
+    __slots__ = ("_is_held", "_reported_s", "_value", "refusals")
 
     def __init__(self):
         self._value = float(LEVEL_COUNT)
         self._reported_s = 0.0
         self._is_held = False
+        self.refusals = 0
 
     def current_level(self) -> int:
         """Return the level, which rises with the time since the last report."""
@@ -93,18 +111,22 @@
 
 
 class RouteLevels:
-    """Admission levels that were reported with results, by route."""
+    """Admission levels that were reported with results, by route.
+
+    The key of a level is the name of a route, with that of an organisation if these
+    share the servers.
+    """
 
     def __init__(self):
-        self._levels: dict[str, _ReportedLevel] = {}
+        self._levels: dict[LevelKey, _ReportedLevel] = {}
 
-    def report(self, route: str, level: int, *, is_held: bool = False) -> None:
+    def report(self, route: LevelKey, level: int, *, is_held: bool = False) -> None:
         """Record the level that came with a result of `route`.
 
         Parameters
         ----------
-        route : str
-            Name of the route.
+        route : str or tuple of str
+            Key of the level.
         level : int
             Level in a load report.
         is_held : bool
@@ -112,14 +134,32 @@
         """
         average = self._levels.get(route)
         if average is None:
+            if len(self._levels) >= LEVELS_MAX:
+                del self._levels[next(iter(self._levels))]
             average = self._levels[route] = _ReportedLevel()
         average.report(level, is_held=is_held)
 
-    def current_level(self, route: str) -> int:
+    def current_level(self, route: LevelKey) -> int:
         """Return the level of `route`, fully open before the first report."""
         average = self._levels.get(route)
         return LEVEL_COUNT if average is None else average.current_level()
 
+    def refuses(self, route: LevelKey, position: int) -> bool:
+        """Tell whether a new request is beyond the level, and count the refusal."""
+        average = self._levels.get(route)
+        if average is None or position < average.current_level():
+            return False
+        average.refusals += 1
+        return True
+
+    def take_refusals(self, route: LevelKey) -> int:
+        """Return the refusals since the last call of this method."""
+        average = self._levels.get(route)
+        if average is None:
+            return 0
+        taken, average.refusals = average.refusals, 0
+        return taken
+
 
 class ParentRequests:
     """Requests in flight on the local backend server, and levels of their callees."""
@@ -130,7 +170,9 @@
 
     def call_started(self, call: Call) -> None:
         """Record that `call` runs on the backend server."""
-        parent = Parent(call.route, call.priority, call.is_repeat, call.organisation)
+        parent = Parent(
+            call.route, call.priority, call.is_repeat, call.organisation, call.ordinal
+        )
         self._parents[call.request_id] = parent
 
     def call_ended(self, call: Call) -> None:
--- a/damaskproxy/forwarding/target.py
+++ b/damaskproxy/forwarding/target.py
@@ -8,6 +8,7 @@
 
 from damaskproxy.admission import (
     AdmissionController,
+    FairShares,
     Permit,
     Ticket,
     admission_position,
@@ -129,6 +130,7 @@
         self._answer_sizes = answer_sizes or AnswerSizes(
             lambda count: True, BODIES_DEFAULT_BYTES
         )
+        self._fair_shares = FairShares(now_s=boot_s)
         self._admission: AdmissionController | None = None
         self._incarnation: tuple = ()
         self._lost_calls: list[Call] = []
@@ -171,15 +173,16 @@
         if refusal is not None:
             return refusal
         admission = self._admission
+        priority = to_priority(call.priority)
         ticket = Ticket(
-            to_priority(call.priority),
-            ordinal_of(root_id_of(call.request_id)),
+            priority,
+            self._ordinal(call, priority),
             call.route,
             deadline_s,
             has_begun=call.has_begun,
         )
         if call.is_shared and not call.has_begun:
-            position = admission_position(ticket.priority, ticket.ordinal)
+            position = admission_position(priority, ticket.ordinal)
             if position >= self._parent_requests.callee_level(call.route):
                 # Refused before the backend server works on it in vain.
                 return self._not_run(call, NotRunReason.OVERLOAD_BELOW)
@@ -201,24 +204,39 @@
                 elapsed_s=boot_s() - started_s,
                 ok=isinstance(result, Answer),
             )
-        result.load = self._load(call.route)
+        result.load = self._load(call)
         return result
 
+    def _ordinal(self, call: Call, priority: int) -> int:
+        """Return the ordinal of a call, which the calls that it causes inherit."""
+        if call.ordinal is not None:
+            return call.ordinal
+        ordinal = ordinal_of(root_id_of(call.request_id))
+        if call.is_shared and not call.has_begun:
+            ordinal = call.ordinal = self._fair_shares.ordinal(
+                priority, call.organisation, ordinal, call.earlier_refusals
+            )
+        return ordinal
+
     def load(self) -> Load | None:
         """Return the load of the backend server, None before its first report."""
         return None if self._admission is None else self._admission.load()
 
-    def _load(self, route: str) -> LoadReport | None:
-        """Return the load report that is sent with a result."""
+    def _load(self, call: Call) -> LoadReport | None:
+        """Return the load report that is sent with the result of a call."""
         load = self.load()
         if load is None:
             return None
+        level = min(load.level, self._parent_requests.callee_level(call.route))
+        if call.is_shared and not call.has_begun:
+            priority = to_priority(call.priority)
+            level = self._fair_shares.level_by_hash(priority, call.organisation, level)
         return LoadReport(
             load.in_flight,
             load.queued,
             int(load.limit),
             int(load.latency_ms),
-            min(load.level, self._parent_requests.callee_level(route)),
+            level,
         )
 
     def apply_backend_state(self) -> None:
@@ -260,7 +278,7 @@
     def _not_run(
         self, call: Call, reason: NotRunReason, retry_after_ms: int = 0
     ) -> NotRun:
-        return NotRun(reason, False, retry_after_ms, self._load(call.route))
+        return NotRun(reason, False, retry_after_ms, self._load(call))
 
     async def _send(self, call: Call, deadline_s: float) -> Result:
         names = self._names
--- a/damaskproxy/forwarding/tests/test_links.py
+++ b/damaskproxy/forwarding/tests/test_links.py
@@ -121,7 +121,13 @@
         headers = [(b"Host", b"h"), (b"X-Stamp", b"v"), (b"Empty", b"")]
         for number in range(3):
             call = make_call(
-                headers=headers, body=b"b" * number, is_repeat=bool(number)
+                headers=headers,
+                body=b"b" * number,
+                is_repeat=bool(number),
+                has_begun=number > 1,
+                is_shared=bool(number),
+                ordinal=number or None,
+                earlier_refusals=number,
             )
             await self.one.links.run(self.member, call)
             found = self.two.ran[-1]
--- a/damaskproxy/forwarding/tests/test_sharing.py
+++ b/damaskproxy/forwarding/tests/test_sharing.py
@@ -95,6 +95,32 @@
         )
 
 
+class FairShareTests(unittest.TestCase):
+    """Guards against organisations that are refused for the load of another one.
+
+    Without the shares all have the same served share, 0.7 to 0.8.
+    """
+
+    @params(("all nodes", ""), ("one node", "n0"))
+    def test_organisation_that_sends_most_bears_the_cost(self, name, node):
+        small = tuple(f"small-{number}" for number in range(9))
+        load = Load(
+            2.4,
+            names=(*small, "large"),
+            shares=(1.0,) * 9 + (21.0,),
+            nodes=("",) * 9 + (node,),
+        )
+        graph, begin_s, end_s = play(load, pricing_speeds=(0.7, 0.7, 1.0, 0.4))
+        routes = ("ride-list",)
+        served = graph.served_share(begin_s, end_s, routes=routes)
+        large = graph.served_share(begin_s, end_s, routes=routes, name="large")
+        self.assertGreaterEqual(large, 0.25 * served)
+        self.assertLess(large, served)
+        for each in small:
+            share = graph.served_share(begin_s, end_s, routes=routes, name=each)
+            self.assertGreater(share, 0.9, each)
+
+
 class HeldLevelTests(unittest.TestCase):
     """Guards against origins that begin requests beyond the level of the servers."""
 
