Spread the Retry-After of refused requests

Retry-After was at most 0.3 of the route's timeout, so that all callers of routes with a timeout of 1 s were told 0.3 s. Those refused by a wave of requests came back as a wave, and the clients that began in the next two seconds were refused with them.

With organisations in the configuration, it is spread evenly between 0.3 s and half the objective, at most 0.3 of the time that the caller has left.

Retry tokens of the urgent reserve for begun calls and fewer retries of root requests showed no gain and are left out.

--- a/damaskproxy/forwarding/attempts.py
+++ b/damaskproxy/forwarding/attempts.py
@@ -42,6 +42,8 @@
     history : list of tuple
         Node id and result of each attempt, without the large body of an answer; None
         as result of a cancelled one.
+    caller_deadline_s : float
+        End of the time that the caller allows, which may be after `deadline_s`.
     end : str
         Why no retry was made, for the log.
     """
@@ -59,6 +61,7 @@
     end: str = ""
     last_refusal: NotRunReason = NotRunReason.NO_MEMBER
     parent: Parent | None = None
+    caller_deadline_s: float = 0.0
     breaker: RouteBreaker | None = None
 
     def record(self, node_id: str, result: Result | None) -> None:
--- a/damaskproxy/forwarding/origin.py
+++ b/damaskproxy/forwarding/origin.py
@@ -70,6 +70,10 @@
 """Largest Retry-After as a share of the remaining time of a request. Callers wait no
 longer than a third of it."""
 
+RETRY_AFTER_OBJECTIVE_SHARE = 0.5
+"""Largest Retry-After as a share of the latency objective, if organisations share the
+servers. The other half is for the request itself."""
+
 UNAVAILABLE_REASONS = frozenset(
     {
         NotRunReason.NO_BACKEND,
@@ -192,7 +196,8 @@
             return Response(404)
         if request_id is None:
             return Response(400, body=b"the request has no id")
-        budget_ms = self._budget_ms(request, route)
+        caller_budget_ms = self._caller_budget_ms(request, route)
+        budget_ms = min(caller_budget_ms, route.timeout_ms)
         if budget_ms <= 0:
             return self._refuse(request_id, NotRunReason.DEADLINE_PASSED, 0.0)
         parent = self._parent_requests.parent_of(request_id)
@@ -204,6 +209,7 @@
             route,
             boot_s() + budget_ms / MS_PER_S,
             parent=parent,
+            caller_deadline_s=boot_s() + caller_budget_ms / MS_PER_S,
         )
         if self._loop is None:
             self._loop = asyncio.get_running_loop()
@@ -234,11 +240,11 @@
         response.headers.append((self._names.request_id, request_id))
         return response
 
-    def _budget_ms(self, request: Request, route: Route) -> int:
+    def _caller_budget_ms(self, request: Request, route: Route) -> int:
         value = request.header(self._deadline_ms)
         if value is None or not value.isdigit():
             return route.timeout_ms
-        return min(int(value[:12]), route.timeout_ms)
+        return int(value[:12])
 
     def _make_call(
         self,
@@ -475,10 +481,23 @@
         if attempts.may_have_run:
             return Response(502)
         self._stats.request_refused(attempts.last_refusal)
-        remaining_s = attempts.deadline_s - boot_s()
-        max_wait_s = max(remaining_s * RETRY_AFTER_SHARE, 0.0)
-        wait_s = min(max_wait_s, RETRY_AFTER_MIN_S * (1 + self._rng.random()))
-        return self._not_run_response(wait_s)
+        return self._not_run_response(self._retry_after_s(attempts))
+
+    def _retry_after_s(self, attempts: Attempts) -> float:
+        """Return the time after which a refused caller is to come back."""
+        now_s = boot_s()
+        draw = self._rng.random()
+        if not attempts.call.is_shared or attempts.parent is not None:
+            max_wait_s = max((attempts.deadline_s - now_s) * RETRY_AFTER_SHARE, 0.0)
+            return min(max_wait_s, RETRY_AFTER_MIN_S * (1 + draw))
+        objective_s = attempts.route.objective_ms / MS_PER_S
+        remaining_s = max(attempts.caller_deadline_s - now_s, 0.0)
+        max_wait_s = min(
+            remaining_s * RETRY_AFTER_SHARE,
+            max(objective_s * RETRY_AFTER_OBJECTIVE_SHARE, RETRY_AFTER_MIN_S),
+        )
+        min_wait_s = min(max_wait_s, RETRY_AFTER_MIN_S)
+        return min_wait_s + (max_wait_s - min_wait_s) * draw
 
     def _refuse(
         self, request_id: bytes, reason: NotRunReason, wait_s: float
--- a/damaskproxy/forwarding/tests/test_origin.py
+++ b/damaskproxy/forwarding/tests/test_origin.py
@@ -30,6 +30,7 @@
     make_route,
 )
 from damaskproxy.http1 import ClientLimits, Request
+from damaskproxy.organisations import Organisations
 from damaskproxy.retries import RetryBudget, RetrySettings
 
 ROUTES = (
@@ -253,6 +254,38 @@
             self.assertEqual((await self.send()).status, 200)
 
 
+class RetryAfterTests(OriginFixture, unittest.IsolatedAsyncioTestCase):
+    """Guards against refused callers that all come back at the same moment."""
+
+    @params(
+        # Organisations, deadline, expected shortest and longest Retry-After.
+        (True, b"5000", 0.3, 0.75),
+        (True, b"1500", 0.3, 0.45),
+        (True, b"600", 0.18, 0.18),
+        (True, None, 0.3, 0.3),
+        (False, b"5000", 0.3, 0.3),
+    )
+    async def test_times_are_spread_within_the_objective_and_the_deadline(
+        self, has_organisations, deadline, shortest_s, longest_s
+    ):
+        route = make_route(objective_ms=1500, is_public=True)
+        organisations = Organisations() if has_organisations else None
+        self.configuration.apply_if_newer(
+            Configuration(2, (route,), {}, ClientLimits(), b"", organisations)
+        )
+        found = []
+        for number in range(100):
+            self.results = [OVERLOAD] * 3
+            fields = [(b"Host", b"h"), (b"X-Id", b"%d" % number)]
+            if deadline is not None:
+                fields.append((b"X-Deadline", deadline))
+            response = await self.origin.handle(Request(b"GET", b"/a/1", fields))
+            self.assertEqual(response.status, 503)
+            found.append(float(response.header(b"retry-after")))
+        self.assertAlmostEqual(min(found), shortest_s, delta=0.03)
+        self.assertAlmostEqual(max(found), longest_s, delta=0.03)
+
+
 class ParentRequestsTests(unittest.TestCase):
     """Guards against a level of callees that their caller does not report."""
 
