--- a/damaskproxy/forwarding/calls.py
+++ b/damaskproxy/forwarding/calls.py
@@ -102,6 +102,17 @@
         Whether this run, or that of an ancestor, is a retry.
     organisation : str
         Name of the organisation of the root request, empty without one.
+    has_begun : bool
+        Whether servers have already worked on the root request. False unless the
+        configuration has organisations.
+    is_shared : bool
+        Whether the configuration has organisations, which share scarce servers.
+    ordinal : int or None
+        Position of the root request within its class, if the target of its first call
+        has set it; otherwise it is the hash of the root id.
+    earlier_refusals : int
+        Requests of this route and organisation that their origin refused since it sent
+        the last one, so that targets know what the organisation wanted to send.
     """
 
     service: str
@@ -117,6 +128,10 @@
     deadline_ms: int
     is_repeat: bool = False
     organisation: str = ""
+    has_begun: bool = False
+    is_shared: bool = False
+    ordinal: int | None = None
+    earlier_refusals: int = 0
 
 
 class Answer(msgspec.Struct, array_like=True):
--- a/damaskproxy/forwarding/origin.py
+++ b/damaskproxy/forwarding/origin.py
@@ -35,6 +35,7 @@
 from damaskproxy.forwarding.headers import HeaderNames
 from damaskproxy.forwarding.member_selection import MemberSelector
 from damaskproxy.forwarding.parent_requests import (
+    LevelKey,
     Parent,
     ParentRequests,
     RouteLevels,
@@ -75,6 +76,10 @@
 """Largest Retry-After as a share of the remaining time of a request. Callers wait no
 longer than a third of it."""
 
+RETRY_AFTER_OBJECTIVE_SHARE = 0.5
+"""Largest Retry-After as a share of the latency objective, if organisations share the
+servers. The other half is for the request itself."""
+
 UNAVAILABLE_REASONS = frozenset(
     {
         NotRunReason.NO_BACKEND,
@@ -86,6 +91,8 @@
     }
 )
 """Reasons that apply to every call to a member and start its back-off."""
+FINAL_REASONS = frozenset({NotRunReason.QUARANTINED, NotRunReason.OVERLOAD_BELOW})
+"""Reasons that hold at all members of a service."""
 
 
 class Allowances(Protocol):
@@ -212,7 +219,8 @@
             return Response(404)
         if request_id is None:
             return Response(400, body=b"the request has no id")
-        budget_ms = self._budget_ms(request, route)
+        caller_budget_ms = self._caller_budget_ms(request, route)
+        budget_ms = min(caller_budget_ms, route.timeout_ms)
         if budget_ms <= 0:
             return self._refuse(request_id, NotRunReason.DEADLINE_PASSED, 0.0)
         parent = self._parent_requests.parent_of(request_id)
@@ -225,6 +233,7 @@
             boot_s() + budget_ms / MS_PER_S,
             parent=parent,
             organisation=identity.organisation,
+            caller_deadline_s=boot_s() + caller_budget_ms / MS_PER_S,
         )
         if self._loop is None:
             self._loop = asyncio.get_running_loop()
@@ -257,11 +266,11 @@
         response.headers.append((self._names.request_id, request_id))
         return response
 
-    def _budget_ms(self, request: Request, route: Route) -> int:
+    def _caller_budget_ms(self, request: Request, route: Route) -> int:
         value = request.header(self._deadline_ms)
         if value is None or not value.isdigit():
             return route.timeout_ms
-        return min(int(value[:12]), route.timeout_ms)
+        return int(value[:12])
 
     def _make_call(
         self,
@@ -298,6 +307,9 @@
             budget_ms,
             parent is not None and parent.is_repeat,
             identity.name,
+            parent is not None and configuration.authentication is not None,
+            configuration.authentication is not None,
+            None if parent is None else parent.ordinal,
         )
 
     def _identify(
@@ -363,7 +375,7 @@
                 attempts.reached += 1
             elif isinstance(result, NotRun):
                 self._record_refusal(attempts, member, result)
-                if result.reason is NotRunReason.QUARANTINED:
+                if result.reason in FINAL_REASONS:
                     break
             else:
                 attempts.reached += 1
@@ -414,7 +426,9 @@
         if attempts.tried and attempts.deadline_s - boot_s() < RETRY_MIN_S:
             return None
         members = self._directory.serving(service)
-        member = self._member_selector.choose(members, attempts.tried)
+        member = self._member_selector.choose(
+            members, attempts.tried, avoids_failing=attempts.call.is_shared
+        )
         if member is None:
             return None
         if attempts.reached and not self._may_retry(attempts.call):
@@ -437,6 +451,9 @@
             deadline_ms=max(remaining_ms - QUEUE_MARGIN_MS, 1),
             is_repeat=attempts.call.is_repeat or attempts.reached > 0,
         )
+        if call.is_shared and attempts.parent is None:
+            key = _level_key(call)
+            call.earlier_refusals = self._route_levels.take_refusals(key)
         started_s = boot_s()
         result = None
         self._member_selector.started(member)
@@ -477,15 +494,17 @@
         """
         ordinal = ordinal_of(root_id_of(call.request_id))
         position = admission_position(to_priority(call.priority), ordinal)
-        return position >= self._route_levels.current_level(call.route)
+        return self._route_levels.refuses(_level_key(call), position)
 
     def _record_level(self, attempts: Attempts, result: Result | None) -> None:
         if result is None or result.load is None:
             return
+        call, level = attempts.call, result.load.level
         if attempts.parent is not None:
-            self._parent_requests.report(attempts.parent, result.load.level)
+            self._parent_requests.report(attempts.parent, level, is_held=call.is_shared)
         else:
-            self._route_levels.report(attempts.call.route, result.load.level)
+            key = _level_key(call)
+            self._route_levels.report(key, level, is_held=call.is_shared)
 
     def _record_refusal(
         self, attempts: Attempts, member: MemberRecord, result: NotRun
@@ -507,10 +526,23 @@
         if attempts.may_have_run:
             return Response(502)
         self._stats.request_refused(attempts.last_refusal)
-        remaining_s = attempts.deadline_s - boot_s()
-        max_wait_s = max(remaining_s * RETRY_AFTER_SHARE, 0.0)
-        wait_s = min(max_wait_s, RETRY_AFTER_MIN_S * (1 + self._rng.random()))
-        return self._not_run_response(wait_s)
+        return self._not_run_response(self._retry_after_s(attempts))
+
+    def _retry_after_s(self, attempts: Attempts) -> float:
+        """Return the time after which a refused caller is to come back."""
+        now_s = boot_s()
+        draw = self._rng.random()
+        if not attempts.call.is_shared or attempts.parent is not None:
+            max_wait_s = max((attempts.deadline_s - now_s) * RETRY_AFTER_SHARE, 0.0)
+            return min(max_wait_s, RETRY_AFTER_MIN_S * (1 + draw))
+        objective_s = attempts.route.objective_ms / MS_PER_S
+        remaining_s = max(attempts.caller_deadline_s - now_s, 0.0)
+        max_wait_s = min(
+            remaining_s * RETRY_AFTER_SHARE,
+            max(objective_s * RETRY_AFTER_OBJECTIVE_SHARE, RETRY_AFTER_MIN_S),
+        )
+        min_wait_s = min(max_wait_s, RETRY_AFTER_MIN_S)
+        return min_wait_s + (max_wait_s - min_wait_s) * draw
 
     def _refuse(
         self,
@@ -550,6 +582,11 @@
         )
 
 
+def _level_key(call: Call) -> LevelKey:
+    """Return the key under which the level of the callees of a request is kept."""
+    return (call.route, call.organisation) if call.is_shared else call.route
+
+
 def _host(request: Request) -> str:
     host = request.header(b"host") or b""
     return host.decode("latin-1").partition(":")[0].lower()
