Close the connection at a status that is no response

The HTTP client took every status below 200 for an interim response and every other one for a response. After 000, 001, 099, 104 and 199 a caller waited for 504, or got the bytes that followed on the connection as its response, also for an order; without a length, and for 600 and 999, it got the status itself. The health check and the store timed out on 199.

Now a status that is neither 200 to 599 nor 100, 102 or 103 ends the exchange as `ExchangeLost` as soon as it is known, and the connection is closed. 101 was already an error of the parser.

Interim responses without end were limited already; rows without fields and reasons show it.

--- a/damaskproxy/forwarding/tests/test_server_check.py
+++ b/damaskproxy/forwarding/tests/test_server_check.py
@@ -6,7 +6,12 @@
 
 from nose2.tools import params
 
-from damaskproxy.directory import Configuration, CurrentConfiguration, ServiceEntry
+from damaskproxy.directory import (
+    BackendRecord,
+    Configuration,
+    CurrentConfiguration,
+    ServiceEntry,
+)
 from damaskproxy.forwarding import Backend, ServerCheck, backend, server_check
 from damaskproxy.forwarding.tests.builders import NAMES, make_report
 from damaskproxy.http1 import ClientLimits, ConnectionPool, HttpServer, Response
@@ -85,6 +90,9 @@
         ("closes", health(200, b"i-1", (b"Connection", b"close")), False),
         ("late answer to a request", health(200, b"i-1", (b"X-Id", b"id-1")), False),
         ("no answer", None, False),
+        ("status 600", health(600), False),
+        ("status 199", health(199), False),
+        ("status 101", health(101), False),
     )
     async def test_server_is_served_after(self, name, response, is_served):
         self.responses = [response]
@@ -100,6 +108,13 @@
         self.assertIs(self.backend.published_record().state, state)
         self.assertEqual(set(self.targets), {b"/up"})
 
+    @params(600, 999, 199, 104, 101)
+    async def test_status_that_is_no_response_is_noticed_at_once(self, status):
+        self.responses = [health(status)]
+        self.configuration.apply_if_newer(make_configuration())
+        reason = await self.check._failure(BackendRecord("i-1", "orders", 4))
+        self.assertIn(f"status {status} is no response", reason)
+
     async def test_check_is_repeated_until_it_succeeds(self):
         self.responses = [
             health(503),
--- a/damaskproxy/http1/client.py
+++ b/damaskproxy/http1/client.py
@@ -1,8 +1,6 @@
 """HTTP/1.1 client: a pool of connections to one address."""
 
 import asyncio
-import contextlib
-from collections.abc import Callable
 
 import httptools
 
@@ -16,17 +14,20 @@
     format_request_head,
     write_message,
 )
+from damaskproxy.http1.response_checks import (
+    ResponseFilter,
+    accept_any,
+    check_status_line,
+    is_final_status,
+    is_framed,
+    status_fault,
+)
 from damaskproxy.http1.response_limits import ResponseLimits, ResponseMemory
 from damaskproxy.http1.sockets import DeadPeerLimits, enable_dead_peer_detection
 from damaskproxy.model import Address
 
 __all__ = ["ConnectionPool"]
 
-ResponseFilter = Callable[[Response, bool], bool]
-"""Returns whether a response belongs to the request in progress, given whether that is
-the first request on its connection. On later ones a server may repeat an earlier
-response."""
-
 CONNECT_TIMEOUT_S = 1.0
 """A server on the same machine or in the same region accepts within milliseconds; a
 lost SYN is retransmitted only after one second."""
@@ -34,17 +35,10 @@
 """Reuse limit without a Keep-Alive header; common servers close after 5 s."""
 IDLE_MARGIN_S = 1.0
 """A connection is not reused within this time before the server may close it."""
-FRAMING_PER_BODY_BYTE = 8
-"""Bytes of chunk framing per byte of the body; a chunk of one byte takes five."""
 DEFAULT_MEMORY_BYTES = 64 << 20
 """Memory of all responses in progress on a pool that shares no `ResponseMemory`."""
 
 
-def accept_any(response: Response, is_first_request: bool) -> bool:
-    """Accept every response as the response to the request in progress."""
-    return True
-
-
 class ClientConnection(asyncio.Protocol):
     """One connection to a server.
 
@@ -126,11 +120,13 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.is_reusable = False
             self.transport.abort()
-            failure = ExchangeLost(f"the response is malformed: {error}")
+            # The parser hides the error of a callback behind its own.
+            cause = error.__context__ or error
+            failure = ExchangeLost(f"the response is malformed: {cause}")
             if self._field_count > self._limits.max_fields:
                 failure = ResponseTooLarge("the response has too many header fields")
         if failure is None and self._response is None:
-            failure = self._check_limits()
+            failure = self._check_incomplete()
         # Outside the parser callbacks, since the waiting code may send the next request
         # on this connection before `set_result` returns.
         if self._response is not None:
@@ -144,6 +140,10 @@
             raise ValueError("bytes after a complete response")
         self._reset_message()
 
+    def on_status(self, reason):
+        """Check the status as soon as it is known; the reason may come in parts."""
+        check_status_line(self._parser)
+
     def on_header(self, name, value):
         """Collect a header; trailers are discarded."""
         if self._is_head_complete:
@@ -155,8 +155,10 @@
 
     def on_headers_complete(self):
         """Record that the head is complete."""
+        # The parser does not call `on_status` for a status line without a reason.
+        check_status_line(self._parser)
         self._is_head_complete = True
-        if self._is_head_request and self._parser.get_status_code() >= 200:
+        if self._is_head_request and is_final_status(self._parser.get_status_code()):
             self.is_reusable = False
             self._finish_response()
 
@@ -169,7 +171,7 @@
         """Finish the response, unless it is informational or already complete."""
         if self._response is not None:
             return
-        if self._parser.get_status_code() < 200:
+        if not is_final_status(self._parser.get_status_code()):
             self._reset_message()
             return
         if not self._parser.should_keep_alive():
@@ -204,23 +206,19 @@
             self._memory.release(self._abort_largest)
             self.idle_since_s = boot_s()
 
-    def _check_limits(self) -> ResponseTooLarge | None:
-        """Abort the connection if the incomplete response exceeds a limit."""
-        limits = self._limits
-        reason = ""
-        if self._body_bytes > limits.max_body_bytes:
-            reason = f"a body of more than {limits.max_body_bytes} bytes"
-        elif self._received_bytes - self._body_bytes > (
-            limits.max_head_bytes + FRAMING_PER_BODY_BYTE * self._body_bytes
-        ):
-            reason = f"a head of more than {limits.max_head_bytes} bytes"
-        elif self._received_bytes > limits.max_head_bytes + limits.max_body_bytes:
-            reason = "more framing than body"
-        if not reason:
-            return None
-        self.is_reusable = False
-        self.transport.abort()
-        return ResponseTooLarge(f"the response has {reason}")
+    def _check_incomplete(self) -> ExchangeLost | None:
+        """Abort the connection if what was received so far is not acceptable."""
+        failure = None
+        if excess := self._limits.excess(self._received_bytes, self._body_bytes):
+            failure = ResponseTooLarge(f"the response has {excess}")
+        # Three digits are known, although a head without a reason has not ended.
+        status = self._parser.get_status_code()
+        if status >= 100 and (fault := status_fault(status)):
+            failure = ExchangeLost(f"the response is malformed: {fault}")
+        if failure is not None:
+            self.is_reusable = False
+            self.transport.abort()
+        return failure
 
     def _abort_largest(self) -> None:
         """Abort the exchange because all responses together hold too much memory."""
@@ -239,24 +237,13 @@
             self.is_reusable = False
             self._reset_message()
             return
-        self._read_idle_timeout(response)
+        self.idle_max_s = response.keep_alive_timeout_s(self.idle_max_s)
         self._response = response
 
-    def _read_idle_timeout(self, response: Response) -> None:
-        value = response.header(b"keep-alive")
-        if value is None:
-            return
-        for part in value.split(b","):
-            name, _, text = part.strip().partition(b"=")
-            if name.lower() == b"timeout":
-                with contextlib.suppress(ValueError):
-                    self.idle_max_s = float(text)
-
     def _is_complete_at_eof(self, exc) -> bool:
         if exc is not None or not self._has_eof or not self._is_head_complete:
             return False
-        framing = (b"content-length", b"transfer-encoding")
-        return not any(name.lower() in framing for name, _ in self._headers)
+        return not is_framed(self._headers)
 
     def _reset_message(self) -> None:
         self._headers = []
--- a/damaskproxy/http1/messages.py
+++ b/damaskproxy/http1/messages.py
@@ -1,5 +1,6 @@
 """Complete HTTP/1.1 messages and their serialisation."""
 
+import contextlib
 from asyncio import WriteTransport
 from dataclasses import dataclass, field
 
@@ -102,6 +103,16 @@
     body: bytes = b""
     _index: dict[bytes, bytes] | None = field(default=None, repr=False, compare=False)
 
+    def keep_alive_timeout_s(self, default_s: float) -> float:
+        """Return the time-out of the Keep-Alive header, or the default without one."""
+        timeout_s = default_s
+        for part in (self.header(b"keep-alive") or b"").split(b","):
+            name, _, text = part.strip().partition(b"=")
+            if name.lower() == b"timeout":
+                with contextlib.suppress(ValueError):
+                    timeout_s = float(text)
+        return timeout_s
+
 
 def end_to_end(headers: Headers, without: frozenset[bytes] = frozenset()) -> Headers:
     """Return the end-to-end headers among `headers`.
--- a/damaskproxy/http1/response_limits.py
+++ b/damaskproxy/http1/response_limits.py
@@ -6,6 +6,9 @@
 
 __all__ = ["ResponseLimits", "ResponseMemory"]
 
+FRAMING_PER_BODY_BYTE = 8
+"""Bytes of chunk framing per byte of the body; a chunk of one byte takes five."""
+
 
 @dataclass(frozen=True, slots=True)
 class ResponseLimits:
@@ -28,6 +31,26 @@
     max_fields: int = 256
     max_body_bytes: int = 16 << 20
 
+    def excess(self, received_bytes: int, body_bytes: int) -> str:
+        """Return what an exchange has too much of, empty if it is within the limits.
+
+        Parameters
+        ----------
+        received_bytes : int
+            All bytes that the exchange has received.
+        body_bytes : int
+            Bytes of bodies among them.
+        """
+        if body_bytes > self.max_body_bytes:
+            return f"a body of more than {self.max_body_bytes} bytes"
+        if received_bytes - body_bytes > (
+            self.max_head_bytes + FRAMING_PER_BODY_BYTE * body_bytes
+        ):
+            return f"a head of more than {self.max_head_bytes} bytes"
+        if received_bytes > self.max_head_bytes + self.max_body_bytes:
+            return "more framing than body"
+        return ""
+
 
 class ResponseMemory:
     """Limit on the memory of all responses in progress together.
--- a/damaskproxy/http1/tests/test_response_limits.py
+++ b/damaskproxy/http1/tests/test_response_limits.py
@@ -24,6 +24,8 @@
     "field name": (HEAD, b"x" * PART),
     "status line": (b"HTTP/1.1 200 ", b"O" * PART),
     "interim responses": (b"", b"HTTP/1.1 103 Hints\r\nA: b\r\n\r\n" * (PART // 27)),
+    "interim responses without fields": (b"", b"HTTP/1.1 100 \r\n\r\n" * (PART // 17)),
+    "interim responses without a reason": (b"", b"HTTP/1.1 102\r\n\r\n" * (PART // 16)),
     "body": (HEAD + b"\r\n", b"x" * PART),
     "body with a length": (HEAD + b"Content-Length: 99999999999\r\n\r\n", b"x" * PART),
     "chunks": (CHUNKED, b"1\r\nx\r\n" * (PART // 6)),
--- a/damaskproxy/platform/tests/test_store.py
+++ b/damaskproxy/platform/tests/test_store.py
@@ -1,5 +1,6 @@
 """Detection of an unresponsive store by its client."""
 
+import asyncio
 import socket
 import unittest
 from contextlib import closing
@@ -210,6 +211,20 @@
             with self.assertRaises(StoreError):
                 await call
 
+    @params(600, 999, 199, 104, 101)
+    async def test_status_that_is_no_response_is_an_error_at_once(self, status):
+        body = b'{"rows":[],"ver":1}'
+        self.responses = [Response(status, [], body)]
+        for call in (
+            self.store.read("op"),
+            self.store.changes("op", 1, 30_000),
+            self.store.write("op", [RowWrite("k", 0, b"x")]),
+        ):
+            async with asyncio.timeout(READ_TIMEOUT_S / 2):
+                with self.assertRaises(StoreError):
+                    await call
+        self.assertFalse(self.store._pool._idle)
+
     async def test_feed_waits_no_longer_than_the_store_allows(self):
         self.responses = [b'{"rows":[],"ver":1}']
         await self.store.changes("op", 1, 3_000_000)
--- /dev/null
+++ b/damaskproxy/sidecar/tests/test_statuses.py
@@ -0,0 +1,166 @@
+"""Requests through two nodes while a backend server sends what is no response."""
+
+import asyncio
+import contextlib
+import time
+import unittest
+from collections import Counter
+
+from nose2.tools import params
+
+from damaskproxy.sidecar.tests.mesh import MeshTestCase
+
+STATUSES = (
+    b"000",
+    b"001",
+    b"099",
+    b"101",
+    b"104",
+    b"199",
+    b"600",
+    b"999",
+    b"20",
+    b"2000",
+    b"2x0",
+    b"+20",
+    b"",
+)
+ID = b"X-Damaskproxy-Request-Id"
+STAMPED = b"X-Damaskproxy-Server-Stamp: s\r\n"
+HEALTHY = (
+    b"HTTP/1.1 200 OK\r\nX-Damaskproxy-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n"
+)
+EARN_REQUESTS = 12
+"""Requests that earn a token of the retry budget; the ratio is 0.2 by default."""
+AT_ONCE_S = 0.5
+"""Time within which a request ends; the time-out of the routes is 0.8 s."""
+
+
+class ScriptedServer:
+    """Backend server that sends some responses as given.
+
+    Attributes
+    ----------
+    script : list of bytes
+        What it sends for the next requests, with a place for the id of the request;
+        servers may share it. Afterwards responses are proper.
+    runs : Counter
+        Number of executions by request id.
+    closed_count : int
+        Connections that the node closed after a scripted response.
+    """
+
+    def __init__(self, instance_id: str, script: list[bytes]):
+        self._instance_id = instance_id.encode()
+        self.script = script
+        self.runs: Counter[bytes] = Counter()
+        self.closed_count = 0
+
+    async def open(self) -> str:
+        """Listen on a loopback port and return the address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return "{}:{}".format(*self._server.sockets[0].getsockname()[:2])
+
+    async def close(self) -> None:
+        """Stop listening."""
+        self._server.close()
+        await self._server.wait_closed()
+
+    async def _serve(self, reader, writer):
+        with contextlib.closing(writer), contextlib.suppress(ConnectionError):
+            while True:
+                try:
+                    head = await reader.readuntil(b"\r\n\r\n")
+                except asyncio.IncompleteReadError:
+                    return
+                if head.startswith(b"GET /health"):
+                    writer.write(HEALTHY % self._instance_id)
+                    continue
+                request_id = head.partition(ID + b": ")[2].partition(b"\r\n")[0]
+                self.runs[request_id] += 1
+                fields = b"%s: %s\r\n%s" % (ID, request_id, STAMPED)
+                length = b"Content-Length: 6\r\n"
+                proper = b"HTTP/1.1 200 OK\r\n%s%s\r\n" % (fields, length)
+                is_head = head.startswith(b"HEAD")
+                if self.script:
+                    body = b"forged"
+                    writer.write(self.script.pop() % fields + proper + body)
+                    with contextlib.suppress(ConnectionError):
+                        await reader.read()
+                    self.closed_count += 1
+                    return
+                writer.write(proper + (b"" if is_head else b"proper"))
+
+
+class StatusTests(MeshTestCase, unittest.IsolatedAsyncioTestCase):
+    """Guards against requests that wait for, or get, what is no response."""
+
+    async def start_servers(self, caller_service):
+        """Start a node that receives requests, and two servers of orders."""
+        self.script = []
+        self.servers = []
+        names = ("n1", "n2") if caller_service == "orders" else ("n2", "n3")
+        for number, name in enumerate(names):
+            server = ScriptedServer(f"i-{name}", self.script)
+            address = await server.open()
+            self.addAsyncCleanup(server.close)
+            self.servers.append(server)
+            data_centre = "ab"[number]
+            await self.start(name, data_centre=data_centre, backend_address=address)
+        if caller_service != "orders":
+            await self.start("n1", caller_service)
+        await self.until_known(2)
+        return next(m for m in self.members if m.name == "n1")
+
+    async def check(self, caller, method, target, raw, expected):
+        """Send a request while a server sends `raw` once; check status and runs."""
+        request_id = b"id-%d" % time.monotonic_ns()
+        closed_count = sum(s.closed_count for s in self.servers)
+        self.script.append(raw)
+        start_s = time.monotonic()
+        answer = await caller.call(target, method=method, request_id=request_id)
+        took_s = time.monotonic() - start_s
+        runs = sum(s.runs[request_id] for s in self.servers)
+        self.assertEqual((answer.status, runs), expected, (method, raw))
+        self.assertNotIn(b"forged", answer.body)
+        self.assertIsNone(answer.header(b"retry-after"))
+        self.assertLess(took_s, AT_ONCE_S, (method, raw))
+        await self.until(
+            lambda: sum(s.closed_count for s in self.servers) > closed_count
+        )
+
+    @params("orders", "stores")
+    async def test_idempotent_request_runs_on_another_server(self, caller_service):
+        caller = await self.start_servers(caller_service)
+        for status in STATUSES:
+            # Without a length it lasts until the end of the connection.
+            raw = b"HTTP/1.1 %s OK\r\n" % status + b"%s\r\n"
+            for method in (b"GET", b"HEAD", b"POST"):
+                await self.check(caller, method, b"/read/1", raw, (200, 2))
+                for _ in range(EARN_REQUESTS):
+                    await caller.call(b"/read/1")
+
+    @params("orders", "stores")
+    async def test_order_is_not_sent_again(self, caller_service):
+        caller = await self.start_servers(caller_service)
+        for status in STATUSES:
+            raw = b"HTTP/1.1 %s OK\r\nContent-Length: 0\r\n" % status + b"%s\r\n"
+            await self.check(caller, b"POST", b"/write/1", raw, (502, 1))
+
+    async def test_attempts_are_limited(self):
+        caller = await self.start_servers("orders")
+        self.script += [b"HTTP/1.1 600 OK\r\n%s\r\n"] * 2
+        answer = await caller.call(b"/read/1")
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(sum(s.runs[b"1"] for s in self.servers), 2)
+
+    async def test_retry_needs_a_token_of_the_budget(self):
+        caller = await self.start_servers("orders")
+        statuses = Counter()
+        for number in range(60):
+            self.script[:] = [b"HTTP/1.1 600 OK\r\n%s\r\n"]
+            answer = await caller.call(b"/read/1", request_id=b"%d" % number)
+            statuses[answer.status] += 1
+        self.assertEqual(set(statuses), {200, 502})
+        runs = sum(sum(s.runs.values()) for s in self.servers)
+        self.assertEqual(runs, 60 + statuses[200])
