Reject responses whose version or transfer coding is not understood

The parser accepts HTTP/0.9, HTTP/2.0, RTSP/1.0 and ICE/1.0 status lines, and removes only the chunked coding of a response with other codings or with chunked twice. A caller got these as responses; with `Transfer-Encoding: gzip, chunked` it got the compressed body without the header that says so.

They are now no responses, like malformed ones: the result is unknown.

damaskproxy.http1.tests.test_statuses, FramingTests: before, 6 of 27 rows failed (HTTP/0.9, HTTP/2.0, RTSP, ICE, "gzip, chunked", chunked twice); now none. The other rows held before: repeated lengths, a length with a transfer coding and a body shorter than its length are no responses; an Upgrade header beside a final status changes nothing. Over two nodes, 3 of 4 rows failed with the foreign response; now the idempotent request runs on another server.

--- a/damaskproxy/http1/client.py
+++ b/damaskproxy/http1/client.py
@@ -15,11 +15,14 @@
     write_message,
 )
 from damaskproxy.http1.response_checks import (
+    TRANSFER_ENCODING,
     ResponseFilter,
     accept_any,
     check_status_line,
+    check_transfer_coding,
     is_final_status,
     is_framed,
+    is_other_protocol,
     status_fault,
 )
 from damaskproxy.http1.response_limits import ResponseLimits, ResponseMemory
@@ -111,11 +114,14 @@
             self.transport.abort()
             return
         failure = None
+        is_first_part = not self._received_bytes
         self._received_bytes += len(data)
         self._memory.add(self._abort_largest, len(data))
         if waiter.is_done:
             return
         try:
+            if is_first_part and is_other_protocol(data):
+                raise httptools.HttpParserError("another protocol")
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.is_reusable = False
@@ -151,6 +157,8 @@
         self._field_count += 1
         if self._field_count > self._limits.max_fields:
             raise ValueError("too many header fields")
+        if len(name) == len(TRANSFER_ENCODING) and name.lower() == TRANSFER_ENCODING:
+            check_transfer_coding(value, self._headers)
         self._headers.append((name, value))
 
     def on_headers_complete(self):
--- a/damaskproxy/http1/response_checks.py
+++ b/damaskproxy/http1/response_checks.py
@@ -7,11 +7,14 @@
 from damaskproxy.http1.messages import Headers, Response
 
 __all__ = [
+    "TRANSFER_ENCODING",
     "ResponseFilter",
     "accept_any",
     "check_status_line",
+    "check_transfer_coding",
     "is_final_status",
     "is_framed",
+    "is_other_protocol",
     "status_fault",
 ]
 
@@ -25,6 +28,9 @@
 INTERIM_STATUSES = frozenset({100, 102, 103})
 """Statuses that may precede a response although the request did not ask for them. 101
 answers only a request to upgrade, which no client of this package sends."""
+VERSIONS = frozenset({"1.0", "1.1"})
+OTHER_PROTOCOLS = b"RI"
+"""First bytes of RTSP and ICE, whose status lines the parser accepts as well."""
 TRANSFER_ENCODING = b"transfer-encoding"
 FRAMING = frozenset({b"content-length", TRANSFER_ENCODING})
 
@@ -47,7 +53,7 @@
 
 
 def check_status_line(parser: httptools.HttpResponseParser) -> None:
-    """Raise `ValueError` if the status is not that of a response.
+    """Raise `ValueError` if the status line is not that of an HTTP/1 response.
 
     Notes
     -----
@@ -55,8 +61,27 @@
     """
     if fault := status_fault(parser.get_status_code()):
         raise ValueError(fault)
+    version = parser.get_http_version()
+    if version not in VERSIONS:
+        raise ValueError(f"HTTP version {version}")
+
+
+def check_transfer_coding(value: bytes, headers_before: Headers) -> None:
+    """Raise `ValueError` for codings that the parser does not decode.
+
+    It decodes chunked, once. Any other coding would be left in the body, while the
+    header that names it is not passed on.
+    """
+    is_repeated = any(name.lower() == TRANSFER_ENCODING for name, _ in headers_before)
+    if is_repeated or value.strip().lower() != b"chunked":
+        raise ValueError("unknown transfer coding")
 
 
 def is_framed(headers: Headers) -> bool:
     """Tell whether a body ends before the connection does."""
     return any(name.lower() in FRAMING for name, _ in headers)
+
+
+def is_other_protocol(data: bytes) -> bool:
+    """Tell whether the first bytes of a response are of another protocol."""
+    return data[0] in OTHER_PROTOCOLS
--- a/damaskproxy/http1/tests/test_statuses.py
+++ b/damaskproxy/http1/tests/test_statuses.py
@@ -1,4 +1,4 @@
-"""Statuses of a server in trouble that are no response.
+"""Statuses and framing of a server in trouble that are no response.
 
 The table of what the caller gets, for each status::
 
@@ -134,9 +134,9 @@
         pool.close()
 
 
-def status_head(status, body_name, reason=b" OK"):
+def status_head(status, body_name, reason=b" OK", version=b"HTTP/1.1"):
     """Return the head of a response."""
-    return b"HTTP/1.1 %s%s\r\n%s\r\n" % (status, reason, BODIES[body_name][0])
+    return b"%s %s%s\r\n%s\r\n" % (version, status, reason, BODIES[body_name][0])
 
 
 class StatusTestCase(unittest.IsolatedAsyncioTestCase):
@@ -215,6 +215,60 @@
             self.assertEqual(await self.observe(head, b"ok"), LOST, status)
 
 
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKS = b"2\r\nok\r\n0\r\n\r\n"
+LENGTH, CODING = b"Content-Length: %d\r\n", b"Transfer-Encoding: %s\r\n"
+
+
+class FramingTests(StatusTestCase):
+    """Guards against other bytes of a server in trouble that are taken for a response.
+
+    A body without a proof of its end may be cut or belong to another response.
+    """
+
+    @params(
+        ("HTTP/0.9", b"HTTP/0.9 200 OK\r\nContent-Length: 2\r\n\r\nok", LOST),
+        ("HTTP/1.0", b"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", "200 ok"),
+        ("HTTP/1.2", b"HTTP/1.2 200 OK\r\nContent-Length: 2\r\n\r\nok", LOST),
+        ("HTTP/2.0", b"HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nok", LOST),
+        ("HTTP/2", b"HTTP/2 200 OK\r\nContent-Length: 2\r\n\r\nok", LOST),
+        ("RTSP", b"RTSP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", LOST),
+        ("ICE", b"ICE/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", LOST),
+        ("two lengths", OK + LENGTH % 2 + LENGTH % 3 + b"\r\nok", LOST),
+        ("equal lengths", OK + LENGTH % 2 + LENGTH % 2 + b"\r\nok", LOST),
+        ("list of lengths", OK + b"Content-Length: 2, 3\r\n\r\nok", LOST),
+        ("length below 0", OK + LENGTH % -2 + b"\r\nok", LOST),
+        ("coding, length", OK + CODING % b"chunked" + LENGTH % 2 + b"\r\nok", LOST),
+        ("length, coding", OK + LENGTH % 2 + CODING % b"chunked" + b"\r\nok", LOST),
+        ("length, gzip", OK + LENGTH % 2 + CODING % b"gzip" + b"\r\nok", LOST),
+        ("gzip", OK + CODING % b"gzip" + b"\r\nok", LOST),
+        ("gzip, chunked", OK + CODING % b"gzip, chunked" + b"\r\n" + CHUNKS, LOST),
+        ("chunked, gzip", OK + CODING % b"chunked, gzip" + b"\r\n" + CHUNKS, LOST),
+        ("chunked twice", OK + CODING % b"chunked" * 2 + b"\r\n" + CHUNKS, LOST),
+        ("Chunked", OK + CODING % b"Chunked " + b"\r\n" + CHUNKS, "200 ok"),
+        ("short body", OK + LENGTH % 9 + b"\r\nok", LOST),
+        ("short chunk", OK + CODING % b"chunked" + b"\r\n9\r\nok", LOST),
+        ("no last chunk", OK + CODING % b"chunked" + b"\r\n2\r\nok\r\n", LOST),
+        ("upgrade", OK + b"Upgrade: h2c\r\n" + LENGTH % 2 + b"\r\nok", "200 ok"),
+        (
+            "upgrade of the connection",
+            OK + b"Connection: Upgrade\r\nUpgrade: h2c\r\n" + LENGTH % 2 + b"\r\nok",
+            "200 ok",
+        ),
+        (
+            "upgrade until the end",
+            OK + b"Connection: Upgrade\r\nUpgrade: h2c\r\n\r\nok",
+            "200 ok",
+        ),
+        ("bytes beyond the length", OK + LENGTH % 1 + b"\r\nok", "200 o"),
+        ("204 with a body", OK.replace(b"200", b"204") + b"\r\nok", "204"),
+    )
+    async def test_caller_gets(self, name, response, expected):
+        for is_later in (False, True):
+            found = await self.observe(response, b"", is_later=is_later, rest=b"")
+            self.assertEqual(found, expected, name)
+
+
 async def print_table() -> None:
     """Print what the caller gets for each status, with the number of cases."""
     server = TroubledServer()
--- a/damaskproxy/sidecar/tests/test_statuses.py
+++ b/damaskproxy/sidecar/tests/test_statuses.py
@@ -25,6 +25,12 @@
     b"+20",
     b"",
 )
+OTHER_FAULTS = (
+    b"HTTP/2.0 200 OK\r\nContent-Length: 2\r\n%s\r\nok",
+    b"HTTP/0.9 200 OK\r\nContent-Length: 2\r\n%s\r\nok",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n%s\r\nok",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n%s\r\n0\r\n\r\n",
+)
 ID = b"X-Damaskproxy-Request-Id"
 STAMPED = b"X-Damaskproxy-Server-Stamp: s\r\n"
 HEALTHY = (
@@ -147,6 +153,12 @@
             raw = b"HTTP/1.1 %s OK\r\nContent-Length: 0\r\n" % status + b"%s\r\n"
             await self.check(caller, b"POST", b"/write/1", raw, (502, 1))
 
+    @params(*OTHER_FAULTS)
+    async def test_framing_that_is_no_answer(self, raw):
+        caller = await self.start_servers("orders")
+        await self.check(caller, b"GET", b"/read/1", raw, (200, 2))
+        await self.check(caller, b"POST", b"/write/1", raw, (502, 1))
+
     async def test_attempts_are_limited(self):
         caller = await self.start_servers("orders")
         self.script += [b"HTTP/1.1 600 OK\r\n%s\r\n"] * 2
