Treat a status of a peer that is no response as an unknown result

A node passed on whatever status a peer sent in an `AnswerFrame`, from 0 to 65,535, and a client received it. A peer of an earlier release sends 600 when its backend server did.

The call now ends as unknown, so that an idempotent request may run elsewhere. The link stays open, since its other calls have nothing to do with it.

damaskproxy.forwarding.tests.test_links: before, all 10 rows of the new test failed with the status as the result; now none.

--- a/damaskproxy/forwarding/link.py
+++ b/damaskproxy/forwarding/link.py
@@ -40,6 +40,7 @@
 )
 from damaskproxy.forwarding.large_frames import LARGE_BYTES, FrameError, LinkMemory
 from damaskproxy.forwarding.string_table import StringTable
+from damaskproxy.http1 import is_final_status
 from damaskproxy.http1.sockets import (
     enable_dead_peer_detection,
     unacknowledged_bytes,
@@ -549,6 +550,11 @@
             if frame.body is DISCARDED_BODY:
                 detail = "the answer does not fit in the memory of this node"
                 result = Unknown(detail, frame.load)
+            elif not is_final_status(frame.status):
+                # Not an invalid frame, since a node of an earlier release passes on
+                # what its backend server sent, and other calls share the connection.
+                detail = f"the node sent status {frame.status}, which is no response"
+                result = Unknown(detail, frame.load)
             self._request_newer_configuration(frame.configuration_version)
         elif isinstance(frame, NotRunFrame):
             result = NotRun(
--- a/damaskproxy/forwarding/tests/test_links.py
+++ b/damaskproxy/forwarding/tests/test_links.py
@@ -25,6 +25,7 @@
 )
 from damaskproxy.forwarding.frame_decoder import FrameDecoder
 from damaskproxy.forwarding.frames import GoodbyeFrame, RunFrame, encode_frame
+from damaskproxy.forwarding.large_frames import LARGE_BYTES
 from damaskproxy.forwarding.link import PING_AFTER_S, PONG_TIMEOUT_S
 from damaskproxy.forwarding.links import CONNECT_TIMEOUT_S, IDLE_CLOSE_S
 from damaskproxy.forwarding.tests.builders import make_call, make_member
@@ -129,6 +130,29 @@
             found.deadline_ms = call.deadline_ms
             self.assertEqual(found, call)
 
+    @params(0, 1, 99, 100, 101, 103, 199, 600, 999, 65_535)
+    async def test_status_that_is_no_response_is_an_unknown_result(self, status):
+        other = asyncio.create_task(self.one.links.run(self.member, make_call()))
+        await self.until(lambda: self.two.waiters)
+        for body in (b"", b"body", b"x" * (LARGE_BYTES + 1)):
+            headers = [(b"A", b"b"), (b"X-Stamp", b"s")]
+            self.two.results = [Answer(status, headers, body, LOAD), RESULTS[0]]
+            found = await self.one.links.run(self.member, make_call())
+            self.assertIsInstance(found, Unknown)
+            self.assertIn(f"status {status}", found.detail)
+            self.assertEqual(found.load, LOAD)
+            # The tables of headers are still in step.
+            found = await self.one.links.run(self.member, make_call())
+            self.assertEqual(found, RESULTS[0])
+        self.two.waiters[0].set_result(RESULTS[1])
+        self.assertEqual(await other, RESULTS[1])
+
+    @params(200, 204, 304, 421, 503, 599)
+    async def test_final_status_arrives(self, status):
+        self.two.results = [Answer(status, [], b"")]
+        found = await self.one.links.run(self.member, make_call())
+        self.assertEqual(found, Answer(status, [], b""))
+
     async def test_out_of_order_results_reach_their_calls(self):
         tasks = [
             asyncio.create_task(
