Check statuses in the clients that use aiohttp

The client of the backend server in `damaskproxy.routing` skipped statuses below 200, passed on 600 and 999, and waited for a response after 101, 104 and 199. A peer's status reached the caller unchecked. The table client reported a commit that got 600 with `"applied": false` as not applied and a read that got 001 as rejected, and used the connection again. `damask-move watch` took the body of any status for a node status, so that it could report a section as in force.

Such a status is now an unknown result, or no status of the node, and the connection is closed.

Not mended: aiohttp itself skips 104 to 199 in the table client, so that a commit is unknown only at its time-out, and a response behind such a status is taken.

--- a/damaskproxy/http1/__init__.py
+++ b/damaskproxy/http1/__init__.py
@@ -13,7 +13,7 @@
     Response,
     end_to_end,
 )
-from damaskproxy.http1.response_checks import is_final_status
+from damaskproxy.http1.response_checks import is_final_status, status_fault
 from damaskproxy.http1.response_limits import ResponseLimits, ResponseMemory
 from damaskproxy.http1.server import ClientLimits, HttpServer
 from damaskproxy.http1.sockets import DeadPeerLimits
@@ -34,4 +34,5 @@
     "DeadPeerLimits",
     "end_to_end",
     "is_final_status",
+    "status_fault",
 ]
--- a/damaskproxy/move/tests/test_cli.py
+++ b/damaskproxy/move/tests/test_cli.py
@@ -143,3 +143,16 @@
             result = await self.run_line(f"watch --wait {nodes}")
         self.assertEqual(result.exit_code, 0)
         self.assertIn("no status from other members: 1\n", result.output)
+
+    @params(503, 600)
+    async def test_status_object_of_another_status_is_no_response(self, status):
+        async def respond(_request):
+            return web.json_response(NODES[0], status=status)
+
+        site = web.Application()
+        site.router.add_get("/status", respond)
+        runner, address = await start_site(site, "127.0.0.1", 0)
+        self.addAsyncCleanup(runner.cleanup)
+        result = await self.run_line(f"watch horns --once --node http://{address}")
+        self.assertEqual(result.exit_code, 8)
+        self.assertIn("no response: http://", result.output)
--- a/damaskproxy/move/watch.py
+++ b/damaskproxy/move/watch.py
@@ -176,6 +176,8 @@
     """Return the status at `url`, or None if the request failed."""
     try:
         async with session.get(url) as response:
+            if response.status != 200:
+                return None
             body = await response.read()
             return msgspec.json.decode(body, type=NodeStatus)
     except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError):
--- a/damaskproxy/routing/backend_connection.py
+++ b/damaskproxy/routing/backend_connection.py
@@ -9,13 +9,20 @@
 from dataclasses import dataclass
 
 from aiohttp.base_protocol import BaseProtocol
-from aiohttp.http import HttpProcessingError, HttpResponseParser
-
+from aiohttp.http import (
+    HttpProcessingError,
+    HttpResponseParser,
+    HttpVersion10,
+    HttpVersion11,
+    RawResponseMessage,
+)
+
+from damaskproxy.http1 import is_final_status, status_fault
 from damaskproxy.routing.errors import BackendError
 
 __all__ = ["BackendConnection", "RawResponse"]
 
-FIRST_FINAL_STATUS = 200
+VERSIONS = (HttpVersion10, HttpVersion11)
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,7 +134,10 @@
             self._fail(f"malformed answer: {error.message}", disconnected=False)
             return
         for message, payload in messages:
-            if message.code < FIRST_FINAL_STATUS:
+            if self._head is None and (fault := message_fault(message)):
+                self._fail(f"malformed answer: {fault}", disconnected=False)
+                return
+            if not is_final_status(message.code):
                 continue
             if self._head is None:
                 self._head, self._payload = message, payload
@@ -184,3 +194,12 @@
             self._response.set_exception(
                 BackendError(text, maybe_started=True, disconnected=disconnected)
             )
+
+
+def message_fault(message: RawResponseMessage) -> str:
+    """Return why the head of a message is not that of a response, empty if it is."""
+    if fault := status_fault(message.code):
+        return fault
+    if message.version not in VERSIONS:
+        return "HTTP version {}.{}".format(*message.version)
+    return ""
--- a/damaskproxy/routing/peer_stream.py
+++ b/damaskproxy/routing/peer_stream.py
@@ -6,7 +6,9 @@
 
 import aiohttp
 
+from damaskproxy.common import Outcome, RefusalReason
 from damaskproxy.events import log_event
+from damaskproxy.http1 import is_final_status
 from damaskproxy.model import Member
 from damaskproxy.routing import events
 from damaskproxy.routing.errors import PeerError
@@ -198,6 +200,14 @@
         if future is None or future.done():
             self._on_late_answer()
             return
+        if isinstance(frame, Answer) and not is_final_status(frame.status):
+            frame = Refused(
+                frame.attempt_id,
+                RefusalReason.BACKEND_ERROR,
+                Outcome.UNKNOWN,
+                detail=f"the node sent status {frame.status}, which is no response",
+                load=frame.load,
+            )
         future.set_result(frame)
 
     def _fail_pending_calls(self) -> None:
--- a/damaskproxy/routing/tests/test_backend_client.py
+++ b/damaskproxy/routing/tests/test_backend_client.py
@@ -1,6 +1,7 @@
 """Exchanges with a backend server whose responses are valid, malformed or missing."""
 
 import asyncio
+import itertools
 import unittest
 
 from nose2.tools import params
@@ -119,6 +120,30 @@
         self.assertTrue(caught.exception.maybe_started)
         self.assertEqual(caught.exception.disconnected, disconnected)
 
+    @params(
+        *itertools.product(
+            ("000", "001", "099", "101", "104", "199", "600", "999", "20", "2x0", ""),
+            ("Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n", ""),
+            ("GET", "HEAD", "POST"),
+        )
+    )
+    async def test_status_that_is_no_response(self, status, framing, method):
+        """A server in trouble must not decide a request, nor let it wait."""
+        head = f"HTTP/1.1 {status} OK\r\n{framing}\r\n".encode()
+        for is_later in (False, True):
+            if is_later:
+                await self.run_call(OK)
+            with self.assertRaises(BackendError) as caught:
+                await self.run_call(head, OK, method=method, body=b"", timeout_s=0.5)
+            self.assertTrue(caught.exception.maybe_started)
+            self.assertIn("malformed", str(caught.exception))
+            self.assertEqual(self.client._idle, [])
+
+    @params("HTTP/0.9", "HTTP/2.0", "HTTP/1.2")
+    async def test_version_that_is_not_understood(self, version):
+        with self.assertRaises(BackendError):
+            await self.run_call(OK.replace(b"HTTP/1.1", version.encode()))
+
     async def test_refused_connection_was_not_started(self):
         self.server.close()
         await self.server.wait_closed()
--- a/damaskproxy/routing/tests/test_peers.py
+++ b/damaskproxy/routing/tests/test_peers.py
@@ -4,7 +4,9 @@
 import unittest
 
 from aiohttp import web
+from nose2.tools import params
 
+from damaskproxy.common import Outcome
 from damaskproxy.model import Address
 from damaskproxy.routing import (
     PeerError,
@@ -31,9 +33,9 @@
         self.call_received.set()
         return await release
 
-    def answer(self, attempt_id, body):
+    def answer(self, attempt_id, body, status=200):
         """Respond to the call `attempt_id` with `body`."""
-        self.received[attempt_id].set_result(Answer(attempt_id, 200, [], body))
+        self.received[attempt_id].set_result(Answer(attempt_id, status, [], body))
 
 
 class PeerTests(unittest.IsolatedAsyncioTestCase):
@@ -84,6 +86,15 @@
         self.assertEqual((await first).body, b"one")
         self.assertEqual(len(self.streams), 1)
 
+    @params(-1, 0, 99, 101, 199, 600, 999)
+    async def test_status_that_is_no_response_is_an_unknown_outcome(self, status):
+        first = await self.start("1")
+        second = await self.start("2")
+        self.node.answer("1", b"one", status)
+        self.assertEqual((await first).outcome, Outcome.UNKNOWN)
+        self.node.answer("2", b"two")
+        self.assertEqual((await second).body, b"two")
+
     async def test_late_response_is_dropped(self):
         """The response to a cancelled call must not be delivered to the next one."""
         first = await self.start("1")
--- a/damaskproxy/store/http.py
+++ b/damaskproxy/store/http.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from damaskproxy.common import DamaskError
+from damaskproxy.http1 import is_final_status
 
 __all__ = ["AnswerLost", "HttpAnswer", "HttpExchange", "NotSent"]
 
@@ -30,6 +31,18 @@
     body: bytes
 
 
+class CheckedResponse(aiohttp.ClientResponse):
+    """Response whose connection is not used again if its status is not valid."""
+
+    async def start(self, connection):
+        """Read the head; the connection of a complete response is released here."""
+        protocol = connection.protocol
+        await super().start(connection)
+        if not is_final_status(self.status):
+            protocol.close()
+        return self
+
+
 class HttpExchange:
     """Sends requests to one service.
 
@@ -72,7 +85,10 @@
                 limit=self._max_concurrent, keepalive_timeout=self.KEEPALIVE_S
             )
             self._session = aiohttp.ClientSession(
-                connector=connector, timeout=self._timeout, trust_env=False
+                connector=connector,
+                timeout=self._timeout,
+                trust_env=False,
+                response_class=CheckedResponse,
             )
             # aiohttp retries a PUT whose connection was closed, which would hide that
             # the first attempt may have been applied.
@@ -118,6 +134,8 @@
                     method, url, data=body, allow_redirects=False
                 ) as response,
             ):
+                if not is_final_status(response.status):
+                    raise AnswerLost(f"status {response.status} is no response")
                 return HttpAnswer(response.status, await response.read())
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise NotSent(f"cannot connect to {self._base_url}: {error}") from error
--- a/damaskproxy/store/tests/test_clients.py
+++ b/damaskproxy/store/tests/test_clients.py
@@ -1,6 +1,8 @@
 """The clients meet the contract and distinguish failed from unknown commits."""
 
 import asyncio
+import contextlib
+import itertools
 import unittest
 
 import msgspec
@@ -140,6 +142,47 @@
         with self.assertRaises(read_error):
             await table.read(["a"])
 
+    @params(
+        *itertools.product(
+            ("000", "001", "099", "101", "600", "999", "20", "2x0", "2000"),
+            ("Content-Length: 32\r\n", ""),
+        ),
+        ("104", ""),
+        ("199", ""),
+    )
+    async def test_status_that_is_no_response(self, status, framing):
+        """A commit is unknown, whatever the body claims.
+
+        The client library waits for a response after an interim one.
+        """
+        body = b'{"error": "x", "applied": false}'
+        closed = asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            head = f"HTTP/1.1 {status} OK\r\n{framing}\r\n".encode()
+            writer.write(head + (b"" if status.startswith("1") else body))
+            with contextlib.suppress(ConnectionError):
+                while await reader.read(1024):
+                    pass
+            closed.set()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        table = open_table(settings(f"http://127.0.0.1:{port}", timeout_ms=500))
+        self.addAsyncCleanup(table.close)
+        for operation, error in (
+            (table.commit({}, {"a": b"1"}), TableUnknown),
+            (table.read(["a"]), TableUnavailable),
+        ):
+            closed.clear()
+            with self.assertRaises(error):
+                await operation
+            async with asyncio.timeout(1):
+                await closed.wait()
+
     async def test_commit_that_exceeds_the_limit_is_not_sent(self):
         """A commit that waits for other requests until its deadline is never sent."""
         table = await self.open_table(timeout_ms=10, max_concurrent=1)
