Add organisations, keys and forged names to the soak of processes

All runs have organisations; routes are public or need a key. Callers use permanent keys, keys that are added and removed during the run, unknown ones or none, and sometimes the header that only nodes may set. A run in which a check had nothing to show fails. Allowances are not checked yet; `soak_keys.ORGANISATIONS` and `CHECKS` say where.

The clients are now in a module of their own.

--- a/damaskproxy/platform/standins/requests.py
+++ b/damaskproxy/platform/standins/requests.py
@@ -12,8 +12,13 @@
 }
 
 
-def encode_configuration(version: int = 1, routes: dict | None = None) -> bytes:
-    """Encode a configuration as the operator does, by default with two routes."""
+def encode_configuration(
+    version: int = 1, routes: dict | None = None, tenants: dict | None = None
+) -> bytes:
+    """Encode a configuration as the operator does, by default with two routes.
+
+    Without `tenants` it has no organisations.
+    """
     common = {"host": "shop", "timeoutMs": 800, "maxAttempts": 2, "priority": 1}
     body = {
         "version": version,
@@ -22,6 +27,8 @@
         },
         "services": {"orders": {}, "stores": {}},
     }
+    if tenants is not None:
+        body["tenants"] = tenants
     return json.dumps(body).encode()
 
 
--- a/damaskproxy/sidecar/tests/test_process_soak.py
+++ b/damaskproxy/sidecar/tests/test_process_soak.py
@@ -10,19 +10,18 @@
 import json
 import random
 import signal
-import socket
 import sys
 import tempfile
 import time
 import unittest
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
 from nose2.tools import params
 
-from damaskproxy.http1 import ConnectionPool, HttpError
+from damaskproxy.http1 import ConnectionPool, HttpError, Request
 from damaskproxy.platform.standins import (
     ROUTES,
     RowStoreStandIn,
@@ -32,6 +31,16 @@
     report_request,
 )
 from damaskproxy.sidecar.settings import to_address
+from damaskproxy.sidecar.tests.soak_clients import Client, Node, Sent
+from damaskproxy.sidecar.tests.soak_keys import (
+    EXERCISED,
+    KEY_PREFIX,
+    PRIVATE_PREFIX,
+    Credential,
+    KeyBook,
+    Observation,
+    observation_faults,
+)
 from demo.processes import Processes, free_ports
 
 GRACE_S = 6.0
@@ -42,53 +51,16 @@
 START_S = 10.0
 DURATION_S = 10.0
 PADDING = b"x" * (8 << 20)
-CHUNK_BYTES = 65536
 SERVICES = ("orders", "orders", "files", "files", "stores")
 BIG_ROUTES = {
     "big": {"prefix": "/big/", "kind": "safe", "service": "files"},
     "bigger": {"prefix": "/bigger/", "kind": "unsafe", "service": "files"},
 }
+REQUEST_ID = b"x-damaskproxy-request-id"
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 ALLOWED_LEVELS = frozenset({"DEBUG", "INFO", "WARNING"})
 
 
-@dataclass(slots=True)
-class Node:
-    """Process of the program, and the backend server beside it."""
-
-    name: str
-    backend: StampedBackend
-    path: Path
-    settings: dict
-    is_running: bool = False
-    is_stopping: bool = False
-    sequence: int = 0
-
-    def address(self, listener: str) -> tuple[str, int]:
-        """Return host and port of a listener."""
-        address = to_address(self.settings["listeners"][listener])
-        return address.host, address.port
-
-
-@dataclass(slots=True)
-class Sent:
-    """Request of a client, and what it received.
-
-    Attributes
-    ----------
-    sent_s : float or None
-        Time at which its last byte was sent, None if the connection ended before.
-    """
-
-    request_id: bytes
-    node: str
-    is_safe: bool
-    sent_s: float | None = None
-    ended_s: float = 0.0
-    status: int | None = None
-    is_complete: bool = False
-
-
 @dataclass(slots=True)
 class Outcome:
     """What a play has shown."""
@@ -121,7 +93,8 @@
         self._nodes: list[Node] = []
         self._sent: list[Sent] = []
         self._version = 1
-        self._has_ended = False
+        self.has_ended = False
+        self.keys = KeyBook(random.Random(seed))
         self._lags: list[tuple[float, float]] = []
 
     async def run(self) -> Outcome:
@@ -136,9 +109,10 @@
             background = self._background()
             await asyncio.gather(*(self._until_ready(node) for node in self._nodes))
             await asyncio.sleep(2 * REPORT_S)
+            background.append(asyncio.create_task(self._change_keys()))
             await self._work()
             await asyncio.gather(*(self._stop(node) for node in self._nodes))
-            self._has_ended = True
+            self.has_ended = True
             await asyncio.sleep(0.5)
         finally:
             for task in background:
@@ -192,11 +166,14 @@
         self._nodes.append(Node(name, backend, path, settings))
 
     def _put_configuration(self) -> None:
-        routes = {
-            name: {**route, "timeoutMs": int(TIMEOUT_S * 1000)}
-            for name, route in {**ROUTES, **BIG_ROUTES}.items()
-        }
-        self._rows.put("op", "config", encode_configuration(self._version, routes))
+        routes = {}
+        for name, route in {**ROUTES, **BIG_ROUTES}.items():
+            route = {**route, "timeoutMs": int(TIMEOUT_S * 1000)}
+            routes[name] = {**route, "public": True}
+            private = PRIVATE_PREFIX + name
+            routes[private] = {**route, "prefix": f"/{private}/"}
+        encoded = encode_configuration(self._version, routes, self.keys.tenants())
+        self._rows.put("op", "config", encoded)
 
     def _background(self) -> list[asyncio.Task]:
         jobs: list[Callable[[], Awaitable[None]]] = [self._measure_lag]
@@ -296,10 +273,19 @@
 
     async def _change(self) -> None:
         for _ in range(self._rng.choice([1, 1, 3])):
-            self._version += 1
-            self._put_configuration()
+            self._put_next_configuration()
             await asyncio.sleep(0.05)
 
+    def _put_next_configuration(self) -> None:
+        self._version += 1
+        self._put_configuration()
+
+    async def _change_keys(self) -> None:
+        """Add and remove keys for as long as planned work is started."""
+        while True:
+            await asyncio.sleep(self._rng.uniform(0.3, 1.5))
+            self.keys.change(self._put_next_configuration)
+
     # Background
 
     async def _report(self, node: Node) -> None:
@@ -338,14 +324,11 @@
 
     # Results
 
-    @property
-    def has_ended(self) -> bool:
-        """Whether all nodes have ended for good."""
-        return self._has_ended
-
-    def new_request(self, request_id: bytes, node: Node, *, is_safe: bool) -> Sent:
+    def new_request(
+        self, request_id: bytes, node: Node, credential: Credential, *, is_safe: bool
+    ) -> Sent:
         """Record a request that a client is about to send."""
-        sent = Sent(request_id, node.name, is_safe)
+        sent = Sent(request_id, node.name, is_safe, credential)
         self._sent.append(sent)
         return sent
 
@@ -353,16 +336,34 @@
         self.outcome.problems.append(text)
 
     def _judge(self) -> None:
+        received = defaultdict(list)
+        for node in self._nodes:
+            for request in node.backend.requests:
+                received[request.header(REQUEST_ID)].append(request)
         for sent in self._sent:
             runs = sum(n.backend.runs[sent.request_id] for n in self._nodes)
             self._count(sent, runs)
-            for text in self._faults(sent, runs):
+            seen = self._observe(sent, received[sent.request_id])
+            seen.count(self.outcome.counts)
+            for text in (*self._faults(sent, runs), *observation_faults(seen)):
                 self._add_problem(f"{sent.request_id.decode()} at {sent.node}: {text}")
+        for name in EXERCISED:
+            if not self.outcome.counts[name]:
+                self._add_problem(f"nothing was checked: {name}")
         for node in self._nodes:
             for line in self._processes.log_path(node.name).read_text().splitlines():
-                if not _is_harmless(line):
+                if not _is_harmless(line) or KEY_PREFIX in line:
                     self._add_problem(f"{node.name} logged {line[:300]}")
 
+    def _observe(self, sent: Sent, runs: list[Request]) -> Observation:
+        key = sent.credential.key
+        lag_s = 0.0
+        if key is not None and sent.last_part_s > key.removed_s:
+            lag_s = self._lag_s(key.removed_s, sent.last_part_s)
+        is_late = self.keys.is_late(key, sent.last_part_s, lag_s)
+        status = sent.status if sent.is_complete else None
+        return Observation(sent.credential, is_late, status, runs)
+
     def _count(self, sent: Sent, runs: int) -> None:
         counts = self.outcome.counts
         counts["requests"] += 1
@@ -392,111 +393,6 @@
         return faults
 
 
-class Client:
-    """Client of one node that keeps its connection for many requests."""
-
-    def __init__(self, play: Play, node: Node, name: str, rng: random.Random):
-        self._play = play
-        self._node = node
-        self._name = name
-        self._rng = rng
-        self._count = 0
-
-    async def send(self) -> None:
-        """Send small requests one after the other."""
-        await self._send_all(self._exchange_small, None)
-
-    async def send_slowly(self) -> None:
-        """Send requests in parts."""
-        await self._send_all(self._exchange_in_parts, None)
-
-    async def read_slowly(self) -> None:
-        """Send requests with large responses and read these slowly."""
-        await self._send_all(self._exchange_large, CHUNK_BYTES)
-
-    async def _send_all(self, exchange, receive_buffer_bytes: int | None) -> None:
-        while not self._play.has_ended:
-            try:
-                reader, writer = await self._connect(receive_buffer_bytes)
-            except OSError:
-                await asyncio.sleep(0.05)
-                continue
-            with contextlib.closing(writer):
-                is_open = True
-                while is_open:
-                    is_open = await exchange(reader, writer)
-                    await asyncio.sleep(self._rng.choice([0.01, 0.05, 0.3]))
-
-    async def _connect(self, receive_buffer_bytes: int | None):
-        sock = socket.socket()
-        sock.setblocking(False)
-        if receive_buffer_bytes is not None:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
-        loop = asyncio.get_running_loop()
-        try:
-            await loop.sock_connect(sock, self._node.address("caller"))
-        except BaseException:
-            sock.close()
-            raise
-        return await asyncio.open_connection(sock=sock, limit=2 * CHUNK_BYTES)
-
-    async def _exchange_small(self, reader, writer) -> bool:
-        return await self._exchange(reader, writer, (b"read", b"write"), 0, 0.0)
-
-    async def _exchange_in_parts(self, reader, writer) -> bool:
-        pause_s = self._rng.choice([0.01, 0.1, 0.6])
-        return await self._exchange(reader, writer, (b"read", b"write"), 900, pause_s)
-
-    async def _exchange_large(self, reader, writer) -> bool:
-        return await self._exchange(
-            reader, writer, (b"big", b"bigger"), 0, 0.0, read_pause_s=0.015
-        )
-
-    async def _exchange(
-        self, reader, writer, routes, body_bytes, pause_s, read_pause_s=0.0
-    ) -> bool:
-        """Send one request and read its response; whether another one may follow."""
-        self._count += 1
-        is_safe = self._rng.random() < 0.5
-        request_id = f"{self._name}-{self._count}".encode()
-        sent = self._play.new_request(request_id, self._node, is_safe=is_safe)
-        head = (
-            b"%s /%s/%s HTTP/1.1\r\nHost: shop\r\nX-Damaskproxy-Request-Id: %s\r\n"
-            % (
-                b"GET" if is_safe else b"POST",
-                routes[0] if is_safe else routes[1],
-                request_id,
-                request_id,
-            )
-        )
-        data = head + b"Content-Length: %d\r\n\r\n" % body_bytes + b"b" * body_bytes
-        try:
-            if pause_s:
-                split = self._rng.randrange(1, len(data))
-                writer.write(data[:split])
-                await asyncio.sleep(pause_s)
-                data = data[split:]
-            writer.write(data)
-            await writer.drain()
-            sent.sent_s = time.monotonic()
-            return await self._read_response(reader, sent, read_pause_s)
-        except (OSError, asyncio.IncompleteReadError):
-            return False
-        finally:
-            sent.ended_s = time.monotonic()
-
-    async def _read_response(self, reader, sent: Sent, read_pause_s: float) -> bool:
-        head = await reader.readuntil(b"\r\n\r\n")
-        sent.status = int(head.split()[1])
-        length = int(head.partition(b"Content-Length: ")[2].split()[0])
-        while length:
-            part = await reader.readexactly(min(length, CHUNK_BYTES))
-            length -= len(part)
-            await asyncio.sleep(read_pause_s)
-        sent.is_complete = True
-        return b"Connection: close" not in head
-
-
 def _is_harmless(line: str) -> bool:
     """Tell whether a line of a log is an event below the level ERROR."""
     return line.startswith("{") and json.loads(line)["levelname"] in ALLOWED_LEVELS
