--- a/damaskproxy/http1/client.py
+++ b/damaskproxy/http1/client.py
@@ -18,8 +18,9 @@
     TRANSFER_ENCODING,
     ResponseFilter,
     accept_any,
-    check_status_line,
+    check_status,
     check_transfer_coding,
+    check_version,
     is_final_status,
     is_framed,
     is_other_protocol,
@@ -148,7 +149,7 @@
 
     def on_status(self, reason):
         """Check the status as soon as it is known; the reason may come in parts."""
-        check_status_line(self._parser)
+        check_status(self._parser.get_status_code())
 
     def on_header(self, name, value):
         """Collect a header; trailers are discarded."""
@@ -164,9 +165,11 @@
     def on_headers_complete(self):
         """Record that the head is complete."""
         # The parser does not call `on_status` for a status line without a reason.
-        check_status_line(self._parser)
+        status = self._parser.get_status_code()
+        check_status(status)
+        check_version(self._parser.get_http_version())
         self._is_head_complete = True
-        if self._is_head_request and is_final_status(self._parser.get_status_code()):
+        if self._is_head_request and is_final_status(status):
             self.is_reusable = False
             self._finish_response()
 
--- a/damaskproxy/http1/response_checks.py
+++ b/damaskproxy/http1/response_checks.py
@@ -2,16 +2,15 @@
 
 from collections.abc import Callable
 
-import httptools
-
 from damaskproxy.http1.messages import Headers, Response
 
 __all__ = [
     "TRANSFER_ENCODING",
     "ResponseFilter",
     "accept_any",
-    "check_status_line",
+    "check_status",
     "check_transfer_coding",
+    "check_version",
     "is_final_status",
     "is_framed",
     "is_other_protocol",
@@ -52,16 +51,19 @@
     return f"status {status} is no response"
 
 
-def check_status_line(parser: httptools.HttpResponseParser) -> None:
-    """Raise `ValueError` if the status line is not that of an HTTP/1 response.
+def check_status(status: int) -> None:
+    """Raise `ValueError` if a complete status code is none of a response.
 
     Notes
     -----
     A parser uses no more bytes after an error in one of its callbacks.
     """
-    if fault := status_fault(parser.get_status_code()):
-        raise ValueError(fault)
-    version = parser.get_http_version()
+    if status not in FINAL_STATUSES and status not in INTERIM_STATUSES:
+        raise ValueError(status_fault(status))
+
+
+def check_version(version: str) -> None:
+    """Raise `ValueError` if a response is not one of HTTP/1."""
     if version not in VERSIONS:
         raise ValueError(f"HTTP version {version}")
 
