--- a/damaskproxy/allowances/allowances.py
+++ b/damaskproxy/allowances/allowances.py
@@ -69,8 +69,9 @@
         self._owners = Owners(node_id)
         self._ledger = Ledger(self._owners, bounds)
         self._gate = Gate(self._owners, bounds, self._send)
-        self._has_limits = self._is_closed = False
+        self._has_limits = self._is_configured = self._is_closed = False
         self._members_changed = True
+        self._running: set[str] = set()
         self._outgoing: dict[str, Link] = {}
         self._reporters: dict[str, Link] = {}
         self._queued: dict[str, list[Message]] = {}
@@ -83,6 +84,7 @@
             for each in configuration.organisations or ()
             if each.is_limited
         }
+        self._is_configured = True
         if not limits and not self._has_limits:
             return
         self._has_limits = bool(limits)
@@ -91,9 +93,12 @@
         self._ledger.apply(limits, now_s)
         self._gate.apply(limits, now_s)
 
-    def members_changed(self) -> None:
-        """Note that a member record has changed."""
-        self._members_changed = True
+    def member_changed(self, record: MemberRecord) -> None:
+        """Note whether the process of a member runs."""
+        is_running = record.state is MemberState.SERVING
+        if is_running != (record.node_id in self._running):
+            self._running ^= {record.node_id}
+            self._members_changed = True
 
     def check(self, organisation: Organisation) -> float | None:
         """Return the wait of a request, 0 if it is admitted, None if it has to ask."""
@@ -159,7 +164,8 @@
             self._gate.handle_notice(link.peer_id, frame, now_s)
         elif isinstance(frame, AllowanceGrantFrame):
             self._gate.handle_grant(link.peer_id, frame, now_s)
-        elif link.peer_id:
+        elif link.peer_id and self._is_configured:
+            # Without a configuration, it would grant everything after a restart.
             self._reporters[link.peer_id] = link
             link.write(self._answer(link.peer_id, frame, now_s))
             self._push_limited(now_s)
@@ -184,11 +190,7 @@
 
     def _update_members(self) -> bool:
         self._members_changed = False
-        has_changed = self._owners.update(
-            record.node_id
-            for record in self._directory.records()
-            if record.state is MemberState.SERVING
-        )
+        has_changed = self._owners.update(self._running)
         if has_changed:
             self._ledger.members_changed()
         return has_changed
--- a/damaskproxy/allowances/ledger.py
+++ b/damaskproxy/allowances/ledger.py
@@ -191,11 +191,8 @@
         self._heard_s[node_id] = now_s
         account = self._accounts.get(ask.organisation)
         if account is None:
-            # The limit is removed, or not yet in force here.
-            granted = ask.wanted if self._accounts else 0
-            return AllowanceGrantFrame(
-                ask.sequence, ask.organisation, granted, int(WAIT_MIN_S * MS_PER_S)
-            )
+            # The limit is removed, or not yet in force on all nodes.
+            return AllowanceGrantFrame(ask.sequence, ask.organisation, ask.wanted, 0)
         if self._is_outdated:
             self._update_shares(now_s)
         account.askers[node_id] = now_s
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -292,7 +292,7 @@
             member_selector.reset(record.node_id)
             links.close_outdated(record)
         member_selector.apply_limit(record)
-        allowances.members_changed()
+        allowances.member_changed(record)
         propagation.member_changed(record)
 
     directory = Directory(member_changed)
