--- a/damaskproxy/allowances/gate.py
+++ b/damaskproxy/allowances/gate.py
@@ -314,7 +314,7 @@
         before = self._active
         self._active = {a.contact for a in self._accounts.values() if a.contact}
         candidates = self._owners.candidates
-        for contact in before | self._active:
+        for contact in sorted(before | self._active, key=lambda c: c.node_id):
             if not contact.is_lost:
                 contact.is_known = False
                 self._report(contact, now_s, True, is_carried=bool(unknown))
--- a/damaskproxy/allowances/limits.py
+++ b/damaskproxy/allowances/limits.py
@@ -21,8 +21,8 @@
 DETACHED_BURST_S = 0.5
 """Burst of a node without an owner, as the time in which its share accrues it."""
 GUARD_MIN = 2.0
-"""Least tokens that a node may spend at once without asking. With 1, at 68 nodes,
-15 to 19 % of the requests of an organisation with 10 to 100 requests per second had to ask."""
+"""Least tokens that a node may spend at once without asking. With 1, at 68 nodes, 15 to
+19 % of the requests of organisations with 10 to 100 requests per second had to ask."""
 GUARD_REFILL = 3.0
 """Multiple of its equal share of the rate that a node may spend without asking."""
 
