--- a/damaskproxy/forwarding/frames.py
+++ b/damaskproxy/forwarding/frames.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from damaskproxy.common.decoding import INTEGER_MAX, Count, Name
+from damaskproxy.common.ids import ORDINAL_COUNT
 from damaskproxy.directory import UNKNOWN_ERA, MemberRecord
 from damaskproxy.forwarding.calls import LoadReport, NotRunReason
 from damaskproxy.forwarding.large_frames import (
@@ -64,6 +65,7 @@
 Tokens = Annotated[int, msgspec.Meta(ge=-TOKENS_MAX, le=TOKENS_MAX)]
 TokenCount = Annotated[int, msgspec.Meta(ge=0, le=TOKENS_MAX)]
 OwnerIds = Annotated[list[Name], msgspec.Meta(max_length=64)]
+Ordinal = Annotated[int, msgspec.Meta(ge=0, lt=ORDINAL_COUNT)]
 Item = int | bytes
 HeaderItem = int | bytes | tuple[Item, bytes]
 
@@ -100,6 +102,8 @@
         Clock of the sender, from which the receiver estimates the network delay.
     organisation : int, bytes or None
         None without an organisation. Senders of earlier releases leave it out.
+    has_begun, is_shared : bool
+        Senders of earlier releases leave them out, and the next two.
     """
 
     call_id: int
@@ -118,6 +122,10 @@
     deadline_ms: int
     is_repeat: bool
     organisation: Item | None = None
+    has_begun: bool = False
+    is_shared: bool = False
+    ordinal: Ordinal | None = None
+    earlier_refusals: Count = 0
 
 
 class AnswerFrame(msgspec.Struct, array_like=True, tag=2):
--- a/damaskproxy/forwarding/origin.py
+++ b/damaskproxy/forwarding/origin.py
@@ -35,6 +35,7 @@
 from damaskproxy.forwarding.headers import HeaderNames
 from damaskproxy.forwarding.member_selection import MemberSelector
 from damaskproxy.forwarding.parent_requests import (
+    LevelKey,
     Parent,
     ParentRequests,
     RouteLevels,
@@ -86,6 +87,8 @@
     }
 )
 """Reasons that apply to every call to a member and start its back-off."""
+FINAL_REASONS = frozenset({NotRunReason.QUARANTINED, NotRunReason.OVERLOAD_BELOW})
+"""Reasons that hold at all members of a service."""
 
 
 class Allowances(Protocol):
@@ -298,6 +301,9 @@
             budget_ms,
             parent is not None and parent.is_repeat,
             identity.name,
+            parent is not None and configuration.authentication is not None,
+            configuration.authentication is not None,
+            None if parent is None else parent.ordinal,
         )
 
     def _identify(
@@ -363,7 +369,7 @@
                 attempts.reached += 1
             elif isinstance(result, NotRun):
                 self._record_refusal(attempts, member, result)
-                if result.reason is NotRunReason.QUARANTINED:
+                if result.reason in FINAL_REASONS:
                     break
             else:
                 attempts.reached += 1
@@ -414,7 +420,9 @@
         if attempts.tried and attempts.deadline_s - boot_s() < RETRY_MIN_S:
             return None
         members = self._directory.serving(service)
-        member = self._member_selector.choose(members, attempts.tried)
+        member = self._member_selector.choose(
+            members, attempts.tried, avoids_failing=attempts.call.is_shared
+        )
         if member is None:
             return None
         if attempts.reached and not self._may_retry(attempts.call):
@@ -437,6 +445,9 @@
             deadline_ms=max(remaining_ms - QUEUE_MARGIN_MS, 1),
             is_repeat=attempts.call.is_repeat or attempts.reached > 0,
         )
+        if call.is_shared and attempts.parent is None:
+            key = _level_key(call)
+            call.earlier_refusals = self._route_levels.take_refusals(key)
         started_s = boot_s()
         result = None
         self._member_selector.started(member)
@@ -477,15 +488,17 @@
         """
         ordinal = ordinal_of(root_id_of(call.request_id))
         position = admission_position(to_priority(call.priority), ordinal)
-        return position >= self._route_levels.current_level(call.route)
+        return self._route_levels.refuses(_level_key(call), position)
 
     def _record_level(self, attempts: Attempts, result: Result | None) -> None:
         if result is None or result.load is None:
             return
+        call, level = attempts.call, result.load.level
         if attempts.parent is not None:
-            self._parent_requests.report(attempts.parent, result.load.level)
+            self._parent_requests.report(attempts.parent, level, is_held=call.is_shared)
         else:
-            self._route_levels.report(attempts.call.route, result.load.level)
+            key = _level_key(call)
+            self._route_levels.report(key, level, is_held=call.is_shared)
 
     def _record_refusal(
         self, attempts: Attempts, member: MemberRecord, result: NotRun
@@ -550,6 +563,11 @@
         )
 
 
+def _level_key(call: Call) -> LevelKey:
+    """Return the key under which the level of the callees of a request is kept."""
+    return (call.route, call.organisation) if call.is_shared else call.route
+
+
 def _host(request: Request) -> str:
     host = request.header(b"host") or b""
     return host.decode("latin-1").partition(":")[0].lower()
