Show organisations and the reasons of refusals to operators

The status object, damask-node top and the metrics show limit, spent tokens, state and owner of organisations, and their admitted and refused requests. The events of refused requests and calls name the organisation, the event of a 429 also the wait, and damask-node explain adds the meaning of the reason.

Origin and Target pass the organisation to the counters and events.

--- a/damaskproxy/forwarding/attempts.py
+++ b/damaskproxy/forwarding/attempts.py
@@ -68,6 +68,11 @@
     organisation: Organisation | None = None
     is_counted: bool = False
 
+    @property
+    def organisation_name(self) -> str:
+        """Name of the organisation that sent the root request, empty without one."""
+        return "" if self.organisation is None else self.organisation.name
+
     def record(self, node_id: str, result: Result | None) -> None:
         """Record the result of an attempt."""
         if isinstance(result, Answer) and len(result.body) > KEPT_BODY_BYTES:
--- a/damaskproxy/forwarding/origin.py
+++ b/damaskproxy/forwarding/origin.py
@@ -43,6 +43,7 @@
     root_id_of,
 )
 from damaskproxy.forwarding.poison_requests import PoisonRequestDetector
+from damaskproxy.forwarding.request_fields import sharing_fields
 from damaskproxy.forwarding.stats import RequestStats
 from damaskproxy.forwarding.traffic_split import TrafficSplitter
 from damaskproxy.http1 import Request, Response, end_to_end
@@ -233,7 +234,8 @@
             self._loop = asyncio.get_running_loop()
         reserved = self._answer_sizes.reserve(route.name)
         if reserved is None:
-            return self._refuse(request_id, NotRunReason.MEMORY, RETRY_AFTER_MIN_S)
+            reason = NotRunReason.MEMORY
+            return self._refuse(request_id, reason, RETRY_AFTER_MIN_S, attempts)
         answer_bytes = None
         deadline = Deadline(self._loop, budget_ms / MS_PER_S)
         try:
@@ -328,7 +330,7 @@
     ) -> Response:
         if failure is AuthenticationFailure.UNKNOWN_PARENT:
             reason = NotRunReason.UNKNOWN_PARENT
-            return self._refuse(request_id, reason, RETRY_AFTER_MIN_S)
+            return self._refuse(request_id, reason, RETRY_AFTER_MIN_S, route=route)
         self._stats.request_refused(failure)
         log_event(
             logger,
@@ -359,7 +361,9 @@
                 self._stats.record_retry(attempts.history[-1][1])
             elif (wait_s := await self._allowance_wait_s(attempts)) > 0:
                 reason = NotRunReason.ALLOWANCE
-                return self._refuse(call.request_id, reason, wait_s, status=429)
+                return self._refuse(
+                    call.request_id, reason, wait_s, attempts, status=429
+                )
             result = await self._send(member, attempts)
             self._credit_first_attempt(attempts, result)
             if isinstance(result, Answer):
@@ -438,6 +442,8 @@
 
     async def _send(self, member: MemberRecord, attempts: Attempts) -> Result:
         """Run one attempt and report its result to the member selector."""
+        if attempts.organisation is not None and not attempts.tried:
+            self._stats.organisations.request_admitted(attempts.organisation.name)
         attempts.tried.add(member.node_id)
         remaining_ms = int((attempts.deadline_s - boot_s()) * MS_PER_S)
         call = msgspec.structs.replace(
@@ -490,6 +496,12 @@
         position = admission_position(to_priority(call.priority), ordinal)
         return self._route_levels.refuses(_level_key(call), position)
 
+    def _known_level(self, attempts: Attempts) -> int | None:
+        """Return the level that a root request is compared with, None for a call."""
+        if attempts.parent is not None:
+            return None
+        return self._route_levels.current_level(_level_key(attempts.call))
+
     def _record_level(self, attempts: Attempts, result: Result | None) -> None:
         if result is None or result.load is None:
             return
@@ -519,7 +531,7 @@
             return _to_response(failure)
         if attempts.may_have_run:
             return Response(502)
-        self._stats.request_refused(attempts.last_refusal)
+        self._stats.request_refused(attempts.last_refusal, attempts.organisation_name)
         remaining_s = attempts.deadline_s - boot_s()
         max_wait_s = max(remaining_s * RETRY_AFTER_SHARE, 0.0)
         wait_s = min(max_wait_s, RETRY_AFTER_MIN_S * (1 + self._rng.random()))
@@ -530,16 +542,25 @@
         request_id: bytes,
         reason: NotRunReason,
         wait_s: float,
+        attempts: Attempts | None = None,
         *,
+        route: Route | None = None,
         status: int = 503,
     ) -> Response:
-        self._stats.request_refused(reason)
+        organisation = ""
+        if attempts is not None:
+            organisation, route = attempts.organisation_name, attempts.route
+        self._stats.request_refused(reason, organisation)
+        fields = {} if route is None else {"route": route.name}
+        if organisation:
+            fields |= {"organisation": organisation, "wait_s": round(wait_s, 3)}
         log_event(
             logger,
             events.REQUEST_NOT_SERVED,
             request_id=request_id.decode("latin-1"),
             status=status,
             reason=reason,
+            **fields,
         )
         return self._not_run_response(wait_s, status)
 
@@ -560,6 +581,7 @@
             end=attempts.end,
             budget_ms=attempts.call.deadline_ms,
             configuration_version=self._configuration.version,
+            **sharing_fields(attempts.call, self._known_level(attempts)),
         )
 
 
--- a/damaskproxy/forwarding/stats.py
+++ b/damaskproxy/forwarding/stats.py
@@ -4,6 +4,7 @@
 from collections import Counter
 
 from damaskproxy.forwarding.calls import Answer, NotRun, Result
+from damaskproxy.forwarding.organisation_stats import OrganisationStats
 
 __all__ = ["LATENCY_BUCKETS_S", "LatencyCounts", "RequestStats"]
 
@@ -57,6 +58,8 @@
         Calls of any node that the local backend server did not run, by reason.
     latencies : dict of str to LatencyCounts
         Latencies of the requests of callers on this VM, by service.
+    organisations : OrganisationStats
+        Counters by organisation.
     """
 
     def __init__(self):
@@ -65,6 +68,7 @@
         self.retries: Counter[str] = Counter()
         self.calls_refused: Counter[str] = Counter()
         self.latencies: dict[str, LatencyCounts] = {}
+        self.organisations = OrganisationStats()
 
     def request_ended(self, service: str, status: int, elapsed_s: float) -> None:
         """Count a finished request of a caller on this VM."""
@@ -76,9 +80,19 @@
         latency.add(elapsed_s)
         self.requests[service, status] += 1
 
-    def request_refused(self, reason: str) -> None:
-        """Count a request that was refused as not run."""
+    def request_refused(self, reason: str, organisation: str = "") -> None:
+        """Count a request that was refused as not run.
+
+        Parameters
+        ----------
+        reason : str
+            Why it was refused.
+        organisation : str
+            Name of the organisation that sent it, empty without one.
+        """
         self.refusals[reason] += 1
+        if organisation:
+            self.organisations.request_refused(organisation, reason)
 
     def record_retry(self, earlier: Result) -> None:
         """Count a retry after an attempt that ended with `earlier`."""
@@ -89,6 +103,16 @@
         else:
             self.retries["unknown"] += 1
 
-    def call_refused(self, reason: str) -> None:
-        """Count a call that the local backend server did not run."""
+    def call_refused(self, reason: str, organisation: str = "") -> None:
+        """Count a call that the local backend server did not run.
+
+        Parameters
+        ----------
+        reason : str
+            Why it was not run.
+        organisation : str
+            Name of the organisation of the root request, empty without one.
+        """
         self.calls_refused[reason] += 1
+        if organisation:
+            self.organisations.call_refused(organisation)
--- a/damaskproxy/forwarding/target.py
+++ b/damaskproxy/forwarding/target.py
@@ -35,6 +35,7 @@
 from damaskproxy.forwarding.headers import HeaderNames, parse_calls_per_s
 from damaskproxy.forwarding.parent_requests import ParentRequests, root_id_of
 from damaskproxy.forwarding.poison_requests import PoisonRequestDetector, digest_of
+from damaskproxy.forwarding.request_fields import sharing_fields
 from damaskproxy.forwarding.stats import RequestStats
 from damaskproxy.http1 import (
     ConnectFailed,
@@ -387,7 +388,7 @@
     def _log_failure(self, call: Call, result: NotRun | Unknown) -> None:
         is_refusal = isinstance(result, NotRun)
         if is_refusal:
-            self._stats.call_refused(result.reason)
+            self._stats.call_refused(result.reason, call.organisation)
         log_event(
             logger,
             events.CALL_NOT_ANSWERED,
@@ -399,6 +400,7 @@
             is_not_run=is_refusal,
             load=msgspec.to_builtins(result.load),
             instance_id=self._incarnation[0] if self._incarnation else "",
+            **sharing_fields(call),
         )
 
     def _record_lost_call(self, call: Call) -> None:
--- a/damaskproxy/node/cli.py
+++ b/damaskproxy/node/cli.py
@@ -19,6 +19,7 @@
 from damaskproxy.config import NodeSettings, SettingsError, load_settings
 from damaskproxy.events import configure_logging
 from damaskproxy.events.request_log import format_entry, read_request_log
+from damaskproxy.forwarding.refusal_meanings import explain_refusal
 from damaskproxy.node.lifecycle import run_node
 from damaskproxy.node.status import format_status
 from damaskproxy.sidecar import (
@@ -178,7 +179,12 @@
             raise _fail(f"cannot read {path}: {error}", EXIT_FAILED) from error
     entries = read_request_log(lines, request)
     for entry in entries:
-        print(json.dumps(dataclasses.asdict(entry)) if as_json else format_entry(entry))
+        if as_json:
+            print(json.dumps(dataclasses.asdict(entry)))
+            continue
+        print(format_entry(entry))
+        if meaning := explain_refusal(entry.fields):
+            print(f"    {entry.fields['reason']}: {meaning}")
     if not entries:
         raise _fail(f"no log entry for request {request}", EXIT_FAILED)
 
--- a/damaskproxy/sidecar/metrics.py
+++ b/damaskproxy/sidecar/metrics.py
@@ -9,6 +9,10 @@
 from damaskproxy.forwarding import LATENCY_BUCKETS_S
 from damaskproxy.http1 import Request, Response
 from damaskproxy.sidecar.memory import peak_memory_bytes
+from damaskproxy.sidecar.organisations import (
+    collect_organisations,
+    describe_organisations,
+)
 
 if TYPE_CHECKING:
     from damaskproxy.sidecar.compose import Sidecar
@@ -53,6 +57,7 @@
         "refusals": dict(sidecar.stats.refusals),
         "repeats": dict(sidecar.stats.retries),
         "calls_refused": dict(sidecar.stats.calls_refused),
+        **describe_organisations(sidecar),
     }
 
 
@@ -97,6 +102,7 @@
             for reason, count in counts.items():
                 family.add_metric([str(reason)], count)
             yield family
+        yield from collect_organisations(self._sidecar)
         seconds = HistogramMetricFamily(
             "damask_request_seconds", "Time of a request", labels=["service"]
         )
--- a/damaskproxy/sidecar/top.py
+++ b/damaskproxy/sidecar/top.py
@@ -5,6 +5,10 @@
 __all__ = ["format_top"]
 
 REASONS_SHOWN = 6
+"""Counts that fit into a line of a terminal."""
+ORGANISATIONS_SHOWN = 10
+"""Organisations that fit on a terminal of 24 lines below the other lines."""
+ORGANISATION_COLUMNS = "{:<20} {:>9} {:>9} {:>9} {:<24} {:>9} {:>9} {:>9} {:>9}"
 
 
 def format_top(now: dict[str, Any], before: dict[str, Any] | None = None) -> str:
@@ -36,6 +40,8 @@
         ("not run", "calls_refused"),
     ):
         lines.append(f"{title:<9} {_counts(now, before, name)}")
+    if "organisations" in now:
+        lines += _organisations(now)
     return "\n".join(lines)
 
 
@@ -94,3 +100,46 @@
     if len(counts) > REASONS_SHOWN:
         parts.append(f"and {len(counts) - REASONS_SHOWN} more")
     return ", ".join(parts) or "none"
+
+
+def _organisations(now: dict[str, Any]) -> list[str]:
+    """Format the organisations that have spent most, one per line."""
+    shown = now["organisations"][:ORGANISATIONS_SHOWN]
+    titles = ("limit", "burst", "spent", "state", "admitted", "429", "other", "calls")
+    lines = [
+        f"organisations {now['organisation_count']}, most spent at this node first"
+        " (429: over the allowance; other: refused for other reasons;"
+        " calls: refused by the server here)",
+        ORGANISATION_COLUMNS.format("name", *titles).rstrip(),
+    ]
+    lines += [
+        ORGANISATION_COLUMNS.format(
+            each["name"],
+            f"{each['rate_per_s']:g}/s" if each["rate_per_s"] else "none",
+            f"{each['burst']:g}" if each["rate_per_s"] else "-",
+            each["spent"],
+            _allowance_state(each),
+            *_organisation_counts(each),
+        )
+        for each in shown
+    ]
+    left = now["organisation_count"] - len(shown)
+    return [*lines, f"and {left} more"] if left else lines
+
+
+def _organisation_counts(organisation: dict[str, Any]) -> tuple[int | str, ...]:
+    """Return the counts, dashes if they are not kept for the organisation."""
+    if organisation["admitted"] is None:
+        return ("-",) * 4
+    over, refused = organisation["refused_429"], organisation["refused"]
+    others = sum(refused.values()) - over
+    return organisation["admitted"], over, others, organisation["calls_refused"]
+
+
+def _allowance_state(organisation: dict[str, Any]) -> str:
+    if not organisation["rate_per_s"]:
+        return "-"
+    if not organisation["owner"]:
+        return "own share, no owner"
+    state = "limited by" if organisation["is_limited"] else "open, owner"
+    return f"{state} {organisation['owner']}"
