--- a/damaskproxy/forwarding/refusal_meanings.py
+++ b/damaskproxy/forwarding/refusal_meanings.py
@@ -16,8 +16,8 @@
     "run on the server beside this node, as after a restart of the node",
     NotRunReason.ALLOWANCE: "the organisation has spent its allowance over all nodes; "
     "it may send again after the wait",
-    NotRunReason.OVERLOAD_BELOW: "a service that the route calls would refuse it, so "
-    "it was not started",
+    NotRunReason.OVERLOAD_BELOW: "the service, or one that it calls, would refuse "
+    "it, so it was not started",
     NotRunReason.OVERLOAD: "the queue of the backend server was too long, its level "
     "was at or below the position of the request, or its own limit was used up",
     NotRunReason.MOSTLY_FAILING: "most requests of the route failed lately, so only a "
--- a/damaskproxy/sidecar/top.py
+++ b/damaskproxy/sidecar/top.py
@@ -8,7 +8,7 @@
 """Counts that fit into a line of a terminal."""
 ORGANISATIONS_SHOWN = 10
 """Organisations that fit on a terminal of 24 lines below the other lines."""
-ORGANISATION_COLUMNS = "{:<20} {:>9} {:>9} {:>9} {:<24} {:>9} {:>9} {:>9} {:>9}"
+ORGANISATION_COLUMNS = "{:<20} {:>8} {:>6} {:>8} {:<24} {:>8} {:>7} {:>7} {:>13}"
 
 
 def format_top(now: dict[str, Any], before: dict[str, Any] | None = None) -> str:
@@ -105,12 +105,12 @@
 def _organisations(now: dict[str, Any]) -> list[str]:
     """Format the organisations that have spent most, one per line."""
     shown = now["organisations"][:ORGANISATIONS_SHOWN]
-    titles = ("limit", "burst", "spent", "state", "admitted", "429", "other", "calls")
+    counts = ("admitted", "429", "503", "calls refused")
     lines = [
-        f"organisations {now['organisation_count']}, most spent at this node first"
-        " (429: over the allowance; other: refused for other reasons;"
-        " calls: refused by the server here)",
-        ORGANISATION_COLUMNS.format("name", *titles).rstrip(),
+        f"organisations {now['organisation_count']}, most spent at this node first",
+        ORGANISATION_COLUMNS.format(
+            "name", "limit", "burst", "spent", "state", *counts
+        ),
     ]
     lines += [
         ORGANISATION_COLUMNS.format(
