--- a/damaskproxy/events/catalogue.py
+++ b/damaskproxy/events/catalogue.py
@@ -3,7 +3,7 @@
 Each package defines its events in its module ``events``. The thousands of a number
 identify the package: 1 node, 2 routing, 3 membership, 4 move, 5 unassigned, 6 ledger,
 7 admission, balancing and retries, 8 quarantine, 9 stand-ins, 10 forwarding and http1,
-11 directory and platform, 12 sidecar.
+11 directory and platform, 12 sidecar, 13 allowances.
 """
 
 from dataclasses import dataclass
