Measure a ledger whose organisations are open

A new owner is asked for each request during its first 0.5 s, so the second reports of the benchmark at 0.4 s found all organisations limited.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -47,9 +47,9 @@
 """Limit that is never reached, so that all decisions are those of the open state."""
 SPENT = Limit(0.001, 1.0)
 """Limit that is reached at once and stays so during the measurement."""
-STEADY_S = 0.4
-"""Time of the second reports; the buckets of a new ledger are full then, and no node
-counts as silent (1 s)."""
+STEADY_S = 0.6
+"""Time of the second reports; the buckets of a new ledger are full then and their
+organisations open (after 0.5 s), and no node counts as silent (0.75 s)."""
 SEED = 1
 
 Operation = Callable[[int], object]
@@ -162,7 +162,7 @@
     owners = _owners(nodes)
     # The ledger must be that of an owner.
     owners.own_id = owners.candidates[0]
-    ledger = Ledger(owners, AllowanceBounds(), 0.0)
+    ledger = Ledger(owners, AllowanceBounds())
     ledger.apply(dict.fromkeys(_names(count), limit), 0.0)
     take = itertools.cycle(_owned_names(owners, count))
     candidates = list(owners.candidates)
