Bound what strangers make a node hold at the peer listener

Cause: the peer listener accepted any number of connections, frames before a hello frame, and partly read frames of up to 2 MiB (1 MiB before a body) that no limit closed. Answers that nobody awaited reserved memory at the expense of clients. Pings of a peer that reads nothing were answered without a count of the cost of each write, and all frames of one read were handled before anything else.

The first frame has to be a hello frame of at most 4 KiB, within six checks (3 s). Partly read frames count in an account of their own, and the connection that holds most is closed. Accepted connections have a limit, beyond which those unused for longest are closed. The peer that has left most unread is closed instead of the one that exceeds the limit. Dense input is handled in turns.

The test of slow peers sends a hello frame first, as every node does. A partly read state frame up to 2 MiB counts by what has been read and no longer in the account of results, so its test checks that count instead.

--- a/damaskproxy/common/memory.py
+++ b/damaskproxy/common/memory.py
@@ -169,12 +169,23 @@
 
     A transport keeps a buffer until its last byte has been sent, so a write counts in
     full until then.
+
+    Parameters
+    ----------
+    write_bytes : int
+        Memory of a write beyond its size.
+
+    Attributes
+    ----------
+    held_bytes : int
+        Bytes that all writes hold.
     """
 
-    __slots__ = ("_sizes", "held_bytes")
+    __slots__ = ("_sizes", "_write_bytes", "held_bytes")
 
-    def __init__(self):
+    def __init__(self, write_bytes: int = 0):
         self._sizes: deque[int] = deque()
+        self._write_bytes = write_bytes
         self.held_bytes = 0
 
     def add(self, count: int, unsent_bytes: int) -> int:
@@ -188,11 +199,12 @@
             Bytes that the transport has not sent, with this write.
         """
         sizes, before_bytes = self._sizes, self.held_bytes
+        write_bytes = self._write_bytes
         sizes.append(count)
-        held_bytes = before_bytes + count
-        while len(sizes) > 1 and held_bytes - sizes[0] >= unsent_bytes:
-            held_bytes -= sizes.popleft()
-        self.held_bytes = held_bytes
+        size = before_bytes - write_bytes * (len(sizes) - 1) + count
+        while len(sizes) > 1 and size - sizes[0] >= unsent_bytes:
+            size -= sizes.popleft()
+        self.held_bytes = held_bytes = size + write_bytes * len(sizes)
         return held_bytes - before_bytes
 
     def clear(self) -> int:
--- a/damaskproxy/forwarding/frame_decoder.py
+++ b/damaskproxy/forwarding/frame_decoder.py
@@ -1,7 +1,7 @@
 """Decoder of the frames that a peer sends."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -44,6 +44,9 @@
 
 logger = logging.getLogger(__name__)
 
+HELLO_MAX_BYTES = 4096
+"""Length of the first frame of a peer. A hello frame has the id of a node, which is
+100 characters long at most, and numbers."""
 COPIED_MAX_BYTES = 4096
 """Length up to which it is faster to copy a frame than to create a view of it."""
 IGNORED_MAX = 1000
@@ -96,10 +99,25 @@
     ----------
     memory : LinkMemory, optional
         Accounts that partly read frames are counted in.
+    begins_with_hello : bool
+        Whether the first frame has to be a hello frame.
+    awaits_result : callable
+        Returns whether a result of the peer is awaited.
     """
 
-    def __init__(self, memory: LinkMemory | None = None):
+    def __init__(
+        self,
+        memory: LinkMemory | None = None,
+        *,
+        begins_with_hello: bool = False,
+        awaits_result: Callable[[], bool] = lambda: True,
+    ):
+        self._awaits_result = awaits_result
         self._memory = memory or LinkMemory()
+        self._awaits_hello = begins_with_hello
+        self._frame_max_bytes = (
+            HELLO_MAX_BYTES if begins_with_hello else FRAME_MAX_BYTES
+        )
         self._buffer = bytearray()
         self._large: LargeFrame | None = None
         self._records = RecordDecoder()
@@ -124,13 +142,17 @@
         start, size = 0, len(data)
         while size - start >= LENGTH_BYTES:
             length = int.from_bytes(data[start : start + LENGTH_BYTES])
-            if length > FRAME_MAX_BYTES:
+            if length > self._frame_max_bytes:
                 raise FrameError(f"frame of {length} bytes is too long")
             end = start + LENGTH_BYTES + length
             if size < end:
                 if length > LARGE_BYTES:
                     self._large = LargeFrame(
-                        length, BODY_INDICES, CALL_TAG, self._memory
+                        length,
+                        BODY_INDICES,
+                        CALL_TAG,
+                        self._memory,
+                        self._awaits_result,
                     )
                     self._feed_large(memoryview(data)[start + LENGTH_BYTES :], frames)
                     start = size
@@ -141,17 +163,40 @@
             else:
                 frames.append(self._decode(memoryview(data)[start:end]))
             start = end
+            if self._awaits_hello:
+                self._check_hello(frames[0])
         if data is buffer:
             del buffer[:start]
         elif start < size:
             buffer += data[start:]
         return frames
 
+    @property
+    def missing_bytes(self) -> int:
+        """Bytes that a long frame lacks, 0 without one that has been read in part."""
+        return 0 if self._large is None else self._large.missing_bytes
+
+    @property
+    def partial_bytes(self) -> int:
+        """Bytes of a partly read frame, apart from a large body."""
+        rest_bytes = 0 if self._large is None else self._large.rest_bytes
+        return len(self._buffer) + rest_bytes
+
     def close(self) -> None:
-        """Stop counting a frame that has been read in part."""
+        """Forget a frame that has been read in part."""
+        self._buffer = bytearray()
         if self._large is not None:
-            self._large.close()
-            self._large = None
+            self._close_large()
+
+    def _close_large(self) -> None:
+        self._large.close()
+        self._large = None
+
+    def _check_hello(self, frame: Frame) -> None:
+        if type(frame) is not HelloFrame:
+            raise FrameError("the first frame is no hello frame")
+        self._awaits_hello = False
+        self._frame_max_bytes = FRAME_MAX_BYTES
 
     def _feed_large(self, data: memoryview, frames: list[Frame]) -> memoryview:
         """Add the frame if it is complete, and return the bytes after it."""
@@ -163,7 +208,7 @@
             if large.body is not None:
                 frame.body = large.body
             frames.append(frame)
-            self.close()
+            self._close_large()
         return data[own_bytes:]
 
     def _decode(self, encoded: bytes | memoryview) -> Frame:
--- a/damaskproxy/forwarding/large_frames.py
+++ b/damaskproxy/forwarding/large_frames.py
@@ -1,7 +1,7 @@
 """Frames with a large body, which are read and written without copies of the body."""
 
 import io
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from damaskproxy.common import DamaskError
@@ -20,14 +20,15 @@
 ]
 
 LARGE_BYTES = 64 << 10
-"""Length above which a body is not copied, and a partly read frame is counted. A node
-may hold as much for each connection without counting it."""
+"""Length above which a body is not copied, and is counted in the accounts of calls or
+results."""
 HEAD_MAX_BYTES = 1 << 20
 """Longest part of a frame before or after a large body."""
 UNLIMITED_BYTES = 1 << 62
 UNCOUNTED_FRAME_BYTES = 2 << 20
-"""Length up to which frames without a large body are read even if the memory is used
-up; configurations and records are shorter."""
+"""Length up to which frames without a large body are read even if the memory for
+results is used up; configurations and records are shorter. What has been read of them
+counts in `LinkMemory.partial`."""
 
 EMPTY_BIN = b"\xc4\x00"
 BIN_32 = 0xC6
@@ -72,11 +73,15 @@
         that does not fit is discarded while it is read.
     unsent : MemoryAccount
         Frames that peers do not read. Calls and answers that do not fit are not sent.
+    partial : MemoryAccount
+        Partly read frames apart from large bodies. Beyond its limit, the connection
+        that holds most is closed.
     """
 
     calls: MemoryAccount = field(default_factory=_unlimited)
     results: MemoryAccount = field(default_factory=_unlimited)
     unsent: MemoryAccount = field(default_factory=_unlimited)
+    partial: MemoryAccount = field(default_factory=_unlimited)
 
 
 def _position_of_tag(data: bytes | bytearray) -> int:
@@ -155,6 +160,9 @@
         Tag of the frames that are calls.
     memory : LinkMemory
         Accounts that the frame is counted in.
+    awaits_result : callable
+        Returns whether a result of the peer is awaited; otherwise the body of an answer
+        is discarded.
 
     Attributes
     ----------
@@ -176,7 +184,9 @@
         indices: Mapping[int, int],
         call_tag: int,
         memory: LinkMemory,
+        awaits_result: Callable[[], bool] = lambda: True,
     ):
+        self._awaits_result = awaits_result
         self.missing_bytes = length
         self.body: bytes | None = None
         self._length = length
@@ -218,6 +228,14 @@
             self.body = self._buffer.getvalue() if has_room else DISCARDED_BODY
         return self._rest
 
+    @property
+    def rest_bytes(self) -> int:
+        """Bytes that are held beside what the accounts of bodies and results count.
+
+        Decoding them takes a copy.
+        """
+        return 0 if self._is_plain and self._held_bytes else 2 * len(self._rest)
+
     def close(self) -> None:
         """Stop counting the frame."""
         self._account.release(self._held_bytes)
@@ -264,7 +282,8 @@
         else:
             account = self._account
             has_room = (
-                account.held_bytes + length <= account.limit_bytes
+                self._awaits_result()
+                and account.held_bytes + length <= account.limit_bytes
                 and account.budget.make_room(length)
             )
         if has_room:
@@ -275,8 +294,10 @@
     def _start_plain(self) -> None:
         """Read the frame as a whole; decoding it takes a copy."""
         self._is_plain = True
+        if self._length <= UNCOUNTED_FRAME_BYTES:
+            return
         length = 2 * self._length
-        if self._length > UNCOUNTED_FRAME_BYTES and not self._account.fits(length):
+        if not self._account.fits(length):
             raise FrameError(f"there is no memory for a frame of {self._length} bytes")
         self._held_bytes = length
         self._account.hold(length)
--- a/damaskproxy/forwarding/link.py
+++ b/damaskproxy/forwarding/link.py
@@ -3,12 +3,14 @@
 import asyncio
 import itertools
 import logging
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from damaskproxy.common.clock import boot_s
 from damaskproxy.common.fibers import Fiber, Waiter
-from damaskproxy.common.memory import UnsentWrites
+from damaskproxy.common.memory import LargestHolders, UnsentWrites
+from damaskproxy.common.turns import Turns
 from damaskproxy.events import log_event
 from damaskproxy.forwarding import events
 from damaskproxy.forwarding.calls import (
@@ -65,6 +67,16 @@
 UNSENT_CALLS_SHARE = 0.5
 """Share of the memory for unsent frames up to which a call is sent on one connection
 that its peer does not read."""
+SLICE_BYTES = 4 << 10
+"""Bytes that are decoded at once; several frames of calls without a body."""
+FRAMES_PER_TURN = 64
+"""Frames in a slice after which other connections are served first. Calls and results
+are larger, so that their slices have fewer."""
+WRITE_BYTES = 128
+"""Memory of a write that the transport keeps, beyond its size: a byte string and its
+places in two queues."""
+UNCOUNTED_UNSENT_BYTES = 32 << 10
+"""Unsent bytes of a link up to which its writes are not counted."""
 WIRE_REASONS = {NotRunReason.MEMORY: NotRunReason.OVERLOAD}
 """Reasons that peers of earlier releases do not know, and what is sent instead."""
 
@@ -134,9 +146,22 @@
         Called with the link after the connection was opened or lost.
     memory : LinkMemory, optional
         Accounts that the bytes of all links are counted in.
+    partial : LargestHolders, optional
+        Links by the bytes of their partly read frames, apart from large bodies.
+    on_unsent_excess : callable, optional
+        Called when the unsent frames of all links exceed their limit, with the link
+        that exceeded it; closes that link by default.
+    turns : Turns, optional
+        Turns of all links on the event loop.
+    closures : Counter, optional
+        Connections that were closed because of their peers, by kind.
+    is_accepted : bool
+        Whether the peer opened the connection.
 
     Attributes
     ----------
+    checks_without_hello : int
+        How often `Links` has found that the hello frame of the peer is missing.
     peer_incarnation : int or None
         Incarnation of the peer, None until its hello frame has arrived.
     hello_received : asyncio.Event
@@ -153,7 +178,15 @@
         on_open: Callable[["Link"], None],
         on_lost: Callable[["Link"], None],
         memory: LinkMemory | None = None,
+        partial: LargestHolders | None = None,
+        on_unsent_excess: Callable[["Link"], None] | None = None,
+        *,
+        turns: Turns | None = None,
+        closures: Counter[str] | None = None,
+        is_accepted: bool = False,
     ):
+        self.is_accepted = is_accepted
+        self.checks_without_hello = 0
         self.peer_id = ""
         self.peer_incarnation: int | None = None
         self.hello_received = asyncio.Event()
@@ -166,9 +199,20 @@
         self._on_lost = on_lost
         self._transport: asyncio.Transport | None = None
         self._memory = memory or LinkMemory()
-        self._decoder = FrameDecoder(self._memory)
+        self._decoder = FrameDecoder(
+            self._memory,
+            begins_with_hello=True,
+            awaits_result=lambda: self.has_calls_in_flight,
+        )
+        self._partial = partial or LargestHolders(self._memory.partial)
+        self._partial_bytes = 0
+        self._on_unsent_excess = on_unsent_excess or Link.abort_unread
+        self._input = memoryview(b"")
+        self._is_reading_paused = False
+        self._turns = turns or Turns()
+        self._closures = Counter() if closures is None else closures
         self._is_writing_paused = False
-        self._unsent_writes = UnsentWrites()
+        self._unsent_writes = UnsentWrites(WRITE_BYTES)
         self._sent_strings, self._received_strings = (
             StringTable(volatile),
             StringTable(volatile),
@@ -198,6 +242,11 @@
         """Bytes of frames that the kernel has not taken yet."""
         return self._transport.get_write_buffer_size() if self.is_open else 0
 
+    @property
+    def held_unsent_bytes(self) -> int:
+        """Memory of the frames that the peer does not read."""
+        return self._unsent_writes.held_bytes
+
     @property
     def running_count(self) -> int:
         """Calls of the peer that run on this node."""
@@ -223,13 +272,16 @@
         self._transport = transport
         self.is_open = True
         enable_dead_peer_detection(transport)
+        transport.set_write_buffer_limits(UNCOUNTED_UNSENT_BYTES)
         self.write(self._hello)
         self._on_open(self)
 
     def connection_lost(self, exc):
         """End the calls in both directions after the loss of the connection."""
         self.is_open = False
+        self._input = memoryview(b"")
         self._decoder.close()
+        self._partial.release(self._abort_partial)
         self.resume_writing()
         log_event(
             logger,
@@ -250,15 +302,87 @@
         self.is_unresponsive = False
         self._last_received_s = boot_s()
         self._ping_sent_s = None
+        if len(data) <= SLICE_BYTES and not self._input:
+            self._feed(data)
+            return
+        # Reading is paused while there is input, but the transport may have more.
+        self._input = memoryview(self._input.tobytes() + data if self._input else data)
+        self._go_on()
+
+    def _go_on(self) -> None:
+        """Handle the input up to a slice with many frames, then let others go on."""
+        while self._input and self.is_open:
+            size = max(SLICE_BYTES, self._decoder.missing_bytes)
+            part, self._input = self._input[:size], self._input[size:]
+            if self._feed(part) > FRAMES_PER_TURN and self._input:
+                self._turns.add(self._go_on)
+                self._pause_reading()
+                return
+        self._resume_reading()
+
+    def _pause_reading(self) -> None:
+        if not self._is_reading_paused and not self._transport.is_closing():
+            self._is_reading_paused = True
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if self._is_reading_paused and not self._transport.is_closing():
+            self._is_reading_paused = False
+            self._transport.resume_reading()
+
+    def _feed(self, data: bytes | memoryview) -> int:
+        """Handle the frames that `data` completes, and return how many they are."""
+        frames = []
         try:
-            for frame in self._decoder.feed(data):
+            frames = self._decoder.feed(data)
+            for frame in frames:
                 self._handle(frame)
+            partial_bytes = self._decoder.partial_bytes
+            if partial_bytes != self._partial_bytes:
+                self._count_partial(partial_bytes)
         except FrameError as error:
-            log_event(logger, events.LINK_LOST, peer=self.peer_id, reason=str(error))
-            self._transport.abort()
+            self._abort("invalid-frame", str(error))
         except Exception as error:
             log_event(logger, events.FRAME_FAILED, exc_info=error, peer=self.peer_id)
+            self._input = memoryview(b"")
             self._transport.abort()
+        return len(frames)
+
+    def _count_partial(self, size: int) -> None:
+        """Count the partly read frame; the largest ones are given up if needed."""
+        self._partial_bytes = size
+        self._partial.release(self._abort_partial)
+        if size and not self._transport.is_closing():
+            self._partial.add(self._abort_partial, size)
+
+    def _abort_partial(self) -> None:
+        reason = "the partly read frames of peers exceed their memory limit"
+        self._abort("no-memory", reason)
+
+    def abort_unread(self) -> None:
+        """Close the connection, because the peer does not read."""
+        reason = "the frames that peers have not read exceed their memory limit"
+        self._abort("unread", reason)
+
+    def abort_without_hello(self) -> None:
+        """Close the connection, because the peer has not sent its hello frame."""
+        self._abort("no-hello", "the peer has not sent its hello frame in time")
+
+    def shed(self) -> None:
+        """Close the connection in favour of a new one."""
+        self._abort("connections", "there are too many connections of other nodes")
+
+    def _abort(self, kind: str, reason: str) -> None:
+        self._closures[kind] += 1
+        self._input = memoryview(b"")
+        log_event(
+            logger,
+            events.LINK_LOST,
+            peer=self.peer_id,
+            reason=reason,
+            unsent_bytes=self.unsent_bytes,
+        )
+        self._transport.abort()
 
     def pause_writing(self):
         """Count what is written from now on, because the peer does not read."""
@@ -412,14 +536,7 @@
         unsent = self._memory.unsent
         unsent.hold(self._unsent_writes.add(size, self.unsent_bytes))
         if unsent.held_bytes > unsent.limit_bytes:
-            log_event(
-                logger,
-                events.LINK_LOST,
-                peer=self.peer_id,
-                reason="the frames that peers have not read exceed their memory limit",
-                unsent_bytes=self.unsent_bytes,
-            )
-            self._transport.abort()
+            self._on_unsent_excess(self)
 
     def _run_frame(self, call_id: int, call: Call) -> RunFrame:
         pack = self._sent_strings.pack
@@ -456,7 +573,9 @@
             self.last_used_s = boot_s()
             self._handlers.handle_control(self, frame)
         elif isinstance(frame, PingFrame):
-            self.write(PongFrame())
+            # What a peer has not read yet answers its ping as well.
+            if not self._is_writing_paused:
+                self.write(PongFrame())
         elif isinstance(frame, PongFrame):
             # `data_received` has already recorded that the peer responds.
             pass
--- a/damaskproxy/forwarding/links.py
+++ b/damaskproxy/forwarding/links.py
@@ -1,11 +1,15 @@
 """Links: the connections of a node to other nodes."""
 
 import asyncio
+import heapq
 import logging
 import socket
+from collections import Counter
 from collections.abc import Callable
 
 from damaskproxy.common.clock import boot_s
+from damaskproxy.common.memory import LargestHolders
+from damaskproxy.common.turns import Turns
 from damaskproxy.directory import MemberRecord
 from damaskproxy.events import log_event
 from damaskproxy.forwarding import events
@@ -28,6 +32,18 @@
 frequent, since each of them wakes the process up."""
 
 
+HELLO_CHECKS_MAX = 6
+"""Checks after which an accepted connection without a hello frame is closed. They are
+0.5 s apart, so that a peer has 3 s like a client for the head of a request. Checks are
+counted, since frames may wait in the kernel while this node is suspended."""
+ACCEPTED_MAX = 1 << 16
+"""Default limit on accepted connections; the number of ports of a machine."""
+BACKLOG = 1024
+"""Default limit on connections that wait to be accepted."""
+SHED_SHARE = 1 / 16
+"""Share of the accepted connections that are closed at once when there are too many."""
+
+
 class Links:
     """Connections of this node to other nodes.
 
@@ -43,6 +59,16 @@
         Called with the id of a node after a connection to it was opened.
     memory : LinkMemory, optional
         Accounts that the bytes of all connections are counted in.
+    accepted_max : int
+        Connections that other nodes may open. Beyond it, those that have not been used
+        for the longest time are closed.
+    backlog : int
+        Connections that the kernel keeps until they are accepted.
+
+    Attributes
+    ----------
+    closures : Counter
+        Connections that were closed because of their peers, by kind.
     """
 
     def __init__(
@@ -52,8 +78,16 @@
         volatile: frozenset[bytes],
         on_open: Callable[[str], None] = lambda node_id: None,
         memory: LinkMemory | None = None,
+        accepted_max: int = ACCEPTED_MAX,
+        backlog: int = BACKLOG,
     ):
         self._memory = memory or LinkMemory()
+        self._accepted_max = accepted_max
+        self._backlog = backlog
+        self._partial = LargestHolders(self._memory.partial)
+        self._accepted: set[Link] = set()
+        self._turns = Turns()
+        self.closures: Counter[str] = Counter()
         self._on_open = on_open
         self._hello = hello
         self._handlers = handlers
@@ -91,7 +125,7 @@
         """Accept connections of other nodes on a socket that listens."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            self._make_link, sock=sock, backlog=1024
+            self._make_accepted_link, sock=sock, backlog=self._backlog
         )
 
     async def run(self, member: MemberRecord, call: Call) -> Result:
@@ -153,7 +187,8 @@
         return [link for link in self._links if link.is_open]
 
     def close_idle(self) -> None:
-        """Close connections without calls for `IDLE_CLOSE_S`."""
+        """Close connections without calls for `IDLE_CLOSE_S`, or without a hello."""
+        self._close_without_hello()
         idle_before_s = boot_s() - IDLE_CLOSE_S
         self._replaced = {link for link in self._replaced if link.is_open}
         for link in (*self._outgoing.values(), *self._replaced):
@@ -171,7 +206,7 @@
         self._is_leaving = True
         end_s = boot_s() + timeout_s
         if self._server is not None and self._server.is_serving():
-            accepting = accept_queued(self._server, self._make_link)
+            accepting = accept_queued(self._server, self._make_accepted_link)
             self._server.close()
             if accepting:
                 await asyncio.wait(accepting, timeout=timeout_s)
@@ -192,16 +227,58 @@
         for link in self.open_links():
             link.close()
 
-    def _make_link(self) -> Link:
+    def _make_link(self, *, is_accepted: bool = False) -> Link:
         return Link(
             self._handlers,
             self._volatile,
             self._hello(),
-            on_open=self._links.add,
-            on_lost=self._links.discard,
+            on_open=self._opened,
+            on_lost=self._lost,
             memory=self._memory,
+            partial=self._partial,
+            on_unsent_excess=self._close_most_unread,
+            turns=self._turns,
+            closures=self.closures,
+            is_accepted=is_accepted,
         )
 
+    def _make_accepted_link(self) -> Link:
+        return self._make_link(is_accepted=True)
+
+    def _opened(self, link: Link) -> None:
+        self._links.add(link)
+        if link.is_accepted:
+            self._accepted.add(link)
+            if len(self._accepted) > self._accepted_max:
+                self._shed(link)
+
+    def _lost(self, link: Link) -> None:
+        self._links.discard(link)
+        self._accepted.discard(link)
+
+    def _shed(self, newcomer: Link) -> None:
+        """Close the accepted connections that were not used for the longest time."""
+        idle = [k for k in self._accepted if k is not newcomer and not k.running_count]
+        count = max(1, int(SHED_SHARE * self._accepted_max))
+        oldest = heapq.nsmallest(count, idle, key=lambda k: k.last_used_s)
+        for link in oldest or [newcomer]:
+            self._accepted.discard(link)
+            link.shed()
+
+    def _close_without_hello(self) -> None:
+        for link in list(self._accepted):
+            if link.hello_received.is_set():
+                continue
+            link.checks_without_hello += 1
+            if link.checks_without_hello > HELLO_CHECKS_MAX:
+                link.abort_without_hello()
+
+    def _close_most_unread(self, link: Link) -> None:
+        """Close the connection whose peer has left most unread."""
+        largest = max(self._links, key=lambda k: k.held_unsent_bytes, default=link)
+        largest.abort_unread()
+        largest.resume_writing()
+
     def _schedule_check(self) -> None:
         loop = asyncio.get_running_loop()
         self._liveness_timer = loop.call_later(LIVENESS_CHECK_S, self._check_liveness)
--- a/damaskproxy/forwarding/tests/test_large_frames.py
+++ b/damaskproxy/forwarding/tests/test_large_frames.py
@@ -154,7 +154,8 @@
 
     def test_partly_read_frame_is_not_counted_after_its_connection_is_lost(self):
         memory = make_memory()
-        for frame in (run_frame(MB), answer_frame(MB), StateFrame(b"c" * MB, [])):
+        long = StateFrame(b"c" * 3 * MB, [])
+        for frame in (run_frame(MB), answer_frame(MB), long):
             decoder = FrameDecoder(memory)
             decoder.feed(encode_frame(frame)[: 300 << 10])
             held = memory.calls.held_bytes + memory.results.held_bytes
@@ -163,6 +164,14 @@
             held = memory.calls.held_bytes + memory.results.held_bytes
             self.assertEqual(held, 0)
 
+    @params(60 << 10, MB)
+    def test_partly_read_state_counts_by_what_has_been_read(self, size):
+        decoder = FrameDecoder(make_memory())
+        decoder.feed(encode_frame(StateFrame(b"c" * size, []))[: size // 2])
+        self.assertGreaterEqual(decoder.partial_bytes, size // 2)
+        decoder.close()
+        self.assertEqual(decoder.partial_bytes, 0)
+
     @params(
         # A body that is longer than its frame, an item of an unknown type, and a
         # frame without a body that is too long for the memory.
@@ -267,6 +276,7 @@
         await links.serve(socket.create_server(("127.0.0.1", 0)))
         reader, writer = await asyncio.open_connection("127.0.0.1", links.port)
         writer.transport.pause_reading()
+        writer.write(encode_frame(HelloFrame("n1", 1)))
         self.waiters = []
         for call_id in range(8):
             frame = msgspec.structs.replace(
