Bound what clients make a listener hold, and share the event loop

Cause: only bodies and answers above the high-water mark of 64 KiB were counted. Fields of heads, unparsed input, queued requests and connections were not; one read of 256 KiB was parsed whole, so that thousands of pipelined requests became objects at once and were answered in nested calls before anything else. A body without room refused the newcomer, so that stalled bodies kept small requests from being served. Trailers and parameters of chunks had no limit. Connections used all descriptors.

Seen on the unchanged node (docs/untrusted-clients.md): 137 MB with 400 incomplete heads and up to 610 MB with pipelined requests on a machine of 100 MB; no answer to an ordinary request within 20 s while 400 clients pipelined; 503 to an ordinary request while 400 bodies lacked their last byte; 511 of 512 descriptors in use.

RequestReader parses input in slices and stops behind a few queued requests; dense input and answers take turns. Everything but bodies and answers counts as overhead, with the connection itself. Beyond a limit, the largest request that has not run is refused with 503, also a queued one; a small one may use the memory reserved for answers. Beyond the limit on connections, those without progress for longest are closed. Closures are counted by kind, and logged ten times per second at most.

--- a/damaskproxy/http1/__init__.py
+++ b/damaskproxy/http1/__init__.py
@@ -7,6 +7,7 @@
     HttpError,
     ResponseTooLarge,
 )
+from damaskproxy.http1.limits import ClientLimits, ListenerLimits
 from damaskproxy.http1.messages import (
     Headers,
     Request,
@@ -14,7 +15,7 @@
     end_to_end,
 )
 from damaskproxy.http1.response_limits import ResponseLimits, ResponseMemory
-from damaskproxy.http1.server import ClientLimits, HttpServer
+from damaskproxy.http1.server import HttpServer
 from damaskproxy.http1.sockets import DeadPeerLimits
 
 __all__ = [
@@ -25,6 +26,7 @@
     "Headers",
     "HttpError",
     "HttpServer",
+    "ListenerLimits",
     "Request",
     "Response",
     "ResponseLimits",
--- a/damaskproxy/http1/events.py
+++ b/damaskproxy/http1/events.py
@@ -4,7 +4,12 @@
 
 from damaskproxy.events import define
 
-__all__ = ["REQUEST_FAILED", "REQUEST_MALFORMED", "RESPONSE_CUT"]
+__all__ = [
+    "CONNECTION_SHED",
+    "REQUEST_FAILED",
+    "REQUEST_MALFORMED",
+    "RESPONSE_CUT",
+]
 
 REQUEST_MALFORMED = define(
     10001,
@@ -25,3 +30,10 @@
     "This node closed a connection with a request that it had not answered, or with an "
     "answer that it had not sent completely; the reason is given.",
 )
+CONNECTION_SHED = define(
+    10004,
+    "connection-shed",
+    logging.WARNING,
+    "A listener had too many connections and closed one that had been without progress "
+    "for the longest time; a request that was read in part or queued has not run.",
+)
