--- a/damaskproxy/forwarding/frame_decoder.py
+++ b/damaskproxy/forwarding/frame_decoder.py
@@ -92,6 +92,10 @@
 _state_decoder = msgspec.msgpack.Decoder(_UndecodedStateFrame)
 
 
+def _no_result() -> bool:
+    return False
+
+
 class FrameDecoder:
     """Incremental decoder of a stream of frames.
 
@@ -183,8 +187,9 @@
         return len(self._buffer) + rest_bytes
 
     def close(self) -> None:
-        """Forget a frame that has been read in part."""
+        """Forget a frame that has been read in part, and the connection."""
         self._buffer = bytearray()
+        self._awaits_result = _no_result
         if self._large is not None:
             self._close_large()
 
