Give each listener of a node a share of its descriptors and memory

Cause: no listener had a limit on its connections, so that one crowd used all descriptors, and the control, readiness and metrics listeners counted only bodies.

Seen on the unchanged node: 511 of 512 descriptors in use with 700 connections to any listener; 522 to 610 MB with 400 pipelining clients of the readiness, control or metrics listener on a machine of 100 MB.

The limits follow from RLIMIT_NOFILE at the start and from memory_limit_mb; three sixteenths of the descriptors remain for the node itself. Refusals and closures are in the metrics by listener and kind.

The test of used up descriptors lowers the limit of the running process instead of that at the start, since a listener would otherwise accept fewer connections than that; it checks the same.

--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, fields
 
 import msgspec
@@ -57,6 +57,11 @@
 )
 from damaskproxy.propagation import Propagation
 from damaskproxy.retries import RetryBudget, RetrySettings
+from damaskproxy.sidecar.listener_limits import (
+    LINK_BYTES,
+    descriptor_limit,
+    limits_of_listener,
+)
 from damaskproxy.sidecar.metrics import make_metrics_handler
 from damaskproxy.sidecar.settings import SidecarSettings, to_address
 
@@ -71,8 +76,8 @@
 HELD_MEMORY_SHARE = 0.5
 """Share of the memory limit for all bytes that the node holds for clients, backend
 servers and other nodes together (`MemoryBudget`). The rest is for the process, which
-needs 30 to 80 MB, and for what is not counted: up to 64 KiB of unsent or partly read
-data for each connection, the other listeners and the client of the store. Work that
+needs 30 to 80 MB, and for what is not counted: the connections of other nodes, the
+other listeners and the client of the store. Work that
 has not run yet gets four fifths of the budget; the other fifth is for the answers of
 work that has run."""
 ACCOUNT_MEMORY_SHARE = 0.25
@@ -82,12 +87,18 @@
 that are being read have a share of their own in the settings. Responses that clients
 have not read may exceed their share, but no new ones are begun then; if the budget is
 exceeded, the connection with the largest of them is cut."""
+PEER_PARTIAL_SHARE = 0.125
+"""Share of the memory limit for connections of other nodes, and for partly read frames
+apart from the bodies of calls and answers; half of it for each."""
 CONTROL_LIMITS = ClientLimits(max_body_bytes=64 << 10)
 CONTROL_HELD_BYTES, CONTROL_UNSENT_BYTES = 1 << 20, 4 << 20
 """A status report has some 300 bytes; the state for a node that starts has some 100 KB
 for 300 members."""
 PROBE_LIMITS = ClientLimits(max_body_bytes=4 << 10)
 PROBE_HELD_BYTES, PROBE_UNSENT_BYTES = 64 << 10, 1 << 20
+CONTROL_OVERHEAD_BYTES, PROBE_OVERHEAD_BYTES = 4 << 20, 2 << 20
+"""Connections, unparsed bytes, fields and queued requests of the control listener, and
+of the readiness and the metrics listener each. Half of it is for connections."""
 START_MARGIN_MS = 5000
 """Time after the start of this process from which on a start of the backend server is
 certainly later; the clock of the machine may be set in between."""
@@ -226,6 +237,8 @@
             "call_body_bytes": links.calls.held_bytes,
             "response_bytes": self.response_memory.total_bytes,
             "link_result_bytes": links.results.held_bytes,
+            "link_partial_bytes": links.partial.held_bytes,
+            "overhead_bytes": caller.overhead.held_bytes,
             "unread_response_bytes": caller.unsent.account.held_bytes,
             "unread_link_bytes": links.unsent.held_bytes,
             "unsent_response_bytes": caller.unsent_bytes,
@@ -234,6 +247,11 @@
             "budget_limit_bytes": self.memory.limit_bytes,
         }
 
+    def closures(self) -> dict[str, Mapping[str, int]]:
+        """Return the refusals and closed connections of each listener, by kind."""
+        counts = {name: s.closures.counts for name, s in self.servers.items()}
+        return {**counts, "peer": self.links.closures}
+
     def encoded_state(self) -> bytes:
         """Return the encoded configuration and members for a node that starts."""
         records = list(self.directory.records())
@@ -306,9 +324,13 @@
     limit_bytes = settings.memory_limit_mb << 20
     memory = MemoryBudget(int(limit_bytes * HELD_MEMORY_SHARE))
     account_bytes = int(limit_bytes * ACCOUNT_MEMORY_SHARE)
+    partial_bytes = int(limit_bytes * PEER_PARTIAL_SHARE)
     link_memory = LinkMemory(
-        *(MemoryAccount(account_bytes, memory) for _ in fields(LinkMemory))
+        *(MemoryAccount(account_bytes, memory) for _ in fields(LinkMemory)[:-1]),
+        partial=MemoryAccount(partial_bytes // 2, memory),
     )
+    descriptors = descriptor_limit()
+    peer_limits = limits_of_listener("peer", partial_bytes, descriptors, LINK_BYTES)
     response_memory = ResponseMemory(int(limit_bytes * responses.memory_share), memory)
 
     def has_room_for_responses(count: int) -> bool:
@@ -361,6 +383,8 @@
         VOLATILE_HEADERS,
         member_selector.clear_backoff,
         link_memory,
+        peer_limits.connections_max,
+        peer_limits.backlog,
     )
     origin = Origin(
         settings.node_id,
@@ -429,14 +453,18 @@
             account_bytes,
             memory.limit_bytes,
             memory,
+            limits_of_listener("caller", account_bytes, descriptors),
         ),
-        "readiness": _make_probe_server("readiness", readiness),
+        "readiness": _make_probe_server("readiness", readiness, descriptors),
         "control": HttpServer(
             "control",
             control,
             lambda: CONTROL_LIMITS,
             held_max_bytes=CONTROL_HELD_BYTES,
             unsent_max_bytes=CONTROL_UNSENT_BYTES,
+            listener_limits=limits_of_listener(
+                "control", CONTROL_OVERHEAD_BYTES, descriptors
+            ),
         ),
     }
     memory.on_shortage(servers["caller"].unsent.give_up_largest)
@@ -478,14 +506,14 @@
     )
     if settings.listeners.metrics is not None:
         servers["metrics"] = _make_probe_server(
-            "metrics", make_metrics_handler(sidecar)
+            "metrics", make_metrics_handler(sidecar), descriptors
         )
     if not settings.is_first_start:
         sidecar.require_verification()
     return sidecar
 
 
-def _make_probe_server(name: str, handle) -> HttpServer:
+def _make_probe_server(name: str, handle, descriptors: int) -> HttpServer:
     """Return a listener for requests without bodies."""
     return HttpServer(
         name,
@@ -493,4 +521,5 @@
         lambda: PROBE_LIMITS,
         held_max_bytes=PROBE_HELD_BYTES,
         unsent_max_bytes=PROBE_UNSENT_BYTES,
+        listener_limits=limits_of_listener(name, PROBE_OVERHEAD_BYTES, descriptors),
     )
--- a/damaskproxy/sidecar/metrics.py
+++ b/damaskproxy/sidecar/metrics.py
@@ -107,6 +107,15 @@
                 buckets.append((label, total))
             seconds.add_metric([service], buckets, latency.sum_s)
         yield seconds
+        closures = CounterMetricFamily(
+            "damask_closures",
+            "Requests refused before they were handled, and connections closed",
+            labels=["listener", "kind"],
+        )
+        for name, counts in self._sidecar.closures().items():
+            for kind, count in counts.items():
+                closures.add_metric([name, str(kind)], count)
+        yield closures
         restores = CounterMetricFamily(
             "damask_store_restores", "Times that the store returned from an older copy"
         )
--- a/damaskproxy/sidecar/tests/test_memory.py
+++ b/damaskproxy/sidecar/tests/test_memory.py
@@ -99,7 +99,8 @@
         others = [s for name, s in sidecar.servers.items() if name != "caller"]
         limit_bytes = sidecar.memory.limit_bytes + RESPONSES_MAX_BYTES
         limit_bytes += sum(
-            s.bodies.limit_bytes + s.unsent.account.limit_bytes for s in others
+            s.bodies.limit_bytes + s.unsent.account.limit_bytes + s.overhead.limit_bytes
+            for s in others
         )
         self.assertLessEqual(limit_bytes, (limit_mb - PROCESS_MB) * MB)
         shared = [
@@ -109,6 +110,8 @@
             sidecar.link_memory.calls,
             sidecar.link_memory.results,
             sidecar.link_memory.unsent,
+            sidecar.link_memory.partial,
+            sidecar.servers["caller"].overhead,
         ]
         for account in shared:
             self.assertIs(account.budget, sidecar.memory)
--- a/damaskproxy/sidecar/tests/test_metrics.py
+++ b/damaskproxy/sidecar/tests/test_metrics.py
@@ -90,6 +90,19 @@
         self.assertEqual(samples["damask_ready",], 1)
         self.assertEqual(samples["damask_members",], 1)
 
+    async def test_refusals_before_handling_are_counted_by_listener_and_kind(self):
+        for name in ("caller", "control"):
+            address = to_address(getattr(self.member.sidecar.settings.listeners, name))
+            reader, writer = await asyncio.open_connection(address.host, address.port)
+            writer.write(b"no HTTP\r\n\r\n")
+            self.assertIn(b" 400 ", await reader.readline())
+            writer.close()
+        self.member.sidecar.links.closures["no-hello"] += 2
+        samples = await self.samples()
+        for name in ("caller", "control"):
+            self.assertEqual(samples["damask_closures_total", name, "malformed"], 1)
+        self.assertEqual(samples["damask_closures_total", "peer", "no-hello"], 2)
+
     async def test_memory_that_is_held_is_shown_by_purpose(self):
         memory = self.member.sidecar.link_memory
         memory.calls.hold(1000)
--- a/damaskproxy/sidecar/tests/test_process_lives.py
+++ b/damaskproxy/sidecar/tests/test_process_lives.py
@@ -22,6 +22,8 @@
 )
 
 STREAMS = {"stdout": 1, "stderr": 2}
+FREE_DESCRIPTORS = 12
+"""Fewer than the connections that any listener accepts."""
 
 
 def full_pipe():
@@ -103,14 +105,14 @@
 
     @params(*LISTENERS)
     async def test_listener_answers_after_descriptors_were_used_up(self, name):
-        limit = 40
         node = self.make_node()
-        await node.start(
-            preexec_fn=lambda: resource.setrlimit(
-                resource.RLIMIT_NOFILE, (limit, limit)
-            )
-        )
+        await node.start()
         await node.until_ready()
+        # The limit is lowered after the start, since a listener has fewer connections
+        # than the process may have descriptors when it starts.
+        pid = node.process.pid
+        limit = len(os.listdir(f"/proc/{pid}/fd")) + FREE_DESCRIPTORS
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (limit, limit))
         host, _, port = node.settings["listeners"][name].rpartition(":")
         address = (host, int(port))
         clients = [socket.create_connection(address, timeout=10) for _ in range(80)]
