Free memory for several requests at once, and keep the backend server in the test

Cause: while an account is full, each part of a body searched all connections for the largest request.

The rows use a backend server that reports once, which a node serves for some seconds only.

--- a/damaskproxy/http1/server.py
+++ b/damaskproxy/http1/server.py
@@ -31,6 +31,9 @@
 
 Handle = Callable[[Request], Awaitable[Response]]
 
+RECLAIM_SHARE = 1 / 16
+"""Share of an account that is freed beyond what is needed, so that the search for the
+largest requests is rare while many arrive."""
 SHED_SHARE = 1 / 16
 """Share of the connections that are closed at once when there are too many, so that
 the search for them is rare."""
@@ -184,25 +187,46 @@
         """Refuse requests that have not run and hold more than `requester` would."""
         budget = account.budget
         index = 0 if account is self.bodies else 1
-
-        def own_size(connection: ServerConnection) -> int:
-            return connection.reclaimable_bytes[index]
-
-        def whole_size(connection: ServerConnection) -> int:
-            return sum(connection.reclaimable_bytes)
-
-        while True:
-            is_short = account.held_bytes + count > account.limit_bytes
-            if not is_short and (
-                budget.held_bytes + count <= share * budget.limit_bytes
-            ):
-                return True
-            size = own_size if is_short else whole_size
-            largest = max(self.connections, key=size, default=None)
-            if largest is None or size(largest) <= size(requester) + count:
-                break
-            largest.reclaim()
-        return not is_short and share == 1.0 and budget.make_room(count)
+        budget_bytes = share * budget.limit_bytes
+        spare_bytes = int(RECLAIM_SHARE * account.limit_bytes)
+
+        def has_room(size: int) -> bool:
+            return account.held_bytes + size <= account.limit_bytes
+
+        def fits_budget(size: int) -> bool:
+            return budget.held_bytes + size <= budget_bytes
+
+        if not has_room(count):
+            self._refuse_largest(
+                requester,
+                count,
+                lambda connection: connection.reclaimable_bytes[index],
+                lambda: has_room(count + spare_bytes),
+            )
+        if not fits_budget(count):
+            self._refuse_largest(
+                requester,
+                count,
+                lambda connection: sum(connection.reclaimable_bytes),
+                lambda: fits_budget(count + spare_bytes),
+            )
+        if not has_room(count):
+            return False
+        return fits_budget(count) or (share == 1.0 and budget.make_room(count))
+
+    def _refuse_largest(
+        self,
+        requester: ServerConnection,
+        count: int,
+        size: Callable[[ServerConnection], int],
+        is_enough: Callable[[], bool],
+    ) -> None:
+        """Refuse requests that hold more than `requester` would, the largest first."""
+        requested_bytes = size(requester) + count
+        for connection in sorted(self.connections, key=size, reverse=True):
+            if size(connection) <= requested_bytes or is_enough():
+                return
+            connection.reclaim()
 
     def shed_connections(self, newcomer: ServerConnection) -> None:
         """Close the connections that have been without progress for longest."""
--- a/damaskproxy/sidecar/tests/test_crowds.py
+++ b/damaskproxy/sidecar/tests/test_crowds.py
@@ -173,6 +173,8 @@
         self.node = self.make_node()
         self.node.settings["backend_address"] = await self.backend.open()
         self.node.settings["memory_limit_mb"] = MACHINE_MB
+        # The server reports once, and its node has to serve it during the whole row.
+        self.node.settings["heartbeat_interval_ms"] = 600_000
         self.node.write_settings()
         limits = (MACHINE_DESCRIPTORS, MACHINE_DESCRIPTORS)
         await self.node.start(
