Let the limits of all listeners leave room for the process on the smallest machine

Cause: the overhead of the control, readiness and metrics listeners (8 MiB) was not part of the check that all limits together leave 80 MB of 200 MB to the process; with it, they exceeded this by 3 MB. The test of the new metric names its labels in the order of the output.

--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -96,7 +96,7 @@
 for 300 members."""
 PROBE_LIMITS = ClientLimits(max_body_bytes=4 << 10)
 PROBE_HELD_BYTES, PROBE_UNSENT_BYTES = 64 << 10, 1 << 20
-CONTROL_OVERHEAD_BYTES, PROBE_OVERHEAD_BYTES = 4 << 20, 2 << 20
+CONTROL_OVERHEAD_BYTES, PROBE_OVERHEAD_BYTES = 2 << 20, 1 << 20
 """Connections, unparsed bytes, fields and queued requests of the control listener, and
 of the readiness and the metrics listener each. Half of it is for connections."""
 START_MARGIN_MS = 5000
--- a/damaskproxy/sidecar/tests/test_metrics.py
+++ b/damaskproxy/sidecar/tests/test_metrics.py
@@ -100,8 +100,8 @@
         self.member.sidecar.links.closures["no-hello"] += 2
         samples = await self.samples()
         for name in ("caller", "control"):
-            self.assertEqual(samples["damask_closures_total", name, "malformed"], 1)
-        self.assertEqual(samples["damask_closures_total", "peer", "no-hello"], 2)
+            self.assertEqual(samples["damask_closures_total", "malformed", name], 1)
+        self.assertEqual(samples["damask_closures_total", "no-hello", "peer"], 2)
 
     async def test_memory_that_is_held_is_shown_by_purpose(self):
         memory = self.member.sidecar.link_memory
