--- a/damaskproxy/http1/__init__.py
+++ b/damaskproxy/http1/__init__.py
@@ -7,6 +7,7 @@
     HttpError,
     ResponseTooLarge,
 )
+from damaskproxy.http1.limits import ClientLimits, ListenerLimits
 from damaskproxy.http1.messages import (
     Headers,
     Request,
@@ -15,7 +16,7 @@
 )
 from damaskproxy.http1.response_checks import is_final_status, status_fault
 from damaskproxy.http1.response_limits import ResponseLimits, ResponseMemory
-from damaskproxy.http1.server import ClientLimits, HttpServer
+from damaskproxy.http1.server import HttpServer
 from damaskproxy.http1.sockets import DeadPeerLimits
 
 __all__ = [
@@ -26,6 +27,7 @@
     "Headers",
     "HttpError",
     "HttpServer",
+    "ListenerLimits",
     "Request",
     "Response",
     "ResponseLimits",
