Answer reports before the first limits are in force

A node that had never had a limit raised an error on the report of a node that received the first limits earlier, and the link between them was aborted.

--- a/damaskproxy/allowances/ledger.py
+++ b/damaskproxy/allowances/ledger.py
@@ -262,6 +262,9 @@
 
     def _unused_count(self, now_s: float) -> int:
         """Return how many members have not reported and may not report elsewhere."""
+        if self._started_s is None:
+            # Nodes with a newer configuration report before the limits are in force.
+            return 0
         if START_S <= now_s - self._started_s < RESERVED_S:
             return 0
         heard = self._heard_s
--- a/damaskproxy/allowances/tests/test_allowances.py
+++ b/damaskproxy/allowances/tests/test_allowances.py
@@ -173,6 +173,12 @@
         self.ledger.apply({NAME: Limit(1.0, 1.0)}, now_s)
         self.assertLessEqual(self.ledger.balance(NAME, now_s), 1 + BOUNDS.burst_extra)
 
+    def test_node_that_never_had_a_limit_answers_a_report(self):
+        # It has not received the configuration with the first limits yet.
+        self.ledger = Ledger(self.owners, BOUNDS)
+        self.assertEqual(self.report(NOW_S, spent=1), [])
+        self.ledger.tick(NOW_S)
+
 
 class StatsTests(unittest.TestCase):
     """Guards against metrics with a label for each of many organisations."""
