Ignore spending of organisations that a ledger does not own

A report named organisations of another owner after a change of the owner. Their buckets have no capacity, so they stayed in debt and limited, and each later report took time for each of them.

--- a/damaskproxy/allowances/ledger.py
+++ b/damaskproxy/allowances/ledger.py
@@ -173,7 +173,8 @@
             self._update_shares(now_s)
         for name, count in report.spent:
             account = self._accounts.get(name)
-            if account is not None:
+            # What was spent under an owner before is not known to the bucket here.
+            if account is not None and account.share:
                 if report.is_carried:
                     ignored = min(max(count, 0), int(account.ignored))
                     account.ignored -= ignored
@@ -196,7 +197,8 @@
         if self._is_outdated:
             self._update_shares(now_s)
         account.askers[node_id] = now_s
-        account.spend(ask.spent, now_s)
+        if account.share:
+            account.spend(ask.spent, now_s)
         balance = max(int(account.bucket.balance), 0)
         granted = min(ask.wanted, balance)
         if granted == ask.wanted and not account.is_limited:
--- a/damaskproxy/allowances/tests/test_allowances.py
+++ b/damaskproxy/allowances/tests/test_allowances.py
@@ -179,6 +179,18 @@
         self.assertEqual(self.report(NOW_S, spent=1), [])
         self.ledger.tick(NOW_S)
 
+    @params("report", "ask")
+    def test_spending_of_an_organisation_of_another_owner_limits_nothing(self, kind):
+        self.fill()
+        ledger = Ledger(make_owners(RANKING[1]), BOUNDS)
+        ledger.apply({NAME: LIMIT}, NOW_S)
+        if kind == "ask":
+            ledger.handle_ask("n1", AllowanceAskFrame(1, NAME, 1, 0, 9), NOW_S)
+        candidates = list(self.owners.candidates)
+        frame = AllowanceReportFrame(1, candidates, [], [(NAME, 9)])
+        notice = ledger.handle_report("n1", frame, NOW_S)
+        self.assertEqual((notice.limited, ledger.take_newly_limited()), ([], []))
+
 
 class StatsTests(unittest.TestCase):
     """Guards against metrics with a label for each of many organisations."""
