Give out the share of a silent node that asks for tokens

After a pause of all nodes the owner had no share left and refused asks until its next tick; the organisation was then refused for up to 5 s.

--- a/damaskproxy/allowances/ledger.py
+++ b/damaskproxy/allowances/ledger.py
@@ -189,6 +189,8 @@
         self, node_id: str, ask: AllowanceAskFrame, now_s: float
     ) -> AllowanceGrantFrame:
         """Grant tokens to a node that asks for them."""
+        if not self._is_fresh(node_id, now_s):
+            self._is_outdated = True
         self._heard_s[node_id] = now_s
         account = self._accounts.get(ask.organisation)
         if account is None:
--- a/damaskproxy/allowances/tests/test_allowances.py
+++ b/damaskproxy/allowances/tests/test_allowances.py
@@ -191,6 +191,12 @@
         notice = ledger.handle_report("n1", frame, NOW_S)
         self.assertEqual((notice.limited, ledger.take_newly_limited()), ([], []))
 
+    def test_ask_after_silence_counts_as_a_sign_of_life(self):
+        now_s = self.fill() + 1.0
+        self.ledger.tick(now_s)
+        ask = AllowanceAskFrame(1, NAME, 1, 0, 0)
+        self.assertEqual(self.ledger.handle_ask("n2", ask, now_s).granted, 1)
+
 
 class StatsTests(unittest.TestCase):
     """Guards against metrics with a label for each of many organisations."""
