--- a/damaskproxy/allowances/ledger.py
+++ b/damaskproxy/allowances/ledger.py
@@ -215,7 +215,8 @@
         )
 
     def tick(self, now_s: float) -> None:
-        """Reserve the shares of nodes that have become silent."""
+        """Reserve the shares of nodes that have become silent, for a limited time."""
+        self._forget(now_s)
         counts = Counter(self._views[n] for n in self.fresh_nodes(now_s))
         unused = self._unused_count(now_s)
         if (counts, unused) != (self._counts, self._unused) or self._is_outdated:
--- a/damaskproxy/allowances/tests/test_allowances.py
+++ b/damaskproxy/allowances/tests/test_allowances.py
@@ -197,6 +197,17 @@
         ask = AllowanceAskFrame(1, NAME, 1, 0, 0)
         self.assertEqual(self.ledger.handle_ask("n2", ask, now_s).granted, 1)
 
+    def test_share_of_a_node_that_is_silent_for_long_is_given_out(self):
+        now_s = self.fill()
+        for step in range(320):
+            self.report(now_s + step / 10, nodes=MEMBERS[:3])
+            self.ledger.tick(now_s + step / 10)
+        now_s += 32
+        self.report(now_s, spent=8, nodes=MEMBERS[:3])
+        before = self.ledger.balance(NAME, now_s)
+        rise = self.ledger.balance(NAME, now_s + 0.5) - before
+        self.assertAlmostEqual(rise, LIMIT.rate_per_s / 2)
+
 
 class StatsTests(unittest.TestCase):
     """Guards against metrics with a label for each of many organisations."""
