Forget nodes that no longer ask for an organisation

They were only forgotten when a request was refused, so that the names of nodes accumulated where nodes are renamed and no request is refused.

--- a/damaskproxy/allowances/ledger.py
+++ b/damaskproxy/allowances/ledger.py
@@ -99,6 +99,12 @@
         debt = DEBT_MAX_S * self.limit.rate_per_s + self.limit.burst
         bucket.balance = min(max(bucket.balance - count, -debt), bucket.capacity)
 
+    def forget_askers(self, now_s: float) -> None:
+        """Forget the nodes that have not asked lately."""
+        askers, before_s = self.askers, now_s - DEMAND_MAX_AGE_S
+        for node_id in [n for n, at_s in askers.items() if at_s < before_s]:
+            del askers[node_id]
+
     def threshold(self, share: float) -> float:
         """Return the balance at which the state changes."""
         reaction = self.observed_per_s * REACTION_S * share / LIMITED_SHARE
@@ -254,6 +260,7 @@
         own_id, owner_in = self._owners.own_id, self._owners.owner_in
         member_count = len(self._owners.members)
         for name, account in self._accounts.items():
+            account.forget_askers(now_s)
             count = sum(
                 nodes
                 for view, nodes in self._counts.items()
@@ -328,13 +335,9 @@
         )
 
     def _wait_s(self, account: _Account, now_s: float) -> float:
-        askers = account.askers
-        if len(askers) > 1:
-            before_s = now_s - DEMAND_MAX_AGE_S
-            for node_id in [n for n, at_s in askers.items() if at_s < before_s]:
-                del askers[node_id]
+        account.forget_askers(now_s)
         # Not that of the bucket, since more nodes may report a moment after a start.
         rate_per_s = account.limit.rate_per_s
         missing_s = (1 - account.bucket.balance) / rate_per_s
-        spread_s = min(len(askers) / rate_per_s / ASKS_PER_TOKEN, SPREAD_MAX_S)
+        spread_s = min(len(account.askers) / rate_per_s / ASKS_PER_TOKEN, SPREAD_MAX_S)
         return min(max(missing_s, spread_s, WAIT_MIN_S), WAIT_MAX_S)
--- a/damaskproxy/allowances/tests/test_allowances.py
+++ b/damaskproxy/allowances/tests/test_allowances.py
@@ -208,6 +208,17 @@
         rise = self.ledger.balance(NAME, now_s + 0.5) - before
         self.assertAlmostEqual(rise, LIMIT.rate_per_s / 2)
 
+    def test_nodes_that_no_longer_ask_are_forgotten(self):
+        now_s = self.fill()
+        for number in range(50):
+            now_s += 1.0
+            self.report(now_s)
+            ask = AllowanceAskFrame(1, NAME, 1, 0, 0)
+            self.ledger.handle_ask(f"renamed{number}", ask, now_s)
+            self.ledger.members_changed()
+            self.ledger.tick(now_s)
+        self.assertLess(len(self.ledger._accounts[NAME].askers), 3)
+
 
 class StatsTests(unittest.TestCase):
     """Guards against metrics with a label for each of many organisations."""
