--- a/damaskproxy/allowances/gate.py
+++ b/damaskproxy/allowances/gate.py
@@ -175,7 +175,10 @@
         if account is None or contact is None or contact.is_lost:
             return
         contact.acknowledge(grant.sequence)
-        if account.contact is not contact or account.sequence != grant.sequence:
+        if account.contact is not contact:
+            # A refund to a former owner would be reported when it owns it again.
+            return
+        if account.sequence != grant.sequence:
             contact.add_spent(grant.organisation, -grant.granted)
             return
         self._asking.discard(account.name)
--- a/damaskproxy/allowances/tests/test_allowances.py
+++ b/damaskproxy/allowances/tests/test_allowances.py
@@ -120,6 +120,23 @@
         self.gate.tick(NOW_S + 5)
         self.assertEqual(self.sent, [])
 
+    def test_late_grant_of_a_former_owner_is_not_refunded_to_it_later(self):
+        self.owners.update(RANKING[1:])
+        self.gate.members_changed(NOW_S)
+        self.gate.ask(NAME, self.take, NOW_S)
+        asked, ask = self.sent[-1]
+        self.owners.update(MEMBERS)
+        self.gate.members_changed(NOW_S)
+        grant = AllowanceGrantFrame(ask.sequence, NAME, 5, 0)
+        self.gate.handle_grant(asked, grant, NOW_S)
+        self.assertEqual(self.gate.describe()[0].owner, RANKING[0])
+        self.sent.clear()
+        for node_id in RANKING[: RANKING.index(asked)]:
+            self.gate.lost(node_id, NOW_S + 20)
+        self.assertEqual(self.gate.describe()[0].owner, asked)
+        reports = [f for _, f in self.sent if isinstance(f, AllowanceReportFrame)]
+        self.assertEqual([f.spent for f in reports if f.spent], [])
+
 
 class LedgerTests(unittest.TestCase):
     """Guards against an owner that gives out more than the part of its nodes."""
