--- a/damaskproxy/allowances/gate.py
+++ b/damaskproxy/allowances/gate.py
@@ -73,6 +73,9 @@
             account = self._accounts.get(name)
             if account is None:
                 account = self._accounts[name] = Account(name, limit, now_s)
+            elif account.limit != limit:
+                # The wait was computed from the rate before.
+                account.refuse_until_s = 0.0
             account.limit = limit
         self.members_changed(now_s)
         if not limits:
--- a/damaskproxy/allowances/tests/test_allowances.py
+++ b/damaskproxy/allowances/tests/test_allowances.py
@@ -137,6 +137,15 @@
         reports = [f for _, f in self.sent if isinstance(f, AllowanceReportFrame)]
         self.assertEqual([f.spent for f in reports if f.spent], [])
 
+    def test_raised_limit_ends_the_wait_under_the_one_before(self):
+        self.answer(NAME)
+        self.gate.ask(NAME, self.take, NOW_S)
+        self.grant(0, wait_ms=5000)
+        self.gate.apply({NAME: LIMIT}, NOW_S)
+        self.assertEqual(self.gate.check(NAME, NOW_S), 5.0)
+        self.gate.apply({NAME: Limit(100.0, 100.0)}, NOW_S)
+        self.assertIsNone(self.gate.check(NAME, NOW_S))
+
 
 class LedgerTests(unittest.TestCase):
     """Guards against an owner that gives out more than the part of its nodes."""
