--- a/damaskproxy/allowances/allowances.py
+++ b/damaskproxy/allowances/allowances.py
@@ -118,10 +118,13 @@
             Time after which the request is refused.
         """
         waiter = Waiter()
+        is_admitted = False
 
         def deliver(wait_s: float) -> bool:
+            nonlocal is_admitted
             if waiter.is_done:
                 return False
+            is_admitted = wait_s == 0
             waiter.set_result(wait_s)
             return True
 
@@ -135,6 +138,9 @@
         except asyncio.CancelledError:
             # The token that the owner grants is then given to another request.
             waiter.is_done = True
+            if is_admitted:
+                # Cancelled after the grant, before the request could go on.
+                self.finish(organisation, 0)
             raise
         finally:
             if timer is not None:
--- a/damaskproxy/allowances/tests/test_allowances.py
+++ b/damaskproxy/allowances/tests/test_allowances.py
@@ -1,18 +1,29 @@
 """Gate, ledger and owners in single cases; counters by organisation."""
 
+import asyncio
 import unittest
+from unittest import mock
 
 from nose2.tools import params
 
-from damaskproxy.allowances import AllowanceStats, Gate, Ledger, Limit, Owners
+from damaskproxy.allowances import (
+    Allowances,
+    AllowanceStats,
+    Gate,
+    Ledger,
+    Limit,
+    Owners,
+)
 from damaskproxy.allowances.stats import NAMES_MAX
 from damaskproxy.allowances.tests.virtual_nodes import BOUNDS, NAME
+from damaskproxy.directory import Directory
 from damaskproxy.forwarding.frames import (
     AllowanceAskFrame,
     AllowanceGrantFrame,
     AllowanceNoticeFrame,
     AllowanceReportFrame,
 )
+from damaskproxy.organisations import Organisation
 
 MEMBERS = ("n1", "n2", "n3", "n4")
 LIMIT = Limit(8.0, 8.0)
@@ -246,6 +257,23 @@
         self.assertLess(len(self.ledger._accounts[NAME].askers), 3)
 
 
+class CancelledAskTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against the loss of a token that nobody uses."""
+
+    async def test_token_of_a_request_cancelled_with_the_grant_is_returned(self):
+        allowances = Allowances("n1", Directory(), mock.Mock(), BOUNDS)
+        gate = allowances._gate = mock.Mock()
+        asking = asyncio.create_task(allowances.ask(Organisation(NAME), 1.0))
+        await asyncio.sleep(0)
+        _, deliver, _ = gate.ask.call_args.args
+        self.assertTrue(deliver(0.0))
+        asking.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await asking
+        gate.finish.assert_called_once_with(NAME, 0, mock.ANY)
+        self.assertFalse(deliver(0.0))
+
+
 class StatsTests(unittest.TestCase):
     """Guards against metrics with a label for each of many organisations."""
 
