--- a/damaskproxy/allowances/gate.py
+++ b/damaskproxy/allowances/gate.py
@@ -31,6 +31,8 @@
 """Time without an answer to an ask after which an owner is out of touch."""
 WAIT_MIN_S = 0.02
 """Shortest time for which requests are refused without another ask."""
+RETRY_AFTER_STEP_S = 0.01
+"""Least wait of a refused request; Retry-After has two decimals."""
 CREDIT_S = 0.5
 """Time for which tokens that were granted for expected requests can be used."""
 
@@ -125,7 +127,7 @@
                 contact.is_urgent = True
             return 0.0
         if now_s < account.refuse_until_s:
-            return account.refuse_until_s - now_s
+            return max(account.refuse_until_s - now_s, RETRY_AFTER_STEP_S)
         return None
 
     def ask(self, name: str, deliver: Deliver, now_s: float) -> None:
@@ -267,7 +269,7 @@
         waiting, account.waiting = account.waiting, []
         for deliver in waiting:
             if contact is not None:
-                deliver(account.refuse_until_s - now_s)
+                deliver(max(account.refuse_until_s - now_s, RETRY_AFTER_STEP_S))
             else:
                 deliver(self._spend_own_share(account, now_s))
 
--- a/damaskproxy/allowances/tests/test_allowances.py
+++ b/damaskproxy/allowances/tests/test_allowances.py
@@ -96,6 +96,13 @@
         self.assertAlmostEqual(self.gate.check(NAME, NOW_S + 0.03), 0.01)
         self.assertIsNone(self.gate.check(NAME, NOW_S + 0.05))
 
+    def test_wait_is_not_below_what_retry_after_can_say(self):
+        self.answer(NAME)
+        self.gate.ask(NAME, self.take, NOW_S)
+        self.grant(0)
+        waits_s = [self.gate.check(NAME, NOW_S + n / 1000) for n in range(40)]
+        self.assertGreaterEqual(min(waits_s), 0.01)
+
     def test_token_of_a_request_that_ended_goes_to_the_next_one(self):
         self.answer(NAME)
         self.gate.ask(NAME, lambda wait_s: False, NOW_S)
