Check allowances in the soak of processes

One organisation sends ten times its small limit for the second half of the planned work and while nodes are killed and restarted, another one half of its limit all the time.

Nodes are killed after the planned work, so that the checks of planned work stay as strict as before.

--- a/damaskproxy/platform/standins/stamped.py
+++ b/damaskproxy/platform/standins/stamped.py
@@ -1,6 +1,7 @@
 """Stand-in for a backend server, with stamped responses and configurable faults."""
 
 import asyncio
+import time
 from collections import Counter
 
 from damaskproxy.http1 import HttpServer, Request, Response
@@ -29,6 +30,8 @@
         Number of executions by request id.
     requests : list of Request
         All requests that were executed.
+    received_s : list of float
+        Monotonic times at which they were received.
     faults : dict
         Faults by path: ``shed``, ``error``, ``hang``, ``encoded``, ``unstamped``,
         ``cut``, ``endless``.
@@ -51,6 +54,7 @@
         self.rejected = 0
         self.cancelled = 0
         self.requests: list[Request] = []
+        self.received_s: list[float] = []
         self.faults: dict[bytes, str] = {}
         self.answer_bytes: dict[bytes, int] = {}
         self.extra_headers: list[tuple[bytes, bytes]] = []
@@ -84,6 +88,7 @@
             return Response(503, [echo, (b"X-Damaskproxy-Not-Executed", b"1")])
         self.runs[request_id] += 1
         self.requests.append(request)
+        self.received_s.append(time.monotonic())
         try:
             await asyncio.sleep(3600 if fault == "hang" else self.work_s)
         except asyncio.CancelledError:
--- a/damaskproxy/sidecar/tests/soak_clients.py
+++ b/damaskproxy/sidecar/tests/soak_clients.py
@@ -3,17 +3,29 @@
 import asyncio
 import contextlib
 import random
+import re
 import socket
 import time
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Protocol
 
+from damaskproxy.http1 import ConnectionPool, HttpError
 from damaskproxy.platform.standins import StampedBackend
 from damaskproxy.sidecar.settings import to_address
 from damaskproxy.sidecar.tests.soak_keys import PRIVATE_PREFIX, Credential, KeyBook
 
-__all__ = ["CHUNK_BYTES", "Client", "Node", "Sent"]
+__all__ = [
+    "CHUNK_BYTES",
+    "Client",
+    "Node",
+    "Sent",
+    "keep_connection_open",
+    "listens",
+    "send_steadily",
+    "status_of",
+]
 
 CHUNK_BYTES = 65536
 
@@ -48,6 +60,8 @@
         Time before which its last part was not sent.
     sent_s : float or None
         Time at which its last byte was sent, None if the connection ended before.
+    retry_after : str or None
+        Value of that header of the response.
     """
 
     request_id: bytes
@@ -59,6 +73,7 @@
     ended_s: float = 0.0
     status: int | None = None
     is_complete: bool = False
+    retry_after: str | None = None
 
 
 class Run(Protocol):
@@ -74,19 +89,50 @@
 
 
 class Client:
-    """Client of one node that keeps its connection for many requests."""
+    """Client of one node that keeps its connection for many requests.
 
-    def __init__(self, play: Run, node: Node, name: str, rng: random.Random):
+    Parameters
+    ----------
+    play : Run
+        Run that it belongs to.
+    node : Node
+        Node that it sends to.
+    name : str
+        Start of the ids of its requests.
+    rng : random.Random
+        Source of all random choices.
+    choose : callable, optional
+        Returns the credential of the next request; by default all kinds are sent.
+    """
+
+    def __init__(
+        self,
+        play: Run,
+        node: Node,
+        name: str,
+        rng: random.Random,
+        choose: Callable[[random.Random], Credential] | None = None,
+    ):
         self._play = play
         self._node = node
         self._name = name
         self._rng = rng
+        self._choose = choose or play.keys.choose
         self._count = 0
 
     async def send(self) -> None:
         """Send small requests one after the other."""
         await self._send_all(self._exchange_small, None)
 
+    async def send_one(self) -> None:
+        """Send one small request on a connection of its own."""
+        try:
+            reader, writer = await self._connect(None)
+        except OSError:
+            return
+        with contextlib.closing(writer):
+            await self._exchange_small(reader, writer)
+
     async def send_slowly(self) -> None:
         """Send requests in parts."""
         await self._send_all(self._exchange_in_parts, None)
@@ -140,7 +186,7 @@
         self._count += 1
         is_safe = self._rng.random() < 0.5
         request_id = f"{self._name}-{self._count}".encode()
-        credential = self._play.keys.choose(self._rng)
+        credential = self._choose(self._rng)
         sent = self._play.new_request(
             request_id, self._node, credential, is_safe=is_safe
         )
@@ -176,9 +222,68 @@
         head = await reader.readuntil(b"\r\n\r\n")
         sent.status = int(head.split()[1])
         length = int(head.partition(b"Content-Length: ")[2].split()[0])
+        wait = re.search(rb"\r\nRetry-After: *([^\r]*)", head, re.IGNORECASE)
+        sent.retry_after = wait[1].decode("latin-1") if wait else None
         while length:
             part = await reader.readexactly(min(length, CHUNK_BYTES))
             length -= len(part)
             await asyncio.sleep(read_pause_s)
         sent.is_complete = True
         return b"Connection: close" not in head
+
+
+async def listens(node: Node) -> bool:
+    """Return whether the listener for peers of a node is open."""
+    try:
+        _, writer = await asyncio.open_connection(*node.address("peer"))
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
+async def status_of(node: Node, listener: str, request) -> int | None:
+    """Return the status of a response, None if there is none."""
+    pool = ConnectionPool(to_address(node.settings["listeners"][listener]))
+    try:
+        async with asyncio.timeout(1.0):
+            return (await pool.exchange(request)).status
+    except (HttpError, TimeoutError):
+        return None
+    finally:
+        pool.close()
+
+
+async def keep_connection_open(node: Node) -> None:
+    """Keep a connection without requests until the node closes it."""
+    while True:
+        with contextlib.suppress(OSError):
+            reader, writer = await asyncio.open_connection(*node.address("caller"))
+            with contextlib.closing(writer):
+                await reader.read()
+        await asyncio.sleep(0.3)
+
+
+async def send_steadily(
+    clients: Sequence[Client],
+    rate_per_s: float,
+    rng: random.Random,
+    end_s: Callable[[], float],
+) -> None:
+    """Send requests of random clients at a rate, without waiting for responses.
+
+    Parameters
+    ----------
+    clients : sequence of Client
+        Clients of different nodes.
+    rate_per_s : float
+        Requests per second.
+    rng : random.Random
+        Source of all random choices.
+    end_s : callable
+        Returns the time at which to end.
+    """
+    async with asyncio.TaskGroup() as group:
+        while time.monotonic() < end_s():
+            group.create_task(rng.choice(clients).send_one())
+            await asyncio.sleep(1 / rate_per_s)
--- a/damaskproxy/sidecar/tests/soak_keys.py
+++ b/damaskproxy/sidecar/tests/soak_keys.py
@@ -7,6 +7,10 @@
 from dataclasses import dataclass, field
 
 from damaskproxy.http1 import Request
+from damaskproxy.sidecar.tests.soak_allowances import (
+    EXERCISED_ALLOWANCES,
+    LIMITED_ORGANISATIONS,
+)
 
 __all__ = [
     "EXERCISED",
@@ -16,6 +20,7 @@
     "Key",
     "KeyBook",
     "Observation",
+    "names_in",
     "observation_faults",
 ]
 
@@ -23,10 +28,9 @@
     "guild": {"priority": 0},
     "market": {"priority": 1},
     "harbour": {"priority": 1},
+    **LIMITED_ORGANISATIONS,
 }
-"""Organisations of all configurations of a run, without their keys. An allowance of an
-organisation (docs/shared-capacity.md, section 2) belongs here, and its check into
-`CHECKS`."""
+"""Organisations of all configurations of a run, without their keys."""
 CHANGING_ORGANISATIONS = ("guild", "harbour")
 """Organisations whose keys are added and removed; "harbour" has at times none."""
 PERMANENT_ORGANISATIONS = ("guild", "market")
@@ -110,6 +114,7 @@
     rng: random.Random
     permanent: list[Key] = field(init=False)
     added: list[Key] = field(init=False)
+    limited: list[Key] = field(init=False)
     removed: list[Key] = field(default_factory=list)
     _count: int = 0
 
@@ -118,11 +123,14 @@
             self._new_key(name, is_permanent=True) for name in PERMANENT_ORGANISATIONS
         ]
         self.added = [self._new_key(name) for name in CHANGING_ORGANISATIONS]
+        self.limited = [
+            self._new_key(name, is_permanent=True) for name in LIMITED_ORGANISATIONS
+        ]
 
     def tenants(self) -> dict:
         """Return the organisations for the next configuration."""
         keys = {name: [] for name in ORGANISATIONS}
-        for key in (*self.permanent, *self.added):
+        for key in (*self.permanent, *self.added, *self.limited):
             keys[key.organisation].append(key.text)
         return {
             name: {**body, "apiKeys": keys[name]}
@@ -214,7 +222,7 @@
         elif self.status is not None:
             counts[f"{credential.kind} key, status {self.status}"] += 1
             counts["key removed long ago"] += self.is_late
-        counts["ran for an organisation"] += any(map(_names_in, self.runs))
+        counts["ran for an organisation"] += any(map(names_in, self.runs))
         counts["forged name, ran"] += has_run and bool(credential.forged_name)
 
 
@@ -228,6 +236,7 @@
     "removed key, status 401",
     "unknown key, status 401",
     "none key, status 401",
+    *EXERCISED_ALLOWANCES,
 )
 """Counters that every run must raise, or its checks have shown nothing."""
 
@@ -237,7 +246,8 @@
     return [fault for check in CHECKS for fault in check(observation)]
 
 
-def _names_in(run: Request) -> list[bytes]:
+def names_in(run: Request) -> list[bytes]:
+    """Return the names of organisations that a server saw in a request."""
     lower = TENANT.lower()
     return [value for name, value in run.headers if name.lower() == lower]
 
@@ -257,7 +267,7 @@
 def _check_names(seen: Observation) -> list[str]:
     """Return the runs whose server did not see just the name that the key has."""
     permitted = seen.permitted_names
-    found = [_names_in(run) for run in seen.runs] if permitted else []
+    found = [names_in(run) for run in seen.runs] if permitted else []
     return [
         f"{seen.credential.kind} key, ran for {names}"
         for names in found
@@ -286,5 +296,4 @@
 
 
 CHECKS = (_check_keys_are_not_seen, _check_names, _check_refused, _check_401)
-"""Checks of each request. The runs of an organisation over 5 s, against its allowance,
-need a check beside these over all requests of a run: `Play._judge`."""
+"""Checks of each request. `soak_allowances.allowance_faults` looks at all of them."""
--- a/damaskproxy/sidecar/tests/test_process_soak.py
+++ b/damaskproxy/sidecar/tests/test_process_soak.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import contextlib
 import json
 import random
 import signal
@@ -14,14 +13,11 @@
 import tempfile
 import time
 import unittest
-from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 from pathlib import Path
 
 from nose2.tools import params
 
-from damaskproxy.http1 import ConnectionPool, HttpError, Request
 from damaskproxy.platform.standins import (
     ROUTES,
     RowStoreStandIn,
@@ -30,25 +26,30 @@
     readiness_request,
     report_request,
 )
-from damaskproxy.sidecar.settings import to_address
-from damaskproxy.sidecar.tests.soak_clients import Client, Node, Sent
+from damaskproxy.sidecar.tests.soak_allowances import FLOOD, QUIET, RATES_PER_S
+from damaskproxy.sidecar.tests.soak_clients import (
+    Client,
+    Node,
+    Sent,
+    keep_connection_open,
+    listens,
+    send_steadily,
+    status_of,
+)
+from damaskproxy.sidecar.tests.soak_judge import Outcome, Record, judge
 from damaskproxy.sidecar.tests.soak_keys import (
-    EXERCISED,
-    KEY_PREFIX,
     PRIVATE_PREFIX,
     Credential,
     KeyBook,
-    Observation,
-    observation_faults,
 )
 from demo.processes import Processes, free_ports
 
 GRACE_S = 6.0
-LOSS_SLACK_S = 0.2
-"""Time within which a connection may end after a request that was not passed on."""
 TIMEOUT_S = 5.0
 REPORT_S = 0.5
 START_S = 10.0
+RESTART_S = 1.0
+"""Shortest time after which the platform restarts a process that was killed."""
 DURATION_S = 10.0
 PADDING = b"x" * (8 << 20)
 SERVICES = ("orders", "orders", "files", "files", "stores")
@@ -56,18 +57,6 @@
     "big": {"prefix": "/big/", "kind": "safe", "service": "files"},
     "bigger": {"prefix": "/bigger/", "kind": "unsafe", "service": "files"},
 }
-REQUEST_ID = b"x-damaskproxy-request-id"
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-ALLOWED_LEVELS = frozenset({"DEBUG", "INFO", "WARNING"})
-
-
-@dataclass(slots=True)
-class Outcome:
-    """What a play has shown."""
-
-    problems: list[str] = field(default_factory=list)
-    counts: Counter[str] = field(default_factory=Counter)
-    stop_s: list[float] = field(default_factory=list)
 
 
 class Play:
@@ -90,12 +79,12 @@
         self._duration_s = duration_s
         self._rows = RowStoreStandIn()
         self._processes = Processes(folder)
-        self._nodes: list[Node] = []
-        self._sent: list[Sent] = []
         self._version = 1
         self.has_ended = False
         self.keys = KeyBook(random.Random(seed))
         self._lags: list[tuple[float, float]] = []
+        self._record = Record(self.keys, self._processes.log_path, self._lag_s)
+        self._nodes = self._record.nodes
 
     async def run(self) -> Outcome:
         """Play until all nodes have ended, and return what was seen."""
@@ -110,7 +99,12 @@
             await asyncio.gather(*(self._until_ready(node) for node in self._nodes))
             await asyncio.sleep(2 * REPORT_S)
             background.append(asyncio.create_task(self._change_keys()))
+            background.append(asyncio.create_task(self._send_steadily(QUIET, 0.0)))
+            flood_after_s = self._duration_s / 2
+            flood = self._send_steadily(FLOOD, flood_after_s)
+            background.append(asyncio.create_task(flood))
             await self._work()
+            await self._kill_and_start()
             await asyncio.gather(*(self._stop(node) for node in self._nodes))
             self.has_ended = True
             await asyncio.sleep(0.5)
@@ -122,7 +116,7 @@
             for node in self._nodes:
                 await node.backend.close()
             await self._rows.close()
-        self._judge()
+        judge(self._record, self.outcome)
         return self.outcome
 
     async def run_signalled(self) -> tuple[int | None, float]:
@@ -183,7 +177,7 @@
                 for number, seed in enumerate(self._rng.sample(range(1 << 30), 6))
             ]
             jobs += [lambda node=node: self._report(node)]
-            jobs += [lambda node=node: self._keep_connection_open(node)]
+            jobs += [lambda node=node: keep_connection_open(node)]
             jobs += [client.send_slowly for client in clients[:2]]
             jobs += [client.read_slowly for client in clients[2:3]]
             jobs += [client.send for client in clients[3:]]
@@ -195,7 +189,7 @@
         """Start the process of a node and wait until its listeners are open."""
         await self._processes.start(node.name, "damaskproxy.sidecar", node.path)
         end_s = time.monotonic() + START_S
-        while not await _listens(node):
+        while not await listens(node):
             if time.monotonic() > end_s or self._processes.exit_status(node.name):
                 self._add_problem(f"{node.name} did not start")
                 return
@@ -205,7 +199,7 @@
 
     async def _until_ready(self, node: Node) -> None:
         end_s = time.monotonic() + START_S
-        while await _status(node, "readiness", readiness_request()) != 200:
+        while await status_of(node, "readiness", readiness_request()) != 200:
             if time.monotonic() > end_s:
                 self._add_problem(f"{node.name} did not become ready")
                 return
@@ -236,6 +230,20 @@
             self._add_problem(f"{node.name} took {stop_s:.2f} s to end")
         node.is_running = False
 
+    async def _kill_and_start(self) -> None:
+        """Kill one node, then several or all, and start them again."""
+        self._record.kills_start_s = time.monotonic()
+        for count in (1, self._rng.choice([2, len(self._nodes)])):
+            nodes = self._rng.sample([n for n in self._nodes if n.is_running], count)
+            for node in nodes:
+                self._signal(node, signal.SIGKILL)
+                node.is_running = False
+                self.outcome.counts["node killed while flooded"] += 1
+            await asyncio.sleep(RESTART_S)
+            await asyncio.gather(*(self._start(node) for node in nodes))
+            await asyncio.gather(*(self._until_ready(node) for node in nodes))
+        self._record.kills_end_s = time.monotonic()
+
     # Planned work
 
     async def _work(self) -> None:
@@ -299,17 +307,22 @@
                 born_ms=1000,
                 sequence=node.sequence,
             )
-            await _status(node, "control", request)
+            await status_of(node, "control", request)
             await asyncio.sleep(REPORT_S)
 
-    async def _keep_connection_open(self, node: Node) -> None:
-        """Keep a connection without requests until the node closes it."""
-        while True:
-            with contextlib.suppress(OSError):
-                reader, writer = await asyncio.open_connection(*node.address("caller"))
-                with contextlib.closing(writer):
-                    await reader.read()
-            await asyncio.sleep(0.3)
+    async def _send_steadily(self, name: str, after_s: float) -> None:
+        """Send requests of an organisation to all nodes until the last kill is over."""
+        rng = random.Random(name)
+        (key,) = (key for key in self.keys.limited if key.organisation == name)
+        credential = Credential(name, key, False, b"")
+        clients = [
+            Client(self, node, f"{name}-{node.name}", rng, lambda _: credential)
+            for node in self._nodes
+        ]
+        await asyncio.sleep(after_s)
+        await send_steadily(
+            clients, RATES_PER_S[name], rng, lambda: self._record.kills_end_s
+        )
 
     async def _measure_lag(self) -> None:
         """Record how late this process is, for the bounds on times that it measures."""
@@ -329,95 +342,12 @@
     ) -> Sent:
         """Record a request that a client is about to send."""
         sent = Sent(request_id, node.name, is_safe, credential)
-        self._sent.append(sent)
+        self._record.sent.append(sent)
         return sent
 
     def _add_problem(self, text: str) -> None:
         self.outcome.problems.append(text)
 
-    def _judge(self) -> None:
-        received = defaultdict(list)
-        for node in self._nodes:
-            for request in node.backend.requests:
-                received[request.header(REQUEST_ID)].append(request)
-        for sent in self._sent:
-            runs = sum(n.backend.runs[sent.request_id] for n in self._nodes)
-            self._count(sent, runs)
-            seen = self._observe(sent, received[sent.request_id])
-            seen.count(self.outcome.counts)
-            for text in (*self._faults(sent, runs), *observation_faults(seen)):
-                self._add_problem(f"{sent.request_id.decode()} at {sent.node}: {text}")
-        for name in EXERCISED:
-            if not self.outcome.counts[name]:
-                self._add_problem(f"nothing was checked: {name}")
-        for node in self._nodes:
-            for line in self._processes.log_path(node.name).read_text().splitlines():
-                if not _is_harmless(line) or KEY_PREFIX in line:
-                    self._add_problem(f"{node.name} logged {line[:300]}")
-
-    def _observe(self, sent: Sent, runs: list[Request]) -> Observation:
-        key = sent.credential.key
-        lag_s = 0.0
-        if key is not None and sent.last_part_s > key.removed_s:
-            lag_s = self._lag_s(key.removed_s, sent.last_part_s)
-        is_late = self.keys.is_late(key, sent.last_part_s, lag_s)
-        status = sent.status if sent.is_complete else None
-        return Observation(sent.credential, is_late, status, runs)
-
-    def _count(self, sent: Sent, runs: int) -> None:
-        counts = self.outcome.counts
-        counts["requests"] += 1
-        if sent.is_complete:
-            counts[f"status {sent.status}"] += 1
-        elif sent.sent_s is None:
-            counts["not sent completely"] += 1
-        elif not runs:
-            counts["closed and not passed on"] += 1
-
-    def _faults(self, sent: Sent, runs: int) -> list[str]:
-        faults = []
-        if not sent.is_safe and runs > 1:
-            faults.append(f"ran {runs} times")
-        if sent.is_complete:
-            if sent.status in NOT_RUN_STATUSES and runs and not sent.is_safe:
-                faults.append(f"{sent.status} and ran")
-            if sent.status in (502, 504):
-                faults.append(f"{sent.status}, ran {runs} times")
-            return faults
-        if runs:
-            faults.append(f"cut after it ran, status {sent.status}")
-        elif sent.sent_s is not None:
-            took_s = sent.ended_s - sent.sent_s
-            if took_s > LOSS_SLACK_S + self._lag_s(sent.sent_s, sent.ended_s):
-                faults.append(f"no answer, closed after {took_s:.2f} s")
-        return faults
-
-
-def _is_harmless(line: str) -> bool:
-    """Tell whether a line of a log is an event below the level ERROR."""
-    return line.startswith("{") and json.loads(line)["levelname"] in ALLOWED_LEVELS
-
-
-async def _listens(node: Node) -> bool:
-    try:
-        _, writer = await asyncio.open_connection(*node.address("peer"))
-    except OSError:
-        return False
-    writer.close()
-    return True
-
-
-async def _status(node: Node, listener: str, request) -> int | None:
-    """Return the status of a response, None if there is none."""
-    pool = ConnectionPool(to_address(node.settings["listeners"][listener]))
-    try:
-        async with asyncio.timeout(1.0):
-            return (await pool.exchange(request)).status
-    except (HttpError, TimeoutError):
-        return None
-    finally:
-        pool.close()
-
 
 class StopSignalTests(unittest.IsolatedAsyncioTestCase):
     """Guards against a stop that a further signal turns into a failure."""
