--- a/damaskproxy/allowances/ledger.py
+++ b/damaskproxy/allowances/ledger.py
@@ -99,6 +99,12 @@
         debt = DEBT_MAX_S * self.limit.rate_per_s + self.limit.burst
         bucket.balance = min(max(bucket.balance - count, -debt), bucket.capacity)
 
+    def forget_askers(self, now_s: float) -> None:
+        """Forget the nodes that have not asked lately."""
+        askers, before_s = self.askers, now_s - DEMAND_MAX_AGE_S
+        for node_id in [n for n, at_s in askers.items() if at_s < before_s]:
+            del askers[node_id]
+
     def threshold(self, share: float) -> float:
         """Return the balance at which the state changes."""
         reaction = self.observed_per_s * REACTION_S * share / LIMITED_SHARE
@@ -173,7 +179,8 @@
             self._update_shares(now_s)
         for name, count in report.spent:
             account = self._accounts.get(name)
-            if account is not None:
+            # What was spent under an owner before is not known to the bucket here.
+            if account is not None and account.share:
                 if report.is_carried:
                     ignored = min(max(count, 0), int(account.ignored))
                     account.ignored -= ignored
@@ -188,6 +195,8 @@
         self, node_id: str, ask: AllowanceAskFrame, now_s: float
     ) -> AllowanceGrantFrame:
         """Grant tokens to a node that asks for them."""
+        if not self._is_fresh(node_id, now_s):
+            self._is_outdated = True
         self._heard_s[node_id] = now_s
         account = self._accounts.get(ask.organisation)
         if account is None:
@@ -196,7 +205,8 @@
         if self._is_outdated:
             self._update_shares(now_s)
         account.askers[node_id] = now_s
-        account.spend(ask.spent, now_s)
+        if account.share:
+            account.spend(ask.spent, now_s)
         balance = max(int(account.bucket.balance), 0)
         granted = min(ask.wanted, balance)
         if granted == ask.wanted and not account.is_limited:
@@ -211,7 +221,8 @@
         )
 
     def tick(self, now_s: float) -> None:
-        """Reserve the shares of nodes that have become silent."""
+        """Reserve the shares of nodes that have become silent, for a limited time."""
+        self._forget(now_s)
         counts = Counter(self._views[n] for n in self.fresh_nodes(now_s))
         unused = self._unused_count(now_s)
         if (counts, unused) != (self._counts, self._unused) or self._is_outdated:
@@ -249,6 +260,7 @@
         own_id, owner_in = self._owners.own_id, self._owners.owner_in
         member_count = len(self._owners.members)
         for name, account in self._accounts.items():
+            account.forget_askers(now_s)
             count = sum(
                 nodes
                 for view, nodes in self._counts.items()
@@ -262,6 +274,9 @@
 
     def _unused_count(self, now_s: float) -> int:
         """Return how many members have not reported and may not report elsewhere."""
+        if self._started_s is None:
+            # Nodes with a newer configuration report before the limits are in force.
+            return 0
         if START_S <= now_s - self._started_s < RESERVED_S:
             return 0
         heard = self._heard_s
@@ -320,13 +335,9 @@
         )
 
     def _wait_s(self, account: _Account, now_s: float) -> float:
-        askers = account.askers
-        if len(askers) > 1:
-            before_s = now_s - DEMAND_MAX_AGE_S
-            for node_id in [n for n, at_s in askers.items() if at_s < before_s]:
-                del askers[node_id]
+        account.forget_askers(now_s)
         # Not that of the bucket, since more nodes may report a moment after a start.
         rate_per_s = account.limit.rate_per_s
         missing_s = (1 - account.bucket.balance) / rate_per_s
-        spread_s = min(len(askers) / rate_per_s / ASKS_PER_TOKEN, SPREAD_MAX_S)
+        spread_s = min(len(account.askers) / rate_per_s / ASKS_PER_TOKEN, SPREAD_MAX_S)
         return min(max(missing_s, spread_s, WAIT_MIN_S), WAIT_MAX_S)
--- a/damaskproxy/allowances/tests/test_allowances.py
+++ b/damaskproxy/allowances/tests/test_allowances.py
@@ -1,18 +1,29 @@
 """Gate, ledger and owners in single cases; counters by organisation."""
 
+import asyncio
 import unittest
+from unittest import mock
 
 from nose2.tools import params
 
-from damaskproxy.allowances import AllowanceStats, Gate, Ledger, Limit, Owners
+from damaskproxy.allowances import (
+    Allowances,
+    AllowanceStats,
+    Gate,
+    Ledger,
+    Limit,
+    Owners,
+)
 from damaskproxy.allowances.stats import NAMES_MAX
 from damaskproxy.allowances.tests.virtual_nodes import BOUNDS, NAME
+from damaskproxy.directory import Directory
 from damaskproxy.forwarding.frames import (
     AllowanceAskFrame,
     AllowanceGrantFrame,
     AllowanceNoticeFrame,
     AllowanceReportFrame,
 )
+from damaskproxy.organisations import Organisation
 
 MEMBERS = ("n1", "n2", "n3", "n4")
 LIMIT = Limit(8.0, 8.0)
@@ -85,6 +96,13 @@
         self.assertAlmostEqual(self.gate.check(NAME, NOW_S + 0.03), 0.01)
         self.assertIsNone(self.gate.check(NAME, NOW_S + 0.05))
 
+    def test_wait_is_not_below_what_retry_after_can_say(self):
+        self.answer(NAME)
+        self.gate.ask(NAME, self.take, NOW_S)
+        self.grant(0)
+        waits_s = [self.gate.check(NAME, NOW_S + n / 1000) for n in range(40)]
+        self.assertGreaterEqual(min(waits_s), 0.01)
+
     def test_token_of_a_request_that_ended_goes_to_the_next_one(self):
         self.answer(NAME)
         self.gate.ask(NAME, lambda wait_s: False, NOW_S)
@@ -120,6 +138,32 @@
         self.gate.tick(NOW_S + 5)
         self.assertEqual(self.sent, [])
 
+    def test_late_grant_of_a_former_owner_is_not_refunded_to_it_later(self):
+        self.owners.update(RANKING[1:])
+        self.gate.members_changed(NOW_S)
+        self.gate.ask(NAME, self.take, NOW_S)
+        asked, ask = self.sent[-1]
+        self.owners.update(MEMBERS)
+        self.gate.members_changed(NOW_S)
+        grant = AllowanceGrantFrame(ask.sequence, NAME, 5, 0)
+        self.gate.handle_grant(asked, grant, NOW_S)
+        self.assertEqual(self.gate.describe()[0].owner, RANKING[0])
+        self.sent.clear()
+        for node_id in RANKING[: RANKING.index(asked)]:
+            self.gate.lost(node_id, NOW_S + 20)
+        self.assertEqual(self.gate.describe()[0].owner, asked)
+        reports = [f for _, f in self.sent if isinstance(f, AllowanceReportFrame)]
+        self.assertEqual([f.spent for f in reports if f.spent], [])
+
+    def test_raised_limit_ends_the_wait_under_the_one_before(self):
+        self.answer(NAME)
+        self.gate.ask(NAME, self.take, NOW_S)
+        self.grant(0, wait_ms=5000)
+        self.gate.apply({NAME: LIMIT}, NOW_S)
+        self.assertEqual(self.gate.check(NAME, NOW_S), 5.0)
+        self.gate.apply({NAME: Limit(100.0, 100.0)}, NOW_S)
+        self.assertIsNone(self.gate.check(NAME, NOW_S))
+
 
 class LedgerTests(unittest.TestCase):
     """Guards against an owner that gives out more than the part of its nodes."""
@@ -173,6 +217,69 @@
         self.ledger.apply({NAME: Limit(1.0, 1.0)}, now_s)
         self.assertLessEqual(self.ledger.balance(NAME, now_s), 1 + BOUNDS.burst_extra)
 
+    def test_node_that_never_had_a_limit_answers_a_report(self):
+        # It has not received the configuration with the first limits yet.
+        self.ledger = Ledger(self.owners, BOUNDS)
+        self.assertEqual(self.report(NOW_S, spent=1), [])
+        self.ledger.tick(NOW_S)
+
+    @params("report", "ask")
+    def test_spending_of_an_organisation_of_another_owner_limits_nothing(self, kind):
+        self.fill()
+        ledger = Ledger(make_owners(RANKING[1]), BOUNDS)
+        ledger.apply({NAME: LIMIT}, NOW_S)
+        if kind == "ask":
+            ledger.handle_ask("n1", AllowanceAskFrame(1, NAME, 1, 0, 9), NOW_S)
+        candidates = list(self.owners.candidates)
+        frame = AllowanceReportFrame(1, candidates, [], [(NAME, 9)])
+        notice = ledger.handle_report("n1", frame, NOW_S)
+        self.assertEqual((notice.limited, ledger.take_newly_limited()), ([], []))
+
+    def test_ask_after_silence_counts_as_a_sign_of_life(self):
+        now_s = self.fill() + 1.0
+        self.ledger.tick(now_s)
+        ask = AllowanceAskFrame(1, NAME, 1, 0, 0)
+        self.assertEqual(self.ledger.handle_ask("n2", ask, now_s).granted, 1)
+
+    def test_share_of_a_node_that_is_silent_for_long_is_given_out(self):
+        now_s = self.fill()
+        for step in range(320):
+            self.report(now_s + step / 10, nodes=MEMBERS[:3])
+            self.ledger.tick(now_s + step / 10)
+        now_s += 32
+        self.report(now_s, spent=8, nodes=MEMBERS[:3])
+        before = self.ledger.balance(NAME, now_s)
+        rise = self.ledger.balance(NAME, now_s + 0.5) - before
+        self.assertAlmostEqual(rise, LIMIT.rate_per_s / 2)
+
+    def test_nodes_that_no_longer_ask_are_forgotten(self):
+        now_s = self.fill()
+        for number in range(50):
+            now_s += 1.0
+            self.report(now_s)
+            ask = AllowanceAskFrame(1, NAME, 1, 0, 0)
+            self.ledger.handle_ask(f"renamed{number}", ask, now_s)
+            self.ledger.members_changed()
+            self.ledger.tick(now_s)
+        self.assertLess(len(self.ledger._accounts[NAME].askers), 3)
+
+
+class CancelledAskTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against the loss of a token that nobody uses."""
+
+    async def test_token_of_a_request_cancelled_with_the_grant_is_returned(self):
+        allowances = Allowances("n1", Directory(), mock.Mock(), BOUNDS)
+        gate = allowances._gate = mock.Mock()
+        asking = asyncio.create_task(allowances.ask(Organisation(NAME), 1.0))
+        await asyncio.sleep(0)
+        _, deliver, _ = gate.ask.call_args.args
+        self.assertTrue(deliver(0.0))
+        asking.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await asking
+        gate.finish.assert_called_once_with(NAME, 0, mock.ANY)
+        self.assertFalse(deliver(0.0))
+
 
 class StatsTests(unittest.TestCase):
     """Guards against metrics with a label for each of many organisations."""
