Split the origin by step of a request

Moves the conversion to calls with authentication, the allowance, the levels and the refusals of requests to modules of their own.

--- a/damaskproxy/forwarding/attempts.py
+++ b/damaskproxy/forwarding/attempts.py
@@ -17,9 +17,11 @@
 from damaskproxy.forwarding.parent_requests import Parent
 from damaskproxy.organisations import Organisation
 
-__all__ = ["Attempts"]
+__all__ = ["RETRY_MIN_S", "Attempts"]
 
 KEPT_BODY_BYTES = 4096
+RETRY_MIN_S = 0.02
+"""Remaining time that a retry needs."""
 
 
 @dataclass(slots=True)
--- a/damaskproxy/forwarding/tests/test_refusal_log.py
+++ b/damaskproxy/forwarding/tests/test_refusal_log.py
@@ -87,7 +87,7 @@
         self.origin._allowances = SpentAllowances()
 
     def close_callees(self):
-        self.origin._route_levels.report(("r", "guild"), 0, is_held=True)
+        self.origin._levels.routes.report(("r", "guild"), 0, is_held=True)
 
     def fill_queues(self):
         self.results = [OVERLOAD] * 3
--- a/damaskproxy/forwarding/tests/test_sharing.py
+++ b/damaskproxy/forwarding/tests/test_sharing.py
@@ -8,7 +8,7 @@
 
 from nose2.tools import params
 
-from damaskproxy.forwarding import origin, parent_requests
+from damaskproxy.forwarding import parent_requests, request_refusals
 from damaskproxy.forwarding.parent_requests import RouteLevels
 from damaskproxy.forwarding.tests.virtual_graph import (
     REJECTING,
@@ -127,10 +127,12 @@
     def test_service_recovers_from_a_wave(self):
         """At a timeout of 1 s, Retry-After was 0.3 s for all clients."""
         served = {}
-        for share in (0.0, origin.RETRY_AFTER_OBJECTIVE_SHARE):
+        for share in (0.0, request_refusals.RETRY_AFTER_OBJECTIVE_SHARE):
             total = 0.0
             play.cache_clear()
-            with mock.patch.object(origin, "RETRY_AFTER_OBJECTIVE_SHARE", share):
+            with mock.patch.object(
+                request_refusals, "RETRY_AFTER_OBJECTIVE_SHARE", share
+            ):
                 for seed in (1, 2, 3, 4):
                     graph, _, end_s = play(Load(12.0), burst_s=0.4, seed=seed)
                     total += graph.served_share(end_s, end_s + RECOVERY_S)
