Split the link by input, output and direction of calls

A link keeps the connection, the hello and goodbye frames and the dispatch of frames. The input with its slices, the output with the memory of unsent frames, the conversion of calls to frames, and the calls in each direction have modules of their own. The input and the output drop their callbacks when the connection is lost, since the reference cycles would leave each closed link to the garbage collector.

--- a/damaskproxy/forwarding/tests/test_decisions.py
+++ b/damaskproxy/forwarding/tests/test_decisions.py
@@ -20,9 +20,9 @@
     NotRunReason,
     Unknown,
 )
+from damaskproxy.forwarding.delay_meter import DelayMeter
 from damaskproxy.forwarding.frame_decoder import FrameDecoder
 from damaskproxy.forwarding.large_frames import FrameError
-from damaskproxy.forwarding.link import DelayMeter
 from damaskproxy.forwarding.poison_requests import digest_of
 from damaskproxy.forwarding.string_table import StringTable
 from damaskproxy.forwarding.tests.builders import make_call, make_member, make_route
@@ -289,7 +289,7 @@
             sent_ms = 1_000_000 + number * 100
             arrived_s = (sent_ms + 4_000_000 + network_delay_ms) / 1000
             with mock.patch(
-                "damaskproxy.forwarding.link.boot_s", lambda s=arrived_s: s
+                "damaskproxy.forwarding.delay_meter.boot_s", lambda s=arrived_s: s
             ):
                 found.append(meter.delay_ms(sent_ms))
         self.assertEqual(found, delays_ms, name)
--- a/damaskproxy/forwarding/tests/test_links.py
+++ b/damaskproxy/forwarding/tests/test_links.py
@@ -26,8 +26,8 @@
 from damaskproxy.forwarding.frame_decoder import FrameDecoder
 from damaskproxy.forwarding.frames import GoodbyeFrame, RunFrame, encode_frame
 from damaskproxy.forwarding.large_frames import LARGE_BYTES
-from damaskproxy.forwarding.link import PING_AFTER_S, PONG_TIMEOUT_S
 from damaskproxy.forwarding.links import CONNECT_TIMEOUT_S, IDLE_CLOSE_S
+from damaskproxy.forwarding.outgoing_calls import PING_AFTER_S, PONG_TIMEOUT_S
 from damaskproxy.forwarding.tests.builders import make_call, make_member
 
 LOAD = LoadReport(1, 2, 3, 4, 5)
@@ -380,7 +380,7 @@
         fibers += [Fiber(run(number), self.fail) for number in range(2)]
         await self.until(lambda: len(self.two.waiters) == 2)
         (link,) = self.one.links.open_links()
-        link._ping_sent_s = 0.0
+        link._outgoing.ping_sent_s = 0.0
         link.check_liveness(PONG_TIMEOUT_S)
         self.assertEqual([type(result) for result in results], [Unknown])
         self.assertTrue(all(fiber.is_done for fiber in fibers))
--- a/damaskproxy/platform/tests/test_odd_bodies.py
+++ b/damaskproxy/platform/tests/test_odd_bodies.py
@@ -45,7 +45,7 @@
     call = make_call(
         route=route.name, priority=route.priority, deadline_ms=route.timeout_ms
     )
-    return link._run_frame(1, call)
+    return link._call_frames.run_frame(1, call)
 
 
 def check_configuration(test, configuration):
--- a/damaskproxy/sidecar/tests/test_request_ends.py
+++ b/damaskproxy/sidecar/tests/test_request_ends.py
@@ -147,7 +147,7 @@
             self.assertFalse(sidecar.target._lost_calls)
             self.assertFalse(sidecar.target._parent_requests._parents)
             for link in sidecar.links._links:
-                self.assertFalse(link._calls_in_flight or link._running)
+                self.assertFalse(link._outgoing.in_flight or link._incoming.running)
             self.assertFalse(sidecar.servers["caller"].connections)
         gc.collect()
         found = Counter(type(o).__name__ for o in gc.garbage)
