--- a/damaskproxy/forwarding/target.py
+++ b/damaskproxy/forwarding/target.py
@@ -1,6 +1,5 @@
 """Runs calls on the local backend server."""
 
-import asyncio
 import logging
 from collections.abc import Awaitable, Callable
 
@@ -16,7 +15,6 @@
 from damaskproxy.common import Outcome, Refusal, RefusalReason, ordinal_of
 from damaskproxy.common.clock import boot_s
 from damaskproxy.common.memory import MemoryAccount
-from damaskproxy.directory import BackendRecord
 from damaskproxy.events import log_event
 from damaskproxy.forwarding import events
 from damaskproxy.forwarding.answer_sizes import AnswerSizes
@@ -32,10 +30,12 @@
     Unknown,
     to_priority,
 )
-from damaskproxy.forwarding.headers import HeaderNames, parse_calls_per_s
+from damaskproxy.forwarding.crash_check import CrashCheck
+from damaskproxy.forwarding.headers import HeaderNames
 from damaskproxy.forwarding.parent_requests import ParentRequests, root_id_of
-from damaskproxy.forwarding.poison_requests import PoisonRequestDetector, digest_of
+from damaskproxy.forwarding.poison_requests import PoisonRequestDetector
 from damaskproxy.forwarding.request_fields import sharing_fields
+from damaskproxy.forwarding.server_state import ServerStateRecorder
 from damaskproxy.forwarding.stats import RequestStats
 from damaskproxy.http1 import (
     ConnectFailed,
@@ -57,14 +57,7 @@
 """Share of the idle timeout within which a kept-alive connection may be reused for a
 non-idempotent request. Such a request cannot be sent again when the connection breaks,
 which is rare on a recently used one."""
-CRASH_CHECK_S = 0.02
-"""Delay of the crash check after a lost response. All connections of a crashed server
-break within a round trip."""
-CRASH_PROBE_TIMEOUT_S = 0.3
-
 BODIES_DEFAULT_BYTES = 64 << 20
-LEAVING = b"1"
-"""Value of the header in which a backend server says that it leaves."""
 REJECTED_STATUSES = frozenset({400, 421, 429, 503})
 
 
@@ -134,14 +127,13 @@
         self._fair_shares = FairShares(now_s=boot_s)
         self._admission: AdmissionController | None = None
         self._incarnation: tuple = ()
-        self._lost_calls: list[Call] = []
-        self._crash_check: asyncio.Task | None = None
+        self._crash_check = CrashCheck(
+            backend, pool, poison_requests, self._bodies, lambda: self.in_flight
+        )
+        self._server_state = ServerStateRecorder(backend, names)
         self._request_id = names.lower("request_id")
         self._not_executed = names.lower("not_executed")
         self._stamp = names.lower("stamp")
-        self._server_limit = names.lower("server_limit")
-        self._server_leaving = names.lower("server_leaving")
-        self._invalid_limit: bytes | None = None
         # The origin knows the request id, so it is not sent back between nodes.
         self._dropped_headers = frozenset({self._not_executed, self._request_id})
 
@@ -319,13 +311,13 @@
             # The node closed the connection itself, so this is no sign of a crash.
             return Unknown(str(error))
         except ExchangeLost as error:
-            self._record_lost_call(call)
+            self._crash_check.record_lost_call(call)
             return Unknown(str(error))
         finally:
             self.in_flight -= 1
             self._parent_requests.call_ended(call)
             self._answer_sizes.finish(call.route, reserved, answer_bytes)
-        self._record_server_state(response, record, sent_s)
+        self._server_state.record(response, record, sent_s)
         return self._classify(response)
 
     def _make_response_check(self, request_id: bytes):
@@ -340,39 +332,6 @@
 
         return accept
 
-    def _record_server_state(
-        self, response: Response, record: BackendRecord, sent_s: float
-    ) -> None:
-        """Record what the backend server says of itself in a response."""
-        is_own = response.header(self._stamp) or response.header(self._not_executed)
-        if is_own is None:
-            return
-        if response.header(self._server_leaving) == LEAVING and (
-            self._backend.leave_named(record.incarnation_key)
-        ):
-            log_event(logger, events.LEAVE_NAMED, instance_id=record.instance_id)
-        self._record_limit(response, record, sent_s)
-
-    def _record_limit(
-        self, response: Response, record: BackendRecord, sent_s: float
-    ) -> None:
-        value = response.header(self._server_limit)
-        per_s = None
-        if value is not None:
-            per_s = parse_calls_per_s(value)
-            if per_s is None:
-                if value != self._invalid_limit:
-                    self._invalid_limit = value
-                    log_event(logger, events.LIMIT_IGNORED, value=repr(value[:40]))
-                return
-        if self._backend.limit_named(record.incarnation_key, per_s, sent_s):
-            log_event(
-                logger,
-                events.LIMIT_CHANGED,
-                instance_id=record.instance_id,
-                calls_per_s=per_s,
-            )
-
     def _classify(self, response: Response) -> Result:
         is_rejected = response.header(self._not_executed) is not None
         if is_rejected or response.status == 421:
@@ -403,46 +362,6 @@
             **sharing_fields(call),
         )
 
-    def _record_lost_call(self, call: Call) -> None:
-        self._lost_calls.append(call)
-        self._bodies.hold(len(call.body))
-        if self._crash_check is None:
-            self._crash_check = asyncio.create_task(self._check_crash())
-
-    def _take_lost_calls(self, count: int) -> list[Call]:
-        """Return the first lost calls, which are no longer kept."""
-        taken, self._lost_calls = self._lost_calls[:count], self._lost_calls[count:]
-        self._bodies.release(sum(len(call.body) for call in taken))
-        return taken
-
-    async def _check_crash(self) -> None:
-        """Distinguish a crash, which breaks all connections, from one lost response."""
-        try:
-            while self._lost_calls:
-                await asyncio.sleep(CRASH_CHECK_S)
-                count = len(self._lost_calls)
-                if self.in_flight or await self._is_listening():
-                    self._take_lost_calls(count)
-                    continue
-                # With those lost during the check, since it is one crash.
-                lost = self._take_lost_calls(len(self._lost_calls))
-                self._backend.connection_refused()
-                log_event(logger, events.BACKEND_CRASHED, in_flight=len(lost))
-                self._poison_requests.record_crash([digest_of(call) for call in lost])
-        finally:
-            self._take_lost_calls(len(self._lost_calls))
-            self._crash_check = None
-
-    async def _is_listening(self) -> bool:
-        address = self._pool.address
-        try:
-            async with asyncio.timeout(CRASH_PROBE_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(address.host, address.port)
-        except (OSError, TimeoutError):
-            return False
-        writer.close()
-        return True
-
 
 def _to_not_run_reason(refusal: Refusal) -> NotRunReason:
     if refusal.reason is RefusalReason.LEAVING:
--- a/damaskproxy/forwarding/tests/test_target.py
+++ b/damaskproxy/forwarding/tests/test_target.py
@@ -329,19 +329,19 @@
 
         server = await asyncio.start_server(accept, "127.0.0.1", 0)
         self.pool.address = Address(*server.sockets[0].getsockname()[:2])
-        probe = self.target._is_listening
+        probe = self.target._crash_check._is_listening
 
         async def slow_probe():
             is_listening = await probe()
             await asyncio.sleep(0.05)
             return is_listening
 
-        self.target._is_listening = slow_probe
+        self.target._crash_check._is_listening = slow_probe
         await self.target.run(make_call())
         await asyncio.sleep(0.3)
         self.assertEqual(len(accepted), 1)
-        self.assertEqual(self.target._lost_calls, [])
-        self.assertIsNone(self.target._crash_check)
+        self.assertEqual(self.target._crash_check.lost_calls, [])
+        self.assertIsNone(self.target._crash_check.task)
         server.close()
 
     async def test_bodies_of_lost_calls_are_counted_until_they_are_checked(self):
--- a/damaskproxy/sidecar/tests/test_request_ends.py
+++ b/damaskproxy/sidecar/tests/test_request_ends.py
@@ -144,7 +144,7 @@
                 self.assertEqual(sizes.reserved_bytes, 0)
             load = sidecar.target.load()
             self.assertEqual((load.in_flight, load.queued), (0, 0))
-            self.assertFalse(sidecar.target._lost_calls)
+            self.assertFalse(sidecar.target._crash_check.lost_calls)
             self.assertFalse(sidecar.target._parent_requests._parents)
             for link in sidecar.links._links:
                 self.assertFalse(link._outgoing.in_flight or link._incoming.running)
