--- a/damaskproxy/sidecar/joining.py
+++ b/damaskproxy/sidecar/joining.py
@@ -24,8 +24,8 @@
 from damaskproxy.http1 import ConnectionPool, HttpError, Request
 from damaskproxy.model import MemberState
 from damaskproxy.sidecar import events
-from damaskproxy.sidecar.compose import Sidecar
 from damaskproxy.sidecar.settings import to_address
+from damaskproxy.sidecar.sidecar import Sidecar
 
 __all__ = ["become_ready", "fetch_state", "join_from_seeds"]
 
--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -12,7 +12,7 @@
 from damaskproxy.common.clock import boot_s
 from damaskproxy.events import log_event
 from damaskproxy.sidecar import events
-from damaskproxy.sidecar.compose import Sidecar, compose
+from damaskproxy.sidecar.compose import compose
 from damaskproxy.sidecar.early_signals import EarlySignals
 from damaskproxy.sidecar.joining import become_ready, join_from_seeds
 from damaskproxy.sidecar.listening import ListenerError, ListenerSockets
@@ -24,6 +24,7 @@
     load_settings,
     to_address,
 )
+from damaskproxy.sidecar.sidecar import Sidecar
 from damaskproxy.sidecar.stopping import drain, stop
 
 __all__ = ["run_sidecar", "start"]
--- a/damaskproxy/sidecar/metrics.py
+++ b/damaskproxy/sidecar/metrics.py
@@ -15,7 +15,7 @@
 )
 
 if TYPE_CHECKING:
-    from damaskproxy.sidecar.compose import Sidecar
+    from damaskproxy.sidecar.sidecar import Sidecar
 
 __all__ = ["describe", "make_metrics_handler", "render_metrics"]
 
--- a/damaskproxy/sidecar/organisations.py
+++ b/damaskproxy/sidecar/organisations.py
@@ -15,7 +15,7 @@
 from damaskproxy.organisations import Organisation, Organisations
 
 if TYPE_CHECKING:
-    from damaskproxy.sidecar.compose import Sidecar
+    from damaskproxy.sidecar.sidecar import Sidecar
 
 __all__ = ["collect_organisations", "describe_organisations"]
 
--- a/damaskproxy/sidecar/stopping.py
+++ b/damaskproxy/sidecar/stopping.py
@@ -9,7 +9,7 @@
 from damaskproxy.model import MemberState
 from damaskproxy.platform import decode_bounds
 from damaskproxy.sidecar import events
-from damaskproxy.sidecar.compose import Sidecar
+from damaskproxy.sidecar.sidecar import Sidecar
 
 __all__ = ["drain", "stop"]
 
