Wait longer for peers that may know a confirmed leave

A restarted node gave its peers 0.1 s to send the leave that the store lacked. Such a server does not know of its removal and passes its health check.

--- a/damaskproxy/sidecar/joining.py
+++ b/damaskproxy/sidecar/joining.py
@@ -43,9 +43,11 @@
 LEAVE_REQUEST_PEERS = 3
 """Peers from which a restarted node requests a leave that it had confirmed; more than
 one, since a peer may be down."""
-LEAVE_REQUEST_TIMEOUT_S = 0.1
-"""Two round trips between regions. Short, since no peer has the record when all nodes
-start at the same time."""
+LEAVE_REQUEST_TIMEOUT_S = 1.0
+"""Longer than a peer is busy with a garbage collection or waits for a processor: with
+0.1 s, an answer that came late let a server be called that had left. Peers answer
+whether or not they have the record, and connection attempts end after 0.3 s, so that
+only a suspended peer costs the whole time."""
 CHECK_TIMEOUT_S = 0.1
 """Time that a restarted node waits for the health check of its backend server before it
 is ready; until then it would refuse the calls to it."""
--- a/damaskproxy/sidecar/tests/test_mesh.py
+++ b/damaskproxy/sidecar/tests/test_mesh.py
@@ -10,6 +10,7 @@
 from nose2.tools import params
 
 from damaskproxy.directory import StoreError
+from damaskproxy.forwarding import RecordRequestFrame
 from damaskproxy.http1 import (
     ConnectFailed,
     ConnectionPool,
@@ -197,6 +198,34 @@
         self.rows.status = 200
         await self.restart_and_check_leave(two, callers=(one, two))
 
+    async def test_leave_is_learnt_from_a_peer_that_answers_late(self):
+        """A server that an operator removed passes its health check.
+
+        A node that did not wait for the peer served such a server again.
+        """
+        one = await self.start("n1", "stores")
+        two = await self.start("n2")
+        await self.until_known(1)
+        await one.call(b"/read/1")
+        two.backend.runs.clear()
+        self.rows.status = 503
+        path = f"/api/instances/{two.backend.instance_id}".encode()
+        answer = await two.control(Request(b"DELETE", path, HOST))
+        self.assertEqual(answer.status, 200)
+        await self.kill(two)
+        self.rows.status = 200
+        handle = one.sidecar.propagation.handle
+        loop = asyncio.get_running_loop()
+
+        def handle_late(link, frame):
+            if isinstance(frame, RecordRequestFrame):
+                loop.call_later(0.3, handle, link, frame)
+            else:
+                handle(link, frame)
+
+        one.sidecar.propagation.handle = handle_late
+        await self.restart_and_check_leave(two, callers=(two,))
+
     @params((True, 200), (False, 503))
     async def test_drain_that_another_node_knows_is_confirmed_without_the_store(
         self, has_peer, status
