Separate writing responses from the connection of a client

ResponseWriter, the counterpart of RequestReader, writes responses and refusals, counts what is unsent and ends the connection. Errors of the handler are logged by HttpServer, whose logger the connection used under the same name.

Tests run: damaskproxy.http1, damaskproxy.sidecar.tests.test_mesh.

--- a/damaskproxy/http1/server.py
+++ b/damaskproxy/http1/server.py
@@ -15,6 +15,8 @@
     MemoryBudget,
 )
 from damaskproxy.common.turns import Turns
+from damaskproxy.events import log_event
+from damaskproxy.http1 import events
 from damaskproxy.http1.closures import Closures
 from damaskproxy.http1.limits import (
     HELD_DEFAULT_BYTES,
@@ -278,6 +280,10 @@
             # A connection may be lost before its protocol has it.
             task.exception()
 
+    def report_error(self, error: BaseException) -> None:
+        """Log an error of the handler, or of a fiber that runs it."""
+        log_event(logger, events.REQUEST_FAILED, exc_info=error, listener=self.name)
+
     def refuse_partly_read(self) -> None:
         """Refuse the requests that have not been read completely."""
         for connection in list(self.connections):
--- a/damaskproxy/http1/server_connection.py
+++ b/damaskproxy/http1/server_connection.py
@@ -1,48 +1,33 @@
 """Connection of a client to a listener."""
 
 import asyncio
-import logging
 from collections import deque
 from typing import TYPE_CHECKING
 
 from damaskproxy.common.clock import boot_s
 from damaskproxy.common.fibers import BackgroundTask, Fiber
-from damaskproxy.events import log_event
 from damaskproxy.http1 import events
 from damaskproxy.http1.closures import Closure
 from damaskproxy.http1.connection_memory import ConnectionMemory
 from damaskproxy.http1.limits import (
     ANSWERS_PER_TURN,
     QUEUED_REQUESTS_MAX,
-    UNCOUNTED_UNSENT_BYTES,
     ClientLimits,
 )
-from damaskproxy.http1.messages import (
-    BODILESS_STATUSES,
-    Request,
-    Response,
-    format_response_head,
-    write_message,
-)
-from damaskproxy.http1.refusals import CLOSURES, format_refusal
+from damaskproxy.http1.messages import Request, Response
+from damaskproxy.http1.refusals import CLOSURES
 from damaskproxy.http1.request_reader import RequestReader
-from damaskproxy.http1.sockets import unacknowledged_bytes, unread_bytes
+from damaskproxy.http1.response_writer import ResponseWriter
+from damaskproxy.http1.sockets import unread_bytes
 
 if TYPE_CHECKING:
     from damaskproxy.http1.server import HttpServer
 
 __all__ = ["ServerConnection"]
 
-logger = logging.getLogger("damaskproxy.http1.server")
-"""Logger of the listener, which connections are a part of."""
-
-LINGER_S = 1.0
-"""Time for which the rest of a refused request is read and discarded. Closing at once
-would reset the connection, and the client could lose the response."""
 FIRST_REQUEST_S = 0.1
 """Time for which a server that stops waits for the first request of a connection that
 was just opened."""
-CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class ServerConnection(asyncio.Protocol):
@@ -58,8 +43,9 @@
     def __init__(self, server: "HttpServer"):
         self._server = server
         self._transport: asyncio.Transport | None = None
+        self._writer = ResponseWriter(server)
         self._reader = RequestReader(
-            server.limits, self._hold_body, self._continue, self._queue
+            server.limits, self._hold_body, self._writer.write_continue, self._queue
         )
         self._memory = ConnectionMemory(server, self)
         self._pending: deque[tuple[Request, bool, int]] = deque()
@@ -67,15 +53,10 @@
         self._last_activity_s = boot_s()
         self._is_new = True
         self._is_refused = False
-        self._is_discarding = False
-        self._is_answered = False
         self._is_starting = False
         self._has_turn = False
         self._refusal_status = 0
         self._is_reading_paused = False
-        self._is_writing_paused = False
-        self._written_bytes = 0
-        self._checked_unsent_bytes = 0
 
     @property
     def is_busy(self) -> bool:
@@ -108,7 +89,7 @@
     @property
     def unsent_bytes(self) -> int:
         """Bytes of responses that the kernel has not taken yet."""
-        return 0 if self._transport is None else self._transport.get_write_buffer_size()
+        return self._writer.unsent_bytes
 
     @property
     def is_unfinished(self) -> bool:
@@ -122,10 +103,8 @@
         return (
             self.is_busy
             or self.is_partly_read
-            or self._is_discarding
-            or self.unsent_bytes > 0
-            or unacknowledged_bytes(self._transport) > 0
-            or (not self._is_answered and unread_bytes(self._transport) > 0)
+            or self._writer.is_sending
+            or (not self._writer.is_answered and unread_bytes(self._transport) > 0)
             or (self._is_new and boot_s() - self._last_activity_s < FIRST_REQUEST_S)
         )
 
@@ -135,7 +114,7 @@
         # socket options would be a third of the system calls of a connection with one
         # request.
         self._transport = transport
-        transport.set_write_buffer_limits(UNCOUNTED_UNSENT_BYTES)
+        self._writer.open(transport)
         server = self._server
         server.connections.add(self)
         self._count_overhead()
@@ -155,13 +134,12 @@
 
     def pause_writing(self):
         """Count the response that the client does not read, and start no other one."""
-        self._is_writing_paused = True
-        unsent_bytes = max(self._written_bytes, self.unsent_bytes)
-        self._server.unsent.add(self._cut_unsent, unsent_bytes)
+        self._writer.is_paused = True
+        self._server.unsent.add(self._cut_unsent, self._writer.counted_bytes)
 
     def resume_writing(self):
         """Start the next request after the client has read the response."""
-        self._is_writing_paused = False
+        self._writer.is_paused = False
         self._server.unsent.release(self._cut_unsent)
         if self._fiber is None and self._pending:
             self._start_next()
@@ -180,10 +158,10 @@
         """Close the connection or refuse its request after a time-out."""
         if self._fiber is not None:
             return
-        if self._has_sent_since_last_check():
+        if self._writer.has_sent_since_last_check():
             self._last_activity_s = now_s
         is_idle = (now_s - self._last_activity_s) * 1000 > limits.idle_timeout_ms
-        if self._is_writing_paused or (self._is_refused and self.unsent_bytes):
+        if self._writer.is_paused or (self._is_refused and self.unsent_bytes):
             # Also with queued requests, which wait until the response has been read.
             if is_idle:
                 self._close_idle()
@@ -211,7 +189,7 @@
         -----
         After its last response it is left to the client to close it.
         """
-        if not self._is_answered and not self.is_unfinished:
+        if not self._writer.is_answered and not self.is_unfinished:
             self._transport.close()
 
     def refuse_partly_read(self) -> None:
@@ -260,9 +238,6 @@
     def _hold_body(self, size: int) -> bool:
         return self._memory.hold_body(size, self._reader.body_bytes)
 
-    def _continue(self) -> None:
-        self._transport.write(CONTINUE)
-
     def _queue(self, request: Request, is_last: bool, size: int) -> None:
         self._pending.append((request, is_last, size))
         self._memory.queue(size)
@@ -327,13 +302,6 @@
             self._is_reading_paused = False
             self._transport.resume_reading()
 
-    def _has_sent_since_last_check(self) -> bool:
-        before, self._checked_unsent_bytes = (
-            self._checked_unsent_bytes,
-            self.unsent_bytes,
-        )
-        return self._checked_unsent_bytes < before
-
     def _close_idle(self) -> None:
         if self.unsent_bytes:
             self.abort(
@@ -356,7 +324,7 @@
             return
         self._is_starting = True
         answered = 0
-        while self._pending and self._fiber is None and not self._is_writing_paused:
+        while self._pending and self._fiber is None and not self._writer.is_paused:
             if answered == ANSWERS_PER_TURN:
                 self._take_turn()
                 break
@@ -364,7 +332,7 @@
             request, is_last, size = self._pending.popleft()
             self._memory.start(request, size)
             fiber = self._server.run(
-                self._serve(request, is_last, size), self._report_error
+                self._serve(request, is_last, size), self._server.report_error
             )
             if not fiber.is_done:
                 self._fiber = fiber
@@ -377,41 +345,30 @@
             if self._transport.is_closing():
                 return
             # What the handler waited for was cancelled, not the request.
-            self._report_error(error)
+            self._server.report_error(error)
             response = Response(502)
         except Exception as error:
-            self._report_error(error)
+            self._server.report_error(error)
             response = Response(502)
         self._fiber = None
         self._memory.finish(request, size)
         self._write(response, is_last, request.method == b"HEAD")
 
-    def _report_error(self, error: BaseException) -> None:
-        log_event(
-            logger,
-            events.REQUEST_FAILED,
-            exc_info=error,
-            listener=self._server.name,
-        )
-
     def _write(self, response: Response, is_last: bool, is_head: bool) -> None:
         if self._transport.is_closing():
             return
         is_last = is_last or self._must_end()
-        is_bodiless = is_head or response.status in BODILESS_STATUSES
-        body = b"" if is_bodiless else response.body
-        self._written_bytes = len(body)
-        head = format_response_head(response, is_last=is_last)
-        write_message(self._transport, head, body)
+        self._writer.write(response, is_last=is_last, is_head=is_head)
         self._last_activity_s = boot_s()
         if is_last:
             self._pending.clear()
             self._reader.give_up()
-            self._end()
+            self._is_refused = True
+            self._writer.end()
         elif self._pending:
             self._start_next()
         elif self._refusal_status:
-            self._write_refusal()
+            self._writer.write_refusal(self._refusal_status)
         if self._is_reading_paused:
             self._read_on()
         self._count_overhead()
@@ -426,17 +383,6 @@
             and not unread_bytes(self._transport)
         )
 
-    def _end(self) -> None:
-        """Close the connection after its last response."""
-        self._is_refused = True
-        if not self._server.is_closing:
-            self._transport.close()
-            return
-        # Whatever the client still sends would reset a closed connection, and the
-        # client could lose the response. It is read until the client closes.
-        self._is_answered = True
-        self._transport.write_eof()
-
     def _refuse(self, status: int, kind: Closure | None = None) -> None:
         """Refuse the request being read, after the responses to earlier requests."""
         if self._is_refused:
@@ -448,18 +394,4 @@
         self._reader.give_up()
         self._count_overhead()
         if not self.is_busy:
-            self._write_refusal()
-
-    def _write_refusal(self) -> None:
-        if self._transport.is_closing():
-            return
-        self._server.closures.log(
-            events.REQUEST_MALFORMED,
-            listener=self._server.name,
-            status=self._refusal_status,
-        )
-        self._transport.write(format_refusal(self._refusal_status))
-        if self._transport.can_write_eof():
-            self._transport.write_eof()
-        self._is_discarding = True
-        self._server.loop.call_later(LINGER_S, self._transport.close)
+            self._writer.write_refusal(self._refusal_status)
