Separate the review window and the wait estimate from admission

The signs of overload between two reviews are now in admission/window.py, and the expected and longest waits in admission/waits.py, each with the constants that it uses. The controller still logs changes of the level, under the same logger name.

Tests run: damaskproxy.admission, damaskproxy.forwarding, damaskproxy.sidecar.tests.test_mesh.

--- a/damaskproxy/admission/controller.py
+++ b/damaskproxy/admission/controller.py
@@ -13,6 +13,8 @@
 from damaskproxy.admission.rate import RateLimit
 from damaskproxy.admission.settings import AdmissionSettings
 from damaskproxy.admission.tickets import LEVEL_COUNT, Permit, Ticket
+from damaskproxy.admission.waits import WaitEstimate
+from damaskproxy.admission.window import ReviewWindow
 from damaskproxy.common import Outcome, Refusal, RefusalReason
 from damaskproxy.common.ids import ORDINAL_COUNT
 from damaskproxy.events import log_event
@@ -22,16 +24,7 @@
 
 logger = logging.getLogger(__name__)
 
-# The maximum wait, the queue delay target and the window are at least WAIT_SHARE,
-# TARGET_SHARE and INTERVAL_SHARE of the cost of a typical call. With fixed times alone,
-# a slow service could not queue at all, and a single late call counted as overload.
-WAIT_SHARE = 0.5
-# Multiple of the mean cost without a release after which the slots count as stalled.
-STALL_FACTOR = 3
-TARGET_SHARE = 0.25
-INTERVAL_SHARE = 1.0
 IDLE_SHARE = 0.5
-CALM_SHARE = 0.5
 BEGUN_MARGIN = ORDINAL_COUNT
 """Positions by which calls of begun requests may exceed the level. When it falls,
 requests are in progress that were begun at any position of the class that it cuts."""
@@ -75,12 +68,9 @@
         self._long_in_flight = 0
         self._newest_first = False
         self._latency_s = 0.0
-        self._interval_s = self._settings.interval_ms / 1000
-        self._target_s = self._settings.queue_target_ms / 1000
-        self._wait_max_s = self._settings.queue_wait_max_ms / 1000
-        self._last_progress_s = now_s()
-        self._window_start_s = now_s()
-        self._reset_window(self._window_start_s)
+        self._waits = WaitEstimate(self._settings, self._costs, now_s())
+        self._window = ReviewWindow(self._settings)
+        self._restart_window(now_s())
 
     def try_acquire(self, ticket: Ticket) -> Permit | Refusal | None:
         """Admit, queue or refuse a call without waiting.
@@ -92,7 +82,7 @@
             ``counted=True``.
         """
         now_s = self._now_s()
-        if now_s >= self._window_end_s:
+        if now_s >= self._window.end_s:
             self._review(now_s)
         position = ticket.priority * ORDINAL_COUNT + ticket.ordinal
         self._level.record_arrival(position)
@@ -110,7 +100,7 @@
         is_long = ticket.long_work_hint or (cost is not None and cost.is_long)
         is_free = in_flight < limit and not self._queue and not self._rate_wait_s(now_s)
         if is_free and (not is_long or self._long_may_start(is_short_waiting=False)):
-            self._last_progress_s = now_s
+            self._waits.last_progress_s = now_s
             return self._grant(ticket.route, is_long, 0.0)
         return self._refuse_or_wait(ticket, cost, now_s)
 
@@ -169,17 +159,17 @@
         self._in_flight -= 1
         self._long_in_flight -= permit.is_long
         now_s = self._now_s()
-        self._last_progress_s = now_s
+        self._waits.last_progress_s = now_s
         if ok:
             self._record_costs(permit, elapsed_s, outbound_s)
-        if now_s >= self._window_end_s:
+        if now_s >= self._window.end_s:
             self._review(now_s)
         self._start_queued_calls(now_s)
 
     def load(self) -> Load:
         """Return the load that is sent with each response."""
         now_s = self._now_s()
-        if now_s >= self._window_end_s:
+        if now_s >= self._window.end_s:
             self._review(now_s)
         return Load(
             in_flight=self._in_flight,
@@ -231,10 +221,10 @@
         self._in_flight += 1
         self._long_in_flight += is_long
         self._level.record_start()
-        if waited_s < self._min_wait_s:
-            self._min_wait_s = waited_s
+        if waited_s < self._window.min_wait_s:
+            self._window.min_wait_s = waited_s
         if self._in_flight >= self._limit.value:
-            self._was_full = True
+            self._window.was_full = True
         return Permit(route, is_long, waited_s)
 
     def _long_may_start(self, *, is_short_waiting: bool) -> bool:
@@ -248,38 +238,25 @@
 
     def _refuse_or_wait(self, ticket, cost, now_s) -> Refusal | None:
         wait_s = self._expected_wait_s(ticket, now_s)
-        if wait_s > max(self._wait_max_s, WAIT_SHARE * self._costs.typical_s):
-            self._has_refused = True
+        if wait_s > self._waits.max_s():
+            self._window.has_refused = True
             reason = RefusalReason.OVERLOAD_QUEUE_FULL
             return _refusal(reason, self._retry_after_ms())
         if not self._settings.expected_time_check or cost is None:
             return None
         if now_s + wait_s + cost.median_s > ticket.deadline_s:
-            self._has_refused = True
+            self._window.has_refused = True
             reason = RefusalReason.OVERLOAD_DEADLINE
             return _refusal(reason, self._retry_after_ms())
         return None
 
     def _expected_wait_s(self, ticket: Ticket, now_s: float) -> float:
-        """Return the expected time in the queue.
-
-        Notes
-        -----
-        The time between releases is estimated from the mean cost. When all slots are
-        occupied by calls that do not end, that estimate is meaningless, and the time
-        since the last release is used instead. It counts only beyond a few mean costs,
-        since with few slots nothing is released for the length of one call anyway, and
-        only once the mean cost is known.
-        """
+        """Return the expected time in the queue."""
         newest_first = self._newest_first
         ahead = self._queue.ahead_of(ticket, newest_first=newest_first) + 1
         if self._rate is not None and self._in_flight < self._limit.value:
             return self._rate.wait_s(now_s) + (ahead - 1) / self._rate.per_s
-        mean_s = self._costs.mean_s
-        release_interval_s = mean_s / self._limit.value
-        since_progress_s = now_s - self._last_progress_s
-        is_stalled = mean_s > 0 and since_progress_s > STALL_FACTOR * mean_s
-        return ahead * (since_progress_s if is_stalled else release_interval_s)
+        return ahead * self._waits.release_interval_s(self._limit.value, now_s)
 
     def _enqueue(self, ticket: Ticket) -> QueuedCall:
         future = asyncio.get_running_loop().create_future()
@@ -288,7 +265,7 @@
         call = QueuedCall(ticket, future, self._now_s(), is_long)
         self._queue.push(call)
         if len(self._queue) > self._max_queue_length():
-            self._has_refused = True
+            self._window.has_refused = True
             last = self._queue.last(newest_first=self._newest_first)
             reason = RefusalReason.OVERLOAD_QUEUE_FULL
             self._refuse_queued_call(last, _refusal(reason, self._retry_after_ms()))
@@ -314,7 +291,7 @@
     def _expire(self, call: QueuedCall) -> None:
         if not call.is_queued:
             return
-        self._has_refused = True
+        self._window.has_refused = True
         now_s = self._now_s()
         reason = RefusalReason.OVERLOAD_DEADLINE
         if now_s >= call.ticket.deadline_s:
@@ -382,24 +359,20 @@
 
     def _review(self, now_s: float) -> None:
         """Update concurrency limit and admission level at the end of a window."""
-        min_wait_s = self._min_wait_s
-        target_s = max(self._target_s, TARGET_SHARE * self._costs.typical_s)
-        overloaded = self._has_refused or (
-            min_wait_s > target_s and self._queue.short_count > 0
-        )
-        if self._rate is not None and not self._was_full:
-            # Other servers may have room; the level would also reject their requests.
-            overloaded = False
-        calm = not overloaded and (
-            min_wait_s < target_s * CALM_SHARE or not self._queue
+        window = self._window
+        overloaded, calm = window.assess(
+            self._costs.typical_s, self._queue, is_rate_limited=self._rate is not None
         )
         level_before = self._level.value
-        elapsed_s = now_s - self._window_start_s
-        self._level.review(elapsed_s, overloaded=overloaded, calm=calm)
-        self._limit.review(now_s, saturated=self._was_full)
+        self._level.review(now_s - window.start_s, overloaded=overloaded, calm=calm)
+        self._limit.review(now_s, saturated=window.was_full)
         self._newest_first = self._settings.newest_first and overloaded
         self._log_level_change(level_before)
-        self._reset_window(now_s)
+        self._restart_window(now_s)
+
+    def _restart_window(self, now_s: float) -> None:
+        is_full = self._in_flight >= self._limit.value
+        self._window.restart(now_s, self._costs.typical_s, is_full=is_full)
 
     def _log_level_change(self, before: int) -> None:
         now = self._level.value
@@ -408,14 +381,6 @@
         elif before < LEVEL_COUNT <= now:
             log_event(logger, events.OVERLOAD_ENDED)
 
-    def _reset_window(self, now_s: float) -> None:
-        self._window_start_s = now_s
-        interval_s = max(self._interval_s, INTERVAL_SHARE * self._costs.typical_s)
-        self._window_end_s = now_s + interval_s
-        self._min_wait_s = math.inf
-        self._has_refused = False
-        self._was_full = self._in_flight >= self._limit.value
-
     def _retry_after_ms(self) -> int:
         return self._settings.interval_ms * 2
 
