Take the statuses that are no response from one table

The tests through two nodes repeated the table of http1/tests/test_statuses.py without abc and -20. They now use that table and thus check these two as well.

Tests run: damaskproxy.sidecar.tests.test_statuses.

--- a/damaskproxy/sidecar/tests/test_statuses.py
+++ b/damaskproxy/sidecar/tests/test_statuses.py
@@ -8,23 +8,9 @@
 
 from nose2.tools import params
 
+from damaskproxy.http1.tests.test_statuses import NO_RESPONSES
 from damaskproxy.sidecar.tests.mesh import MeshTestCase
 
-STATUSES = (
-    b"000",
-    b"001",
-    b"099",
-    b"101",
-    b"104",
-    b"199",
-    b"600",
-    b"999",
-    b"20",
-    b"2000",
-    b"2x0",
-    b"+20",
-    b"",
-)
 OTHER_FAULTS = (
     b"HTTP/2.0 200 OK\r\nContent-Length: 2\r\n%s\r\nok",
     b"HTTP/0.9 200 OK\r\nContent-Length: 2\r\n%s\r\nok",
@@ -138,7 +124,7 @@
     @params("orders", "stores")
     async def test_idempotent_request_runs_on_another_server(self, caller_service):
         caller = await self.start_servers(caller_service)
-        for status in STATUSES:
+        for status in NO_RESPONSES:
             # Without a length it lasts until the end of the connection.
             raw = b"HTTP/1.1 %s OK\r\n" % status + b"%s\r\n"
             for method in (b"GET", b"HEAD", b"POST"):
@@ -149,7 +135,7 @@
     @params("orders", "stores")
     async def test_order_is_not_sent_again(self, caller_service):
         caller = await self.start_servers(caller_service)
-        for status in STATUSES:
+        for status in NO_RESPONSES:
             raw = b"HTTP/1.1 %s OK\r\nContent-Length: 0\r\n" % status + b"%s\r\n"
             await self.check(caller, b"POST", b"/write/1", raw, (502, 1))
 
