Remove the second count of requests by organisation

AllowanceStats counted the admitted and refused requests of organisations with a limit. OrganisationStats counts the same requests at the origin, and only its counters are shown in the status object and in the metrics, so the two could differ without anybody noticing.

The mesh test reads OrganisationStats and now also compares the admitted requests with those that ran.

--- a/damaskproxy/allowances/__init__.py
+++ b/damaskproxy/allowances/__init__.py
@@ -11,11 +11,9 @@
 from damaskproxy.allowances.ledger import Ledger
 from damaskproxy.allowances.limits import AllowanceBounds, Limit
 from damaskproxy.allowances.owners import Owners
-from damaskproxy.allowances.stats import AllowanceStats
 
 __all__ = [
     "AllowanceBounds",
-    "AllowanceStats",
     "Allowances",
     "Gate",
     "Ledger",
--- a/damaskproxy/allowances/allowances.py
+++ b/damaskproxy/allowances/allowances.py
@@ -8,7 +8,6 @@
 from damaskproxy.allowances.ledger import Ledger
 from damaskproxy.allowances.limits import AllowanceBounds, Limit
 from damaskproxy.allowances.owners import Owners
-from damaskproxy.allowances.stats import AllowanceStats
 from damaskproxy.common.clock import boot_s
 from damaskproxy.common.fibers import Waiter
 from damaskproxy.directory import Configuration, Directory, MemberRecord
@@ -46,11 +45,6 @@
         Tolerance of the platform.
     now_s : callable
         Monotonic clock, in seconds.
-
-    Attributes
-    ----------
-    stats : AllowanceStats
-        Counters of admitted and refused requests.
     """
 
     def __init__(
@@ -61,7 +55,6 @@
         bounds: AllowanceBounds,
         now_s: Callable[[], float] = boot_s,
     ):
-        self.stats = AllowanceStats()
         self._node_id = node_id
         self._directory = directory
         self._open_link = open_link
@@ -102,10 +95,7 @@
 
     def check(self, organisation: Organisation) -> float | None:
         """Return the wait of a request, 0 if it is admitted, None if it has to ask."""
-        wait_s = self._gate.check(organisation.name, self._now_s())
-        if wait_s is not None:
-            self.stats.count(organisation.name, wait_s)
-        return wait_s
+        return self._gate.check(organisation.name, self._now_s())
 
     async def ask(self, organisation: Organisation, timeout_s: float) -> float:
         """Return the wait of a request after asking the owner of the organisation.
@@ -134,7 +124,7 @@
             loop = asyncio.get_running_loop()
             timer = loop.call_later(max(timeout_s, 0.0), deliver, LATE_WAIT_S)
         try:
-            wait_s = await waiter
+            return await waiter
         except asyncio.CancelledError:
             # The token that the owner grants is then given to another request.
             waiter.is_done = True
@@ -145,8 +135,6 @@
         finally:
             if timer is not None:
                 timer.cancel()
-        self.stats.count(organisation.name, wait_s)
-        return wait_s
 
     def finish(self, organisation: Organisation, reached_count: int) -> None:
         """Record how many servers an admitted request has reached."""
--- a/damaskproxy/allowances/tests/test_allowances.py
+++ b/damaskproxy/allowances/tests/test_allowances.py
@@ -1,4 +1,4 @@
-"""Gate, ledger and owners in single cases; counters by organisation."""
+"""Gate, ledger and owners in single cases."""
 
 import asyncio
 import unittest
@@ -8,13 +8,11 @@
 
 from damaskproxy.allowances import (
     Allowances,
-    AllowanceStats,
     Gate,
     Ledger,
     Limit,
     Owners,
 )
-from damaskproxy.allowances.stats import NAMES_MAX
 from damaskproxy.allowances.tests.virtual_nodes import BOUNDS, NAME
 from damaskproxy.directory import Directory
 from damaskproxy.forwarding.frames import (
@@ -279,14 +277,3 @@
             await asking
         gate.finish.assert_called_once_with(NAME, 0, mock.ANY)
         self.assertFalse(deliver(0.0))
-
-
-class StatsTests(unittest.TestCase):
-    """Guards against metrics with a label for each of many organisations."""
-
-    def test_names_are_bounded(self):
-        stats = AllowanceStats()
-        for number in range(NAMES_MAX + 50):
-            stats.count(f"o{number}", number % 2)
-        self.assertEqual(len({*stats.admitted, *stats.refused}), NAMES_MAX + 1)
-        self.assertEqual((stats.admitted["other"], stats.refused["other"]), (25, 25))
--- a/damaskproxy/sidecar/tests/test_allowances.py
+++ b/damaskproxy/sidecar/tests/test_allowances.py
@@ -56,8 +56,10 @@
         self.assertLessEqual(runs, (4 * 5 + 4) * 1.1 + SLACK)
         for response in refused:
             self.assertGreater(float(response.header(b"retry-after")), 0)
-        counted = [node.sidecar.allowances.stats for node in nodes]
-        self.assertEqual(sum(s.refused["guild"] for s in counted), len(refused))
+        counted = [node.sidecar.stats.organisations for node in nodes]
+        self.assertEqual(sum(s.admitted["guild"] for s in counted), runs)
+        over_limit = [s.refused["guild", "allowance"] for s in counted]
+        self.assertEqual(sum(over_limit), len(refused))
         reasons = [node.sidecar.stats.refusals["allowance"] for node in nodes]
         self.assertEqual(sum(reasons), len(refused))
 
--- a/damaskproxy/sidecar/tests/test_organisations.py
+++ b/damaskproxy/sidecar/tests/test_organisations.py
@@ -45,6 +45,18 @@
         self.assertEqual(counter.total(), 10 * NAMES_MAX)
         self.assertEqual(counter[other], 9 * NAMES_MAX)
 
+    def test_counters_share_their_names(self):
+        stats = OrganisationStats()
+        for number in range(NAMES_MAX + 50):
+            if number % 2:
+                stats.request_refused(f"o{number}", "allowance")
+            else:
+                stats.request_admitted(f"o{number}")
+        refused = {name for name, _ in stats.refused}
+        self.assertEqual(len({*stats.admitted, *refused}), NAMES_MAX + 1)
+        counts = stats.admitted["other"], stats.refused["other", "allowance"]
+        self.assertEqual(counts, (25, 25))
+
     def test_requests_without_an_organisation_have_no_label(self):
         stats = RequestStats()
         stats.request_refused("no-key")
