Wake up for allowances only while an organisation has a limit

Each node woke up ten times a second for reports on allowances, also without organisations or with organisations that have no limit, where the call returned at once. The task now waits until Allowances says that a limit is in force; after the last limit is removed, it waits again.

sidecar.tests.test_allowances.FlushTests counts the wake-ups with no organisations, an empty list and organisations without a limit. All three rows failed before (20 wake-ups instead of none in 20 rounds of the event loop).

--- a/damaskproxy/allowances/allowances.py
+++ b/damaskproxy/allowances/allowances.py
@@ -62,7 +62,8 @@
         self._owners = Owners(node_id)
         self._ledger = Ledger(self._owners, bounds)
         self._gate = Gate(self._owners, bounds, self._send)
-        self._has_limits = self._is_configured = self._is_closed = False
+        self._limits_applied = asyncio.Event()
+        self._is_configured = self._is_closed = False
         self._members_changed = True
         self._running: set[str] = set()
         self._outgoing: dict[str, Link] = {}
@@ -78,9 +79,12 @@
             if each.is_limited
         }
         self._is_configured = True
-        if not limits and not self._has_limits:
+        if limits:
+            self._limits_applied.set()
+        elif self._limits_applied.is_set():
+            self._limits_applied.clear()
+        else:
             return
-        self._has_limits = bool(limits)
         now_s = self._now_s()
         self._update_members()
         self._ledger.apply(limits, now_s)
@@ -140,9 +144,13 @@
         """Record how many servers an admitted request has reached."""
         self._gate.finish(organisation.name, reached_count, self._now_s())
 
+    async def wait_for_limits(self) -> None:
+        """Wait until an organisation has a limit."""
+        await self._limits_applied.wait()
+
     def flush(self) -> None:
-        """Send what is due; to be called every 0.1 s."""
-        if not self._has_limits:
+        """Send what is due; to be called every 0.1 s while there are limits."""
+        if not self._limits_applied.is_set():
             return
         now_s = self._now_s()
         if self._members_changed and self._update_members():
--- a/damaskproxy/sidecar/lifecycle.py
+++ b/damaskproxy/sidecar/lifecycle.py
@@ -304,6 +304,7 @@
 
 async def _flush_allowances(sidecar: Sidecar) -> None:
     while True:
+        await sidecar.allowances.wait_for_limits()
         await asyncio.sleep(ALLOWANCE_FLUSH_S)
         sidecar.allowances.flush()
 
--- a/damaskproxy/sidecar/tests/test_allowances.py
+++ b/damaskproxy/sidecar/tests/test_allowances.py
@@ -3,13 +3,25 @@
 import asyncio
 import json
 import unittest
+from types import SimpleNamespace
+from unittest import mock
 
+from nose2.tools import params
+
+from damaskproxy.allowances import AllowanceBounds, Allowances
+from damaskproxy.directory import Configuration, Directory
+from damaskproxy.http1 import ClientLimits
+from damaskproxy.organisations import Organisation, Organisations
 from damaskproxy.platform.standins import encode_configuration
+from damaskproxy.sidecar import lifecycle
 from damaskproxy.sidecar.tests.mesh import MeshTestCase
 
 SLACK = 20
 KEY = {"Authorization": b"Bearer key-1"}
 
+LIMITED = Organisation("guild", (b"key-1",), rate_per_s=5, burst=5)
+UNLIMITED = Organisation("open", (b"key-2",))
+
 
 def with_limits(version, **rates):
     """Return a configuration with limited organisations, with keys key-1 and so on."""
@@ -100,3 +112,52 @@
             lambda: all(n.sidecar.configuration.version == 4 for n in nodes)
         )
         self.assertEqual(nodes[0].sidecar.allowances.describe(), [])
+
+
+class FlushTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against a node that wakes up for allowances which nobody has."""
+
+    async def asyncSetUp(self):
+        self.wake_ups = 0
+        self.real_sleep = asyncio.sleep
+        patch = mock.patch.object(lifecycle.asyncio, "sleep", self.sleep)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.allowances = Allowances("n1", Directory(), mock.Mock(), AllowanceBounds())
+        sidecar = SimpleNamespace(allowances=self.allowances)
+        task = asyncio.create_task(lifecycle._flush_allowances(sidecar))
+        self.addCleanup(task.cancel)
+
+    async def sleep(self, delay_s):
+        await self.real_sleep(0)
+        self.wake_ups += 1
+
+    async def count_wake_ups(self):
+        """Return how often the task wakes up while the event loop runs 20 times."""
+        for _ in range(2):
+            # The first one lets the task end the sleep that it has begun.
+            before = self.wake_ups
+            for _ in range(20):
+                await self.real_sleep(0)
+        return self.wake_ups - before
+
+    def apply(self, version, organisations):
+        self.allowances.apply(
+            Configuration(version, (), {}, ClientLimits(), b"", organisations)
+        )
+
+    @params(
+        ("no organisations", None),
+        ("an empty list", Organisations([])),
+        ("none has a limit", Organisations([UNLIMITED])),
+    )
+    async def test_node_does_not_wake_up_without_a_limit(self, name, organisations):
+        self.assertEqual(await self.count_wake_ups(), 0, name)
+        self.apply(2, organisations)
+        self.assertEqual(await self.count_wake_ups(), 0)
+        self.apply(3, Organisations([LIMITED, UNLIMITED]))
+        self.assertGreater(await self.count_wake_ups(), 0)
+        self.apply(4, organisations)
+        self.assertEqual(await self.count_wake_ups(), 0)
+        self.apply(5, Organisations([LIMITED]))
+        self.assertGreater(await self.count_wake_ups(), 0)
