Refund the tokens of a request to the account that was charged

A request that reaches no server gets its token back. The gate gave it to the owner that was in touch when the request ended, or to the own share when none was, whichever had been charged. A request admitted from the own share during a cut was refunded to the owner after the cut, which had never deducted it, so that the organisation could send one request more than its allowance for each of them; the same held after a change of owner. A refund to an owner that was out of touch in between was also reported, although the charge may have gone to the next owner.

A request now keeps the term in which it was charged, a number that changes with the owner. The token returns to the owner only within the term, and to the own share if that was charged. Otherwise it is lost. A request that was not charged, because its limit was removed meanwhile, is no longer counted either.

--- a/damaskproxy/allowances/accounts.py
+++ b/damaskproxy/allowances/accounts.py
@@ -6,13 +6,15 @@
 from damaskproxy.allowances.contacts import Contact
 from damaskproxy.allowances.limits import Limit, TokenBucket
 
-__all__ = ["URGENT_MIN", "Account", "Deliver", "OrganisationState"]
+__all__ = ["OWN_SHARE_TERM", "URGENT_MIN", "Account", "Deliver", "OrganisationState"]
 
 EXPECTED_S = 0.1
 """Time over which expected requests are counted, several round trips of an ask."""
 URGENT_MIN = 2
 """Tokens that a node spends before it reports early. Most organisations send less than
 one request in `contacts.REPORT_S` to a node."""
+OWN_SHARE_TERM = 0
+"""Term of all times without an owner, since they charge the same bucket."""
 
 Deliver = Callable[[float], bool]
 """Takes the wait of a request, 0 if it is admitted; False if nobody waits for it."""
@@ -51,6 +53,8 @@
     ----------
     contact : Contact or None
         Its owner, None if no candidate is in touch.
+    term : int
+        Number of the time since the owner was chosen, `OWN_SHARE_TERM` without one.
     guard : TokenBucket
         Tokens that may be spent without asking in the open state.
     own_share : TokenBucket
@@ -83,6 +87,7 @@
         "refuse_until_s",
         "sequence",
         "spent",
+        "term",
         "urgent_count",
         "waiting",
     )
@@ -91,6 +96,7 @@
         self.name = name
         self.limit = limit
         self.contact: Contact | None = None
+        self.term = OWN_SHARE_TERM
         self.guard = TokenBucket(0.0, float("inf"), float("inf"), now_s)
         self.own_share = TokenBucket(0.0, 0.0, 0.0, now_s)
         self.detached_s = float("-inf")
@@ -106,6 +112,37 @@
         self.sequence = 0
         self.asked_s = 0.0
 
+    def settle(self, term: int, reached_count: int, now_s: float) -> None:
+        """Charge a request for each server that it has reached, instead of for one.
+
+        A refund returns to what was charged. One to an earlier owner is dropped: it may
+        not have learned of the charge, and the present owner may not have deducted it.
+
+        Parameters
+        ----------
+        term : int
+            Term in which it was charged.
+        reached_count : int
+            Servers that it has reached, or may have.
+        now_s : float
+            Current time.
+        """
+        extra = reached_count - 1
+        if not extra:
+            return
+        self.spent += extra
+        if extra > 0 or term == self.term:
+            if self.contact is not None:
+                self.contact.add_spent(self.name, extra)
+            bucket = self.guard if self.contact is not None else self.own_share
+            bucket.refill(now_s)
+        elif term == OWN_SHARE_TERM:
+            # Not refilled, since it accrues nothing while there is an owner.
+            bucket = self.own_share
+        else:
+            return
+        bucket.balance = min(bucket.balance - extra, bucket.capacity)
+
     def take_expected(self, now_s: float) -> int:
         """Return the requests that are expected soon, from those that arrived."""
         elapsed_s = max(now_s - self.counted_s, EXPECTED_S)
--- a/damaskproxy/allowances/allowances.py
+++ b/damaskproxy/allowances/allowances.py
@@ -19,6 +19,7 @@
     AllowanceReportFrame,
 )
 from damaskproxy.forwarding.link import Link
+from damaskproxy.forwarding.request_allowance import Decision
 from damaskproxy.model import MemberState
 from damaskproxy.organisations import Organisation
 
@@ -97,12 +98,13 @@
             self._running ^= {record.node_id}
             self._members_changed = True
 
-    def check(self, organisation: Organisation) -> float | None:
-        """Return the wait of a request, 0 if it is admitted, None if it has to ask."""
-        return self._gate.check(organisation.name, self._now_s())
+    def check(self, organisation: Organisation) -> Decision | None:
+        """Decide about a request; None if it has to ask."""
+        wait_s = self._gate.check(organisation.name, self._now_s())
+        return None if wait_s is None else self._decision(organisation, wait_s)
 
-    async def ask(self, organisation: Organisation, timeout_s: float) -> float:
-        """Return the wait of a request after asking the owner of the organisation.
+    async def ask(self, organisation: Organisation, timeout_s: float) -> Decision:
+        """Decide about a request after asking the owner of the organisation.
 
         Parameters
         ----------
@@ -112,14 +114,14 @@
             Time after which the request is refused.
         """
         waiter = Waiter()
-        is_admitted = False
+        decision: Decision | None = None
 
         def deliver(wait_s: float) -> bool:
-            nonlocal is_admitted
+            nonlocal decision
             if waiter.is_done:
                 return False
-            is_admitted = wait_s == 0
-            waiter.set_result(wait_s)
+            decision = self._decision(organisation, wait_s)
+            waiter.set_result(decision)
             return True
 
         self._gate.ask(organisation.name, deliver, self._now_s())
@@ -132,17 +134,17 @@
         except asyncio.CancelledError:
             # The token that the owner grants is then given to another request.
             waiter.is_done = True
-            if is_admitted:
+            if decision is not None and decision.term is not None:
                 # Cancelled after the grant, before the request could go on.
-                self.finish(organisation, 0)
+                self.finish(organisation, decision.term, 0)
             raise
         finally:
             if timer is not None:
                 timer.cancel()
 
-    def finish(self, organisation: Organisation, reached_count: int) -> None:
-        """Record how many servers an admitted request has reached."""
-        self._gate.finish(organisation.name, reached_count, self._now_s())
+    def finish(self, organisation: Organisation, term: int, reached_count: int) -> None:
+        """Record how many servers a request that was charged in a term has reached."""
+        self._gate.finish(organisation.name, term, reached_count, self._now_s())
 
     async def wait_for_limits(self) -> None:
         """Wait until an organisation has a limit."""
@@ -190,6 +192,11 @@
         """Return limit, spent tokens, state and owner of each organisation."""
         return self._gate.describe()
 
+    def _decision(self, organisation: Organisation, wait_s: float) -> Decision:
+        if wait_s > 0:
+            return Decision(wait_s)
+        return Decision(wait_s, self._gate.term(organisation.name))
+
     def _update_members(self) -> bool:
         self._members_changed = False
         has_changed = self._owners.update(self._running)
--- a/damaskproxy/allowances/gate.py
+++ b/damaskproxy/allowances/gate.py
@@ -6,6 +6,7 @@
 
 from damaskproxy.allowances import events
 from damaskproxy.allowances.accounts import (
+    OWN_SHARE_TERM,
     URGENT_MIN,
     Account,
     Deliver,
@@ -140,17 +141,16 @@
         if name not in self._asking:
             self._decide_waiting(account, now_s)
 
-    def finish(self, name: str, reached_count: int, now_s: float) -> None:
-        """Record how many servers an admitted request has reached."""
+    def term(self, name: str) -> int | None:
+        """Return the term in which requests are charged now, None without a limit."""
         account = self._accounts.get(name)
-        if account is None or reached_count == 1:
-            return
-        account.spent += reached_count - 1
-        if account.contact is not None:
-            account.contact.add_spent(name, reached_count - 1)
-        bucket = account.guard if account.contact is not None else account.own_share
-        bucket.refill(now_s)
-        bucket.balance = min(bucket.balance + 1 - reached_count, bucket.capacity)
+        return None if account is None else account.term
+
+    def finish(self, name: str, term: int, reached_count: int, now_s: float) -> None:
+        """Record how many servers a request that was charged in a term has reached."""
+        account = self._accounts.get(name)
+        if account is not None:
+            account.settle(term, reached_count, now_s)
 
     def handle_notice(
         self, node_id: str, notice: AllowanceNoticeFrame, now_s: float
@@ -346,6 +346,7 @@
         if chosen is account.contact and (chosen or account.detached_s > 0):
             return False
         account.contact = chosen
+        account.term = OWN_SHARE_TERM if chosen is None else next(self._sequence)
         account.credit = 0
         account.refuse_until_s = 0.0
         if account.name in self._asking:
--- a/damaskproxy/allowances/tests/test_allowances.py
+++ b/damaskproxy/allowances/tests/test_allowances.py
@@ -76,9 +76,70 @@
     def test_servers_that_a_request_reached_are_reported(self, reached, expected):
         self.answer()
         self.assertEqual(self.gate.check(NAME, NOW_S), 0.0)
-        self.gate.finish(NAME, reached, NOW_S)
+        self.gate.finish(NAME, self.gate.term(NAME), reached, NOW_S)
         self.assertEqual(sum(count for _, count in self.spent()), expected)
 
+    def lose_all(self, now_s):
+        for node_id in MEMBERS:
+            self.gate.lost(node_id, now_s)
+
+    def regain(self, now_s):
+        """Let all candidates answer the reports that they have missed."""
+        for _ in range(2):
+            # The first answer of the owner causes further reports.
+            sequence = max(frame.sequence for _, frame in self.sent)
+            for node_id in RANKING:
+                notice = AllowanceNoticeFrame(sequence, [])
+                self.gate.handle_notice(node_id, notice, now_s)
+        self.assertEqual(self.gate.describe()[0].owner, self.owner)
+
+    def count_own_share(self, now_s):
+        """Return how many requests are admitted at once without an owner."""
+        self.lose_all(now_s)
+        return [self.gate.check(NAME, now_s) for _ in range(9)].count(0.0)
+
+    @params((0, 1), (1, 0))
+    def test_refund_of_the_own_share_returns_to_it(self, reached, left):
+        self.lose_all(NOW_S)
+        self.assertEqual(self.gate.check(NAME, NOW_S), 0.0)
+        self.assertGreater(self.gate.check(NAME, NOW_S), 0.0)
+        term = self.gate.term(NAME)
+        self.regain(NOW_S)
+        self.gate.finish(NAME, term, reached, NOW_S + 0.4)
+        self.assertEqual(self.spent(), [])
+        self.assertEqual(self.count_own_share(NOW_S + 3), left)
+
+    def test_refund_of_an_owner_does_not_return_to_the_next_one(self):
+        self.answer()
+        self.assertEqual(self.gate.check(NAME, NOW_S), 0.0)
+        self.assertEqual(self.spent(), [(NAME, 1)])
+        self.answer()
+        term = self.gate.term(NAME)
+        self.gate.lost(self.owner, NOW_S)
+        self.gate.finish(NAME, term, 0, NOW_S)
+        self.gate.tick(NOW_S + 0.5)
+        reports = [f for _, f in self.sent if isinstance(f, AllowanceReportFrame)]
+        self.assertEqual([f.spent for f in reports if f.spent], [[(NAME, 1)]])
+
+    def test_refund_of_an_owner_does_not_return_to_the_own_share(self):
+        self.answer()
+        self.assertEqual(self.gate.check(NAME, NOW_S), 0.0)
+        term = self.gate.term(NAME)
+        self.lose_all(NOW_S)
+        self.assertEqual(self.gate.check(NAME, NOW_S), 0.0)
+        self.gate.finish(NAME, term, 0, NOW_S)
+        self.assertGreater(self.gate.check(NAME, NOW_S), 0.0)
+
+    def test_refund_to_an_owner_that_was_out_of_touch_is_dropped(self):
+        # The charge may have been reported to the next owner instead.
+        self.answer()
+        self.assertEqual(self.gate.check(NAME, NOW_S), 0.0)
+        term = self.gate.term(NAME)
+        self.gate.lost(self.owner, NOW_S)
+        self.regain(NOW_S)
+        self.gate.finish(NAME, term, 0, NOW_S)
+        self.assertEqual(self.spent(), [])
+
     def test_requests_ask_in_the_limited_state_and_wait_after_a_refusal(self):
         self.answer(NAME)
         self.assertIsNone(self.gate.check(NAME, NOW_S))
@@ -268,6 +329,7 @@
     async def test_token_of_a_request_cancelled_with_the_grant_is_returned(self):
         allowances = Allowances("n1", Directory(), mock.Mock(), BOUNDS)
         gate = allowances._gate = mock.Mock()
+        gate.term.return_value = 7
         asking = asyncio.create_task(allowances.ask(Organisation(NAME), 1.0))
         await asyncio.sleep(0)
         _, deliver, _ = gate.ask.call_args.args
@@ -275,5 +337,5 @@
         asking.cancel()
         with self.assertRaises(asyncio.CancelledError):
             await asking
-        gate.finish.assert_called_once_with(NAME, 0, mock.ANY)
+        gate.finish.assert_called_once_with(NAME, 7, 0, mock.ANY)
         self.assertFalse(deliver(0.0))
--- a/damaskproxy/forwarding/attempts.py
+++ b/damaskproxy/forwarding/attempts.py
@@ -51,8 +51,8 @@
         Why no retry was made, for the log.
     organisation : Organisation or None
         Organisation whose allowance the request counts against.
-    is_counted : bool
-        Whether it was counted against the allowance.
+    allowance_term : int or None
+        Term of the allowances in which it was charged, None if it was not.
     """
 
     call: Call
@@ -71,7 +71,7 @@
     caller_deadline_s: float = 0.0
     breaker: RouteBreaker | None = None
     organisation: Organisation | None = None
-    is_counted: bool = False
+    allowance_term: int | None = None
 
     @property
     def organisation_name(self) -> str:
--- a/damaskproxy/forwarding/origin.py
+++ b/damaskproxy/forwarding/origin.py
@@ -185,8 +185,10 @@
             response = Response(504)
         finally:
             deadline.close()
-            if attempts.is_counted:
-                self._allowances.finish(attempts.organisation, attempts.count_reached())
+            term = attempts.allowance_term
+            if term is not None:
+                reached_count = attempts.count_reached()
+                self._allowances.finish(attempts.organisation, term, reached_count)
             self._answer_sizes.finish(route.name, reserved, answer_bytes)
         elapsed_s = budget_s - (attempts.deadline_s - boot_s())
         self._stats.request_ended(call.service, response.status, elapsed_s)
--- a/damaskproxy/forwarding/tests/test_allowance.py
+++ b/damaskproxy/forwarding/tests/test_allowance.py
@@ -6,6 +6,7 @@
 
 from damaskproxy.directory import Configuration
 from damaskproxy.forwarding.calls import NotRun, NotRunReason
+from damaskproxy.forwarding.request_allowance import Decision
 from damaskproxy.forwarding.tests.builders import make_call, make_route
 from damaskproxy.forwarding.tests.test_origin import (
     DONE,
@@ -23,24 +24,29 @@
 ROUTES = (make_route(), make_route(name="public", prefix="/open/", is_public=True))
 
 
+def decide(wait_s):
+    """Return a decision; an admitted request is charged in term 7."""
+    return Decision(wait_s, None if wait_s else 7)
+
+
 class PreparedAllowances:
     """Allowances with prepared results."""
 
     def __init__(self, wait_s, asked_wait_s=0.0):
-        self.wait_s = wait_s
-        self.asked_wait_s = asked_wait_s
+        self.decision = None if wait_s is None else decide(wait_s)
+        self.asked = decide(asked_wait_s)
         self.checked = 0
         self.finished = []
 
     def check(self, organisation):
         self.checked += 1
-        return self.wait_s
+        return self.decision
 
     async def ask(self, organisation, timeout_s):
-        return self.asked_wait_s
+        return self.asked
 
-    def finish(self, organisation, reached_count):
-        self.finished.append(reached_count)
+    def finish(self, organisation, term, reached_count):
+        self.finished.append((term, reached_count))
 
 
 class AllowanceTests(OriginFixture, unittest.IsolatedAsyncioTestCase):
@@ -74,7 +80,18 @@
         self.results = list(results)
         response = await self.send(PreparedAllowances(0.0))
         self.assertEqual(response.status, status, name)
-        self.assertEqual(self.allowances.finished, [reached], name)
+        self.assertEqual(self.allowances.finished, [(7, reached)], name)
+
+    async def test_request_that_asked_is_counted_in_the_term_of_the_grant(self):
+        await self.send(PreparedAllowances(None))
+        self.assertEqual(self.allowances.finished, [(7, 1)])
+
+    async def test_request_that_was_not_charged_is_not_counted(self):
+        # The limit was removed while the request was being read.
+        allowances = PreparedAllowances(0.0)
+        allowances.decision = Decision(0.0)
+        response = await self.send(allowances)
+        self.assertEqual((response.status, allowances.finished), (200, []))
 
     @params(("at once", 0.25, 0.0), ("after an ask", None, 0.25))
     async def test_request_over_the_allowance_is_not_run(self, name, wait_s, asked):
