Log when messages to the owner of allowances are dropped

While a connection to an owner opens, up to 1,000 messages wait for it, and further ones were dropped without a trace: reports of spent tokens that the owner never learns of, and asks that time out. Operators now see event E13005 at the first dropped message, once until a connection to that owner has opened.

--- a/damaskproxy/allowances/allowances.py
+++ b/damaskproxy/allowances/allowances.py
@@ -1,8 +1,10 @@
 """Connects the gate and the ledger of a node with those of other nodes."""
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable
 
+from damaskproxy.allowances import events
 from damaskproxy.allowances.accounts import OrganisationState
 from damaskproxy.allowances.gate import Gate, Message
 from damaskproxy.allowances.ledger import Ledger
@@ -11,6 +13,7 @@
 from damaskproxy.common.clock import boot_s
 from damaskproxy.common.fibers import Waiter
 from damaskproxy.directory import Configuration, Directory, MemberRecord
+from damaskproxy.events import log_event
 from damaskproxy.forwarding.frames import (
     AllowanceAskFrame,
     AllowanceFrame,
@@ -25,6 +28,8 @@
 
 __all__ = ["Allowances"]
 
+logger = logging.getLogger(__name__)
+
 LATE_WAIT_S = 0.1
 """Retry-After of a request whose deadline is too close to wait for an owner."""
 QUEUED_MAX = 1000
@@ -70,6 +75,7 @@
         self._outgoing: dict[str, Link] = {}
         self._reporters: dict[str, Link] = {}
         self._queued: dict[str, list[Message]] = {}
+        self._dropping: set[str] = set()
         self._opening: set[asyncio.Task] = set()
 
     def apply(self, configuration: Configuration) -> None:
@@ -202,6 +208,7 @@
         has_changed = self._owners.update(self._running)
         if has_changed:
             self._ledger.members_changed()
+            self._dropping.intersection_update(self._owners.members)
         return has_changed
 
     def _answer(
@@ -237,6 +244,11 @@
         if queued is not None:
             if len(queued) < QUEUED_MAX:
                 queued.append(message)
+            elif node_id not in self._dropping:
+                self._dropping.add(node_id)
+                log_event(
+                    logger, events.MESSAGES_DROPPED, owner=node_id, queued=QUEUED_MAX
+                )
             return
         self._queued[node_id] = [message]
         task = asyncio.create_task(self._open(node_id))
@@ -264,6 +276,7 @@
         is_open = link is not None and link.is_open
         if is_open:
             self._outgoing[node_id] = link
+            self._dropping.discard(node_id)
             is_open = all(link.write(message) for message in queued)
         if not is_open:
             self._outgoing.pop(node_id, None)
--- a/damaskproxy/allowances/events.py
+++ b/damaskproxy/allowances/events.py
@@ -4,7 +4,13 @@
 
 from damaskproxy.events import define
 
-__all__ = ["ALLOWANCE_LIMITED", "ALLOWANCE_OPEN", "OWNER_LOST", "OWNER_REGAINED"]
+__all__ = [
+    "ALLOWANCE_LIMITED",
+    "ALLOWANCE_OPEN",
+    "MESSAGES_DROPPED",
+    "OWNER_LOST",
+    "OWNER_REGAINED",
+]
 
 ALLOWANCE_LIMITED = define(
     13001,
@@ -33,3 +39,10 @@
     logging.INFO,
     "A node that owns allowances responds again.",
 )
+MESSAGES_DROPPED = define(
+    13005,
+    "allowance-messages-dropped",
+    logging.WARNING,
+    "The queue of messages to a node that owns allowances is full while the connection "
+    "opens; further ones are dropped. Logged once until a connection has opened.",
+)
--- a/damaskproxy/allowances/tests/test_allowances.py
+++ b/damaskproxy/allowances/tests/test_allowances.py
@@ -12,7 +12,10 @@
     Ledger,
     Limit,
     Owners,
+    allowances,
+    events,
 )
+from damaskproxy.allowances.allowances import QUEUED_MAX
 from damaskproxy.allowances.tests.virtual_nodes import BOUNDS, NAME
 from damaskproxy.directory import Directory
 from damaskproxy.forwarding.frames import (
@@ -323,14 +326,56 @@
         self.assertLess(len(self.ledger._accounts[NAME].askers), 3)
 
 
+class QueueTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against messages to an owner that are dropped without a trace."""
+
+    async def asyncSetUp(self):
+        directory = mock.Mock()
+        directory.get.return_value.is_removed = False
+        self.allowances = Allowances("n1", directory, self.open_link, BOUNDS)
+        patch = mock.patch.object(allowances, "log_event")
+        self.log_event = patch.start()
+        self.addCleanup(patch.stop)
+
+    async def open_link(self, member):
+        self.link = mock.Mock(is_open=self.opens)
+        return self.link
+
+    async def send(self, count, *, opens):
+        """Send messages while a connection opens, which then closes again."""
+        self.opens = opens
+        for number in range(count):
+            ask = AllowanceAskFrame(number, NAME, 1, 0, 0)
+            self.allowances._send("n2", ask)
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.link.write.call_count, opens and min(count, QUEUED_MAX))
+        self.link.is_open = False
+
+    @params(
+        ("room for all", [(QUEUED_MAX, True)], 0),
+        ("one too many", [(QUEUED_MAX + 1, True)], 1),
+        ("many too many", [(QUEUED_MAX + 50, True)], 1),
+        ("no connection", [(QUEUED_MAX + 1, False), (QUEUED_MAX + 1, False)], 1),
+        ("opened at last", [(QUEUED_MAX + 1, False), (QUEUED_MAX + 1, True)], 1),
+        ("opened in between", [(QUEUED_MAX + 1, True), (QUEUED_MAX + 1, True)], 2),
+    )
+    async def test_dropped_messages_are_logged_once_in_a_row(self, name, sent, logged):
+        for count, opens in sent:
+            await self.send(count, opens=opens)
+        expected = mock.call(
+            allowances.logger, events.MESSAGES_DROPPED, owner="n2", queued=QUEUED_MAX
+        )
+        self.assertEqual(self.log_event.call_args_list, [expected] * logged, name)
+
+
 class CancelledAskTests(unittest.IsolatedAsyncioTestCase):
     """Guards against the loss of a token that nobody uses."""
 
     async def test_token_of_a_request_cancelled_with_the_grant_is_returned(self):
-        allowances = Allowances("n1", Directory(), mock.Mock(), BOUNDS)
-        gate = allowances._gate = mock.Mock()
+        subject = Allowances("n1", Directory(), mock.Mock(), BOUNDS)
+        gate = subject._gate = mock.Mock()
         gate.term.return_value = 7
-        asking = asyncio.create_task(allowances.ask(Organisation(NAME), 1.0))
+        asking = asyncio.create_task(subject.ask(Organisation(NAME), 1.0))
         await asyncio.sleep(0)
         _, deliver, _ = gate.ask.call_args.args
         self.assertTrue(deliver(0.0))
