Ignore tokens spent under another owner only while the owner is new

A new owner does not deduct the first 0.4 x burst of what nodes spent under the owner before it, since its bucket starts nearly empty. What it had not used of that never expired. It now ends one second after the first node reported to it, like the first balance.

Failed before: rows 3 and 4 of allowances.tests.test_allowances.LedgerTests. test_only_a_new_owner_ignores_what_was_spent_under_another (0 deducted instead of 3, after 1.1 s and after an hour). 119 tests of damaskproxy.allowances pass.

--- a/damaskproxy/allowances/ledger.py
+++ b/damaskproxy/allowances/ledger.py
@@ -28,7 +28,8 @@
 """Time for which a new owner is asked for each request, since the organisation may have
 spent its allowance before."""
 FIRST_S = 1.0
-"""Time in which nodes find a new owner; each brings its part of the first balance."""
+"""Time in which nodes find a new owner; each brings its part of the first balance, and
+what it spent under the owner before. Later, the bucket covers what is carried over."""
 START_S = 0.4
 """Time after the first limits are in force in which all members count as nodes that
 report here. While all nodes start, they find each other within this time."""
@@ -181,7 +182,7 @@
             account = self._accounts.get(name)
             # What was spent under an owner before is not known to the bucket here.
             if account is not None and account.share:
-                if report.is_carried:
+                if report.is_carried and now_s < account.first_until_s:
                     ignored = min(max(count, 0), int(account.ignored))
                     account.ignored -= ignored
                     count -= ignored
--- a/damaskproxy/allowances/tests/test_allowances.py
+++ b/damaskproxy/allowances/tests/test_allowances.py
@@ -274,6 +274,17 @@
         rise = self.ledger.balance(NAME, now_s + 3) - before
         self.assertLessEqual(rise, LIMIT.rate_per_s * (0.75 + 2.35 / 4))
 
+    @params((0.0, 0), (0.9, 0), (1.1, 3), (3600.0, 3))
+    def test_only_a_new_owner_ignores_what_was_spent_under_another(self, age_s, count):
+        self.report(NOW_S)
+        now_s = NOW_S + age_s
+        self.report(now_s)
+        before = self.ledger.balance(NAME, now_s)
+        candidates = list(self.owners.candidates)
+        report = AllowanceReportFrame(2, candidates, [], [(NAME, 3)], is_carried=True)
+        self.ledger.handle_report("n2", report, now_s)
+        self.assertEqual(before - self.ledger.balance(NAME, now_s), count)
+
     def test_lowered_limit_clips_the_balance(self):
         now_s = self.fill()
         self.ledger.apply({NAME: Limit(1.0, 1.0)}, now_s)
