--- a/damaskproxy/allowances/allowances.py
+++ b/damaskproxy/allowances/allowances.py
@@ -1,17 +1,19 @@
 """Connects the gate and the ledger of a node with those of other nodes."""
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable
 
+from damaskproxy.allowances import events
 from damaskproxy.allowances.accounts import OrganisationState
 from damaskproxy.allowances.gate import Gate, Message
 from damaskproxy.allowances.ledger import Ledger
 from damaskproxy.allowances.limits import AllowanceBounds, Limit
 from damaskproxy.allowances.owners import Owners
-from damaskproxy.allowances.stats import AllowanceStats
 from damaskproxy.common.clock import boot_s
 from damaskproxy.common.fibers import Waiter
 from damaskproxy.directory import Configuration, Directory, MemberRecord
+from damaskproxy.events import log_event
 from damaskproxy.forwarding.frames import (
     AllowanceAskFrame,
     AllowanceFrame,
@@ -20,11 +22,14 @@
     AllowanceReportFrame,
 )
 from damaskproxy.forwarding.link import Link
+from damaskproxy.forwarding.request_allowance import Decision
 from damaskproxy.model import MemberState
 from damaskproxy.organisations import Organisation
 
 __all__ = ["Allowances"]
 
+logger = logging.getLogger(__name__)
+
 LATE_WAIT_S = 0.1
 """Retry-After of a request whose deadline is too close to wait for an owner."""
 QUEUED_MAX = 1000
@@ -46,11 +51,6 @@
         Tolerance of the platform.
     now_s : callable
         Monotonic clock, in seconds.
-
-    Attributes
-    ----------
-    stats : AllowanceStats
-        Counters of admitted and refused requests.
     """
 
     def __init__(
@@ -61,7 +61,6 @@
         bounds: AllowanceBounds,
         now_s: Callable[[], float] = boot_s,
     ):
-        self.stats = AllowanceStats()
         self._node_id = node_id
         self._directory = directory
         self._open_link = open_link
@@ -69,12 +68,14 @@
         self._owners = Owners(node_id)
         self._ledger = Ledger(self._owners, bounds)
         self._gate = Gate(self._owners, bounds, self._send)
-        self._has_limits = self._is_configured = self._is_closed = False
+        self._limits_applied = asyncio.Event()
+        self._is_configured = self._is_closed = False
         self._members_changed = True
         self._running: set[str] = set()
         self._outgoing: dict[str, Link] = {}
         self._reporters: dict[str, Link] = {}
         self._queued: dict[str, list[Message]] = {}
+        self._dropping: set[str] = set()
         self._opening: set[asyncio.Task] = set()
 
     def apply(self, configuration: Configuration) -> None:
@@ -85,9 +86,12 @@
             if each.is_limited
         }
         self._is_configured = True
-        if not limits and not self._has_limits:
+        if limits:
+            self._limits_applied.set()
+        elif self._limits_applied.is_set():
+            self._limits_applied.clear()
+        else:
             return
-        self._has_limits = bool(limits)
         now_s = self._now_s()
         self._update_members()
         self._ledger.apply(limits, now_s)
@@ -100,15 +104,13 @@
             self._running ^= {record.node_id}
             self._members_changed = True
 
-    def check(self, organisation: Organisation) -> float | None:
-        """Return the wait of a request, 0 if it is admitted, None if it has to ask."""
+    def check(self, organisation: Organisation) -> Decision | None:
+        """Decide about a request; None if it has to ask."""
         wait_s = self._gate.check(organisation.name, self._now_s())
-        if wait_s is not None:
-            self.stats.count(organisation.name, wait_s)
-        return wait_s
+        return None if wait_s is None else self._decision(organisation, wait_s)
 
-    async def ask(self, organisation: Organisation, timeout_s: float) -> float:
-        """Return the wait of a request after asking the owner of the organisation.
+    async def ask(self, organisation: Organisation, timeout_s: float) -> Decision:
+        """Decide about a request after asking the owner of the organisation.
 
         Parameters
         ----------
@@ -118,14 +120,14 @@
             Time after which the request is refused.
         """
         waiter = Waiter()
-        is_admitted = False
+        decision: Decision | None = None
 
         def deliver(wait_s: float) -> bool:
-            nonlocal is_admitted
+            nonlocal decision
             if waiter.is_done:
                 return False
-            is_admitted = wait_s == 0
-            waiter.set_result(wait_s)
+            decision = self._decision(organisation, wait_s)
+            waiter.set_result(decision)
             return True
 
         self._gate.ask(organisation.name, deliver, self._now_s())
@@ -134,27 +136,29 @@
             loop = asyncio.get_running_loop()
             timer = loop.call_later(max(timeout_s, 0.0), deliver, LATE_WAIT_S)
         try:
-            wait_s = await waiter
+            return await waiter
         except asyncio.CancelledError:
             # The token that the owner grants is then given to another request.
             waiter.is_done = True
-            if is_admitted:
+            if decision is not None and decision.term is not None:
                 # Cancelled after the grant, before the request could go on.
-                self.finish(organisation, 0)
+                self.finish(organisation, decision.term, 0)
             raise
         finally:
             if timer is not None:
                 timer.cancel()
-        self.stats.count(organisation.name, wait_s)
-        return wait_s
 
-    def finish(self, organisation: Organisation, reached_count: int) -> None:
-        """Record how many servers an admitted request has reached."""
-        self._gate.finish(organisation.name, reached_count, self._now_s())
+    def finish(self, organisation: Organisation, term: int, reached_count: int) -> None:
+        """Record how many servers a request that was charged in a term has reached."""
+        self._gate.finish(organisation.name, term, reached_count, self._now_s())
+
+    async def wait_for_limits(self) -> None:
+        """Wait until an organisation has a limit."""
+        await self._limits_applied.wait()
 
     def flush(self) -> None:
-        """Send what is due; to be called every 0.1 s."""
-        if not self._has_limits:
+        """Send what is due; to be called every 0.1 s while there are limits."""
+        if not self._limits_applied.is_set():
             return
         now_s = self._now_s()
         if self._members_changed and self._update_members():
@@ -194,11 +198,17 @@
         """Return limit, spent tokens, state and owner of each organisation."""
         return self._gate.describe()
 
+    def _decision(self, organisation: Organisation, wait_s: float) -> Decision:
+        if wait_s > 0:
+            return Decision(wait_s)
+        return Decision(wait_s, self._gate.term(organisation.name))
+
     def _update_members(self) -> bool:
         self._members_changed = False
         has_changed = self._owners.update(self._running)
         if has_changed:
             self._ledger.members_changed()
+            self._dropping.intersection_update(self._owners.members)
         return has_changed
 
     def _answer(
@@ -234,6 +244,11 @@
         if queued is not None:
             if len(queued) < QUEUED_MAX:
                 queued.append(message)
+            elif node_id not in self._dropping:
+                self._dropping.add(node_id)
+                log_event(
+                    logger, events.MESSAGES_DROPPED, owner=node_id, queued=QUEUED_MAX
+                )
             return
         self._queued[node_id] = [message]
         task = asyncio.create_task(self._open(node_id))
@@ -261,6 +276,7 @@
         is_open = link is not None and link.is_open
         if is_open:
             self._outgoing[node_id] = link
+            self._dropping.discard(node_id)
             is_open = all(link.write(message) for message in queued)
         if not is_open:
             self._outgoing.pop(node_id, None)
