Send no request on a connection that the server has closed

The event loop learns of the end of an idle connection only in its next iteration. A request that started before that was written on it: callers saw 502 for an order that the server had not received, and a retry was spent on other requests. An idle connection with input in the kernel, which is its end or a response to no request, is no longer used.

--- a/damaskproxy/http1/client.py
+++ b/damaskproxy/http1/client.py
@@ -8,7 +8,7 @@
 from damaskproxy.http1.messages import Request, Response
 from damaskproxy.http1.response_checks import ResponseFilter, accept_any
 from damaskproxy.http1.response_limits import ResponseLimits, ResponseMemory
-from damaskproxy.http1.sockets import DeadPeerLimits
+from damaskproxy.http1.sockets import DeadPeerLimits, has_input
 from damaskproxy.model import Address
 
 __all__ = ["ConnectionPool"]
@@ -127,7 +127,10 @@
     def _take_idle(self, max_idle_share: float) -> ClientConnection | None:
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_open and self._is_fresh(connection, max_idle_share):
+            # The event loop learns only in its next iteration that the server has
+            # closed the connection, or has sent what answers no request.
+            is_open = connection.is_open and not has_input(connection.transport)
+            if is_open and self._is_fresh(connection, max_idle_share):
                 return connection
             connection.transport.close()
         return None
--- a/damaskproxy/http1/sockets.py
+++ b/damaskproxy/http1/sockets.py
@@ -4,6 +4,7 @@
 import errno
 import fcntl
 import os
+import select
 import socket
 import sys
 import termios
@@ -14,6 +15,7 @@
     "DeadPeerLimits",
     "accept_queued",
     "enable_dead_peer_detection",
+    "has_input",
     "unacknowledged_bytes",
     "unread_bytes",
 ]
@@ -72,6 +74,16 @@
     return _queued_bytes(transport, termios.FIONREAD)
 
 
+def has_input(transport: asyncio.BaseTransport) -> bool:
+    """Tell whether bytes, or the end of the connection, wait in the kernel."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def unacknowledged_bytes(transport: asyncio.BaseTransport) -> int:
     """Return how many bytes the kernel has taken and the peer has not acknowledged.
 
