End an exchange at a response that is not its own

A response with another request id, or with none, was skipped, and its request waited for another one until its deadline: callers saw 504, also for idempotent requests, which other servers could have run. A response without a MAC ended the call as unknown, but its connection was used for further requests. Both now end the exchange and the connection at once, with the outcome unknown. A repeated response to the previous request of the connection is skipped as before.

--- a/damaskproxy/forwarding/target.py
+++ b/damaskproxy/forwarding/target.py
@@ -323,24 +323,35 @@
     def _make_response_check(self, request_id: bytes):
         id_name = self._request_id
 
-        def accept(response: Response, is_first_request: bool) -> bool:
+        def accept(response: Response, is_first_request: bool) -> bool | str:
             echoed = response.header(id_name)
-            if echoed is not None:
-                return echoed == request_id
-            # On a kept connection it may repeat the refusal of an earlier request.
-            return is_first_request and response.status in REJECTED_STATUSES
+            if echoed is None and response.status in REJECTED_STATUSES:
+                # On a kept connection it may repeat the refusal of an earlier request.
+                return is_first_request
+            if echoed != request_id:
+                return "another request id" if echoed else "no request id"
+            return self._lack_of_stamp(response) or True
 
         return accept
 
-    def _classify(self, response: Response) -> Result:
+    def _is_rejected(self, response: Response) -> bool:
         is_rejected = response.header(self._not_executed) is not None
-        if is_rejected or response.status == 421:
+        return is_rejected or response.status == 421
+
+    def _lack_of_stamp(self, response: Response) -> str:
+        """Return why a response may be that of another server, empty if it is not."""
+        is_stamped = response.header(self._stamp) is not None
+        if is_stamped or response.status >= 500 or self._is_rejected(response):
+            return ""
+        return f"status {response.status} without a MAC"
+
+    def _classify(self, response: Response) -> Result:
+        if self._is_rejected(response):
             return NotRun(NotRunReason.BACKEND_REJECTED, reached_backend=True)
         if response.header(b"content-encoding") is not None:
             return Unknown("the response is encoded although that was not asked for")
-        is_stamped = response.header(self._stamp) is not None
-        if not is_stamped and response.status < 500:
-            return Unknown(f"status {response.status} without a MAC")
+        if lack := self._lack_of_stamp(response):
+            return Unknown(lack)
         headers = end_to_end(response.headers, self._dropped_headers)
         return Answer(response.status, headers, response.body)
 
--- a/damaskproxy/http1/client_connection.py
+++ b/damaskproxy/http1/client_connection.py
@@ -63,6 +63,8 @@
         self._waiter: Waiter | None = None
         self._response: Response | None = None
         self._accept: ResponseFilter = accept_any
+        self._earlier_accept: ResponseFilter | None = None
+        self._fault = ""
         self._is_head_request = False
         self._has_eof = False
         self._request_count = 0
@@ -193,6 +195,7 @@
         self._request_count += 1
         self._response = None
         self._accept = accept
+        self._fault = ""
         self._is_head_request = request.method == b"HEAD"
         self._received_bytes = self._body_bytes = self._field_count = 0
         self._reset_message()
@@ -206,6 +209,7 @@
             raise
         finally:
             self._waiter = None
+            self._earlier_accept = accept
             self._memory.release(self._abort_largest)
             self.idle_since_s = boot_s()
 
@@ -218,6 +222,8 @@
         status = self._parser.get_status_code()
         if status >= 100 and (fault := status_fault(status)):
             failure = ExchangeLost(f"the response is malformed: {fault}")
+        if self._fault:
+            failure = ExchangeLost(f"the response is malformed: {self._fault}")
         if failure is not None:
             self.is_reusable = False
             self.transport.abort()
@@ -236,13 +242,21 @@
         response = Response(
             self._parser.get_status_code(), self._headers, join_parts(self._body)
         )
-        if not self._accept(response, self._request_count == 1):
+        accepted = self._accept(response, self._request_count == 1)
+        if accepted is not True:
             self.is_reusable = False
+            if accepted is not False and not self._is_repeated(response):
+                self._fault = accepted
             self._reset_message()
             return
         self.idle_max_s = response.keep_alive_timeout_s(self.idle_max_s)
         self._response = response
 
+    def _is_repeated(self, response: Response) -> bool:
+        """Tell whether a response belongs to the previous request."""
+        earlier = self._earlier_accept
+        return earlier is not None and earlier(response, True) is True
+
     def _is_complete_at_eof(self, exc) -> bool:
         if exc is not None or not self._has_eof or not self._is_head_complete:
             return False
--- a/damaskproxy/http1/response_checks.py
+++ b/damaskproxy/http1/response_checks.py
@@ -17,10 +17,11 @@
     "status_fault",
 ]
 
-ResponseFilter = Callable[[Response, bool], bool]
+ResponseFilter = Callable[[Response, bool], bool | str]
 """Returns whether a response belongs to the request in progress, given whether that is
 the first request on its connection. On later ones a server may repeat an earlier
-response."""
+response, which is skipped. A text says why a response is a fault if it is no repeated
+one; the exchange ends, since the server takes it for the response to this request."""
 
 FINAL_STATUSES = range(200, 600)
 """Statuses of a response, by RFC 9110."""
