Request the newer configuration that a subscriber names

A node that follows the store was restarted while the row of the configuration was invalid. If the mesh has one data centre, it has no source, and it did not ask the nodes that subscribe to it, although they name their version. It stayed without a configuration and was not ready until the operator wrote a valid one; callers at this node got 503.

--- a/damaskproxy/propagation/propagation.py
+++ b/damaskproxy/propagation/propagation.py
@@ -296,6 +296,8 @@
 
     def _handle_subscription(self, peer: Peer, frame: SubscribeFrame) -> None:
         self._subscribers[peer] = frame.data_centre
+        # The store may hold an invalid row, and this node may have no source.
+        self._note_newer_version(peer, frame.configuration_version)
         self._send_configuration(peer, frame.configuration_version)
         peer.write(self._heartbeat())
         if frame.record is not None:
@@ -304,12 +306,8 @@
     def _handle_heartbeat(self, peer: Peer, frame: HeartbeatFrame) -> None:
         now_s = self._now_s()
         self.contact.note_era(max(frame.configuration_era, frame.members_era))
-        version = self._configuration.version
-        if frame.configuration_version > version:
-            since_s = self._newer_versions.get(peer, (0, now_s))[1]
-            self._newer_versions[peer] = (frame.configuration_version, since_s)
-            self._schedule_flush(REQUEST_DELAY_S)
-        elif frame.configuration_version == version:
+        self._note_newer_version(peer, frame.configuration_version)
+        if frame.configuration_version == self._configuration.version:
             self.contact.configuration_position = max(
                 self.contact.configuration_position,
                 StorePosition(frame.configuration_era, frame.configuration_position),
@@ -319,6 +317,13 @@
             self._compare_records(peer, frame, now_s)
         self.contact.report(peer, age_s)
 
+    def _note_newer_version(self, peer: Peer, version: int) -> None:
+        """Request the configuration of a peer after a delay, if it is newer."""
+        if version > self._configuration.version:
+            since_s = self._newer_versions.get(peer, (0, self._now_s()))[1]
+            self._newer_versions[peer] = (version, since_s)
+            self._schedule_flush(REQUEST_DELAY_S)
+
     def _request_newer_configurations(self, now_s: float) -> None:
         own_version = self._configuration.version
         for peer, (version, since_s) in list(self._newer_versions.items()):
--- a/damaskproxy/sidecar/tests/test_propagation.py
+++ b/damaskproxy/sidecar/tests/test_propagation.py
@@ -96,6 +96,16 @@
         )
         await self.until_known(3)
 
+    async def test_restarted_node_takes_the_configuration_from_its_followers(self):
+        """The only node that follows the store reads an invalid row there."""
+        await self.start_mesh(3)
+        first = self.first_members()[0]
+        self.rows.put("op", "config", b"invalid")
+        await self.kill(first)
+        await self.restart(first, report=False)
+        await self.until(lambda: first.sidecar.is_ready)
+        self.assertEqual(first.sidecar.configuration.version, 1)
+
     async def test_node_killed_during_the_first_start_is_ready_at_once(self):
         member = await self.start("n1", is_first_start=True)
         await self.kill(member)
