--- a/damaskproxy/propagation/tests/virtual_mesh.py
+++ b/damaskproxy/propagation/tests/virtual_mesh.py
@@ -12,6 +12,7 @@
     HistoryLost,
     MemberRecord,
     OwnRowWriter,
+    RecordError,
     Row,
     Rows,
     StoreError,
@@ -52,6 +53,8 @@
 
 def decode(encoded):
     """Decode a configuration that consists of its version."""
+    if not encoded.isdigit():
+        raise RecordError(f"invalid configuration {encoded!r}")
     return Configuration(int(encoded), (), {}, ClientLimits(), encoded)
 
 
