Recognise late responses to the last eight requests of a connection

A server may repeat a response after later requests were answered. Only the request just before was compared, so that such a response would have ended the exchange in progress. Health checks, which have no id, are compared with the request just before only.

--- a/damaskproxy/forwarding/target.py
+++ b/damaskproxy/forwarding/target.py
@@ -38,6 +38,8 @@
 from damaskproxy.forwarding.server_state import ServerStateRecorder
 from damaskproxy.forwarding.stats import RequestStats
 from damaskproxy.http1 import (
+    NO_ID,
+    OTHER_ID,
     ConnectFailed,
     ConnectionPool,
     ExchangeLost,
@@ -329,7 +331,7 @@
                 # On a kept connection it may repeat the refusal of an earlier request.
                 return is_first_request
             if echoed != request_id:
-                return "another request id" if echoed else "no request id"
+                return OTHER_ID if echoed else NO_ID
             return self._lack_of_stamp(response) or True
 
         return accept
--- a/damaskproxy/forwarding/tests/test_refusal_log.py
+++ b/damaskproxy/forwarding/tests/test_refusal_log.py
@@ -18,6 +18,7 @@
     NotRunReason,
 )
 from damaskproxy.forwarding.refusal_meanings import REFUSAL_MEANINGS, explain_refusal
+from damaskproxy.forwarding.request_allowance import Decision
 from damaskproxy.forwarding.request_fields import sharing_fields
 from damaskproxy.forwarding.tests import test_target
 from damaskproxy.forwarding.tests.builders import make_call, make_route
@@ -37,9 +38,9 @@
     """Stand-in for allowances that refuse all requests."""
 
     def check(self, organisation):
-        return WAIT_S
+        return Decision(WAIT_S)
 
-    def finish(self, organisation, reached_count):
+    def finish(self, organisation, term, reached_count):
         raise AssertionError("the request was refused")
 
 
--- a/damaskproxy/http1/__init__.py
+++ b/damaskproxy/http1/__init__.py
@@ -14,7 +14,12 @@
     Response,
     end_to_end,
 )
-from damaskproxy.http1.response_checks import is_final_status, status_fault
+from damaskproxy.http1.response_checks import (
+    NO_ID,
+    OTHER_ID,
+    is_final_status,
+    status_fault,
+)
 from damaskproxy.http1.response_limits import ResponseLimits, ResponseMemory
 from damaskproxy.http1.server import HttpServer
 from damaskproxy.http1.sockets import DeadPeerLimits
@@ -28,6 +33,8 @@
     "HttpError",
     "HttpServer",
     "ListenerLimits",
+    "NO_ID",
+    "OTHER_ID",
     "Request",
     "Response",
     "ResponseLimits",
--- a/damaskproxy/http1/client_connection.py
+++ b/damaskproxy/http1/client_connection.py
@@ -1,6 +1,8 @@
 """Connection of a client to a server."""
 
 import asyncio
+from collections import deque
+from itertools import islice
 
 import httptools
 
@@ -15,6 +17,8 @@
     write_message,
 )
 from damaskproxy.http1.response_checks import (
+    FOREIGN,
+    OTHER_ID,
     TRANSFER_ENCODING,
     ResponseFilter,
     accept_any,
@@ -33,6 +37,9 @@
 
 IDLE_DEFAULT_S = 4.0
 """Reuse limit without a Keep-Alive header; common servers close after 5 s."""
+EARLIER_REQUESTS_MAX = 8
+"""Earlier requests of a connection whose repeated responses are recognised. A response
+that a server repeats late arrives after a few short requests at the most."""
 
 
 class ClientConnection(asyncio.Protocol):
@@ -63,7 +70,7 @@
         self._waiter: Waiter | None = None
         self._response: Response | None = None
         self._accept: ResponseFilter = accept_any
-        self._earlier_accept: ResponseFilter | None = None
+        self._earlier: deque[ResponseFilter] = deque(maxlen=EARLIER_REQUESTS_MAX)
         self._fault = ""
         self._is_head_request = False
         self._has_eof = False
@@ -209,7 +216,8 @@
             raise
         finally:
             self._waiter = None
-            self._earlier_accept = accept
+            if accept is not accept_any:
+                self._earlier.append(accept)
             self._memory.release(self._abort_largest)
             self.idle_since_s = boot_s()
 
@@ -245,17 +253,24 @@
         accepted = self._accept(response, self._request_count == 1)
         if accepted is not True:
             self.is_reusable = False
-            if accepted is not False and not self._is_repeated(response):
+            if accepted is not False and not self._is_repeated(response, accepted):
                 self._fault = accepted
             self._reset_message()
             return
         self.idle_max_s = response.keep_alive_timeout_s(self.idle_max_s)
         self._response = response
 
-    def _is_repeated(self, response: Response) -> bool:
-        """Tell whether a response belongs to the previous request."""
-        earlier = self._earlier_accept
-        return earlier is not None and earlier(response, True) is True
+    def _is_repeated(self, response: Response, fault: str) -> bool:
+        """Tell whether a response with a fault belongs to an earlier request.
+
+        Notes
+        -----
+        Without an id it may be one to the last request, a health check. Compared with
+        more of them, it would be taken for one on most connections.
+        """
+        count = EARLIER_REQUESTS_MAX if fault == OTHER_ID else 1
+        earlier = islice(reversed(self._earlier), count)
+        return any(accept(response, True) not in FOREIGN for accept in earlier)
 
     def _is_complete_at_eof(self, exc) -> bool:
         if exc is not None or not self._has_eof or not self._is_head_complete:
--- a/damaskproxy/http1/response_checks.py
+++ b/damaskproxy/http1/response_checks.py
@@ -5,6 +5,9 @@
 from damaskproxy.http1.messages import Headers, Response
 
 __all__ = [
+    "FOREIGN",
+    "NO_ID",
+    "OTHER_ID",
     "TRANSFER_ENCODING",
     "ResponseFilter",
     "accept_any",
@@ -23,6 +26,11 @@
 response, which is skipped. A text says why a response is a fault if it is no repeated
 one; the exchange ends, since the server takes it for the response to this request."""
 
+OTHER_ID, NO_ID = "another request id", "no request id"
+"""Faults of a response that does not belong to the request in progress."""
+FOREIGN = frozenset({False, OTHER_ID, NO_ID})
+"""What a filter returns for a response to another request than its own."""
+
 FINAL_STATUSES = range(200, 600)
 """Statuses of a response, by RFC 9110."""
 INTERIM_STATUSES = frozenset({100, 102, 103})
--- a/damaskproxy/http1/tests/test_client.py
+++ b/damaskproxy/http1/tests/test_client.py
@@ -12,6 +12,7 @@
 
 from damaskproxy.common.fibers import Fiber
 from damaskproxy.http1 import (
+    OTHER_ID,
     ConnectFailed,
     ConnectionPool,
     ExchangeLost,
@@ -77,14 +78,17 @@
                 writer.write(part)
                 await asyncio.sleep(0.01)
 
-    async def exchange(self, request_id=b"1", *parts, method=b"GET", body=b""):
+    async def exchange(
+        self, request_id=b"1", *parts, method=b"GET", body=b"", accept=None
+    ):
         """Send one request, to which the server responds with `parts`."""
         self.scripts.append(parts)
         request = Request(method, b"/a/../b?x=%41", [(b"X-Id", request_id)], body)
         async with asyncio.timeout(5):
             return await self.pool.exchange(
                 request,
-                accept=lambda answer, _: answer.header(b"x-id") == request_id,
+                accept=accept
+                or (lambda answer, _: answer.header(b"x-id") == request_id),
             )
 
     @params(
@@ -182,6 +186,30 @@
         self.assertEqual(answer.body, b"second", name)
         self.assertEqual(self.connections, 2, name)
 
+    @params((b"1", True), (b"2", True), (b"3", True), (b"0", False), (b"4", False))
+    async def test_late_response_to_an_earlier_request_is_skipped(self, late, is_known):
+        """A server may repeat a response when later requests have been answered.
+
+        A response with an id that the connection never carried ends the exchange.
+        """
+
+        def accept_id(request_id):
+            def accept(answer, _):
+                return answer.header(b"x-id") == request_id or OTHER_ID
+
+            return accept
+
+        for number in (b"1", b"2", b"3"):
+            await self.exchange(number, response(number), accept=accept_id(number))
+        parts = (response(late, b"late"), response(b"5", b"proper"))
+        last = self.exchange(b"5", *parts, accept=accept_id(b"5"))
+        if is_known:
+            self.assertEqual((await last).body, b"proper")
+        else:
+            with self.assertRaises(ExchangeLost):
+                await last
+        self.assertEqual(self.connections, 1)
+
     async def test_connection_is_reused(self):
         for number in (b"1", b"2", b"3"):
             await self.exchange(number, response(number))
