Let the stand-in of the store leave out no row at the end of a wait

A feed whose wait ended in the same turn of the event loop as a write responded with the new version and without the row, so that no node applied the change: in a trial with a slow link, a configuration that was written 1.5 s after the one before was not in force until the next one came. The new test did not get the row in that case before.

--- a/damaskproxy/platform/standins/rows.py
+++ b/damaskproxy/platform/standins/rows.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, unquote, urlsplit
 
@@ -138,13 +139,12 @@
                 for (table, key), row in self._rows.items()
                 if table == query["table"] and row.version > after
             ]
-            if rows:
+            if rows or asyncio.get_running_loop().time() >= deadline_s:
                 return self._respond({"rows": sorted(rows, key=lambda r: r["ver"])})
-            try:
+            # A row may be written while the wait ends, so the rows are read again.
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout_at(deadline_s):
                     await self._changed.wait()
-            except TimeoutError:
-                return self._respond({"rows": []})
             if self.status != 200:
                 return Response(503)
 
--- a/damaskproxy/platform/tests/test_store.py
+++ b/damaskproxy/platform/tests/test_store.py
@@ -9,9 +9,11 @@
 
 from damaskproxy.directory import RowWrite, StoreError, StorePosition
 from damaskproxy.http1 import DeadPeerLimits, HttpServer, Response
+from damaskproxy.platform.messages import decode_feed
 from damaskproxy.platform.standins import RowStoreStandIn
 from damaskproxy.platform.store import DEAD_PEER_LIMITS, READ_TIMEOUT_S, PlatformStore
 from damaskproxy.sidecar.settings import to_address
+from tools.faults.virtual_time import run_virtual
 
 RECOVERY_S = 3.0
 """Time after a disruption within which a changed configuration must be in force."""
@@ -128,6 +130,23 @@
             await self.store.read("op")
 
 
+class StandInTests(unittest.TestCase):
+    """Guards against a stand-in that names a version but leaves out its row."""
+
+    @params((0.5, ["row"]), (1.5, ["row"]), (2.5, []))
+    def test_row_that_is_written_when_the_wait_ends_is_not_left_out(self, at_s, keys):
+        async def main():
+            rows = RowStoreStandIn()
+            loop = asyncio.get_running_loop()
+            loop.call_at(at_s, rows.put, "op", "row", b"x")
+            query = {"table": "op", "after": "0", "waitMs": "1500"}
+            response = await rows._changes(query)
+            return decode_feed(response.body)
+
+        body = run_virtual(main())
+        self.assertEqual(([row.key for row in body.rows], body.ver), (keys, len(keys)))
+
+
 class OddResponseTests(unittest.IsolatedAsyncioTestCase):
     """Guards against responses of the store that are applied wrongly or for ever."""
 
