Test changes and heartbeats behind large frames on virtual time

A source that is heard at least every 1.1 s is kept; another one is followed while frames wait longer, so that changes are in force in time, and the order is restored.

--- a/damaskproxy/propagation/tests/test_configuration_faults.py
+++ b/damaskproxy/propagation/tests/test_configuration_faults.py
@@ -5,6 +5,8 @@
 from nose2.tools import params
 
 from damaskproxy.directory.following import OPERATOR_TABLE
+from damaskproxy.propagation.propagation import HEARTBEAT_S
+from damaskproxy.propagation.sources import QUIET_S
 from damaskproxy.propagation.tests.test_schedules import QuietLogs
 from damaskproxy.propagation.tests.virtual_mesh import VirtualMesh, VirtualNode
 from tools.faults.virtual_time import run_virtual
@@ -17,6 +19,10 @@
 BURST = 12
 """Changes in quick succession, for 4 s."""
 INVALID = b"invalid"
+SLOW_S = 5.5
+SLOW_CHANGES = 3
+"""One change in 1.8 s."""
+DRAIN_STEP_S = 0.05
 
 
 def cut_power(node):
@@ -37,6 +43,23 @@
     node.start()
 
 
+async def slow_down(ends, delay_s):
+    """Let frames wait at some connections, and then let what waits be sent."""
+    usual_s = [end.latency_s for end in ends]
+
+    def set_delay(wait_s):
+        for end, latency_s in zip(ends, usual_s):
+            end.latency_s = end.other.latency_s = latency_s + wait_s
+
+    set_delay(delay_s)
+    await asyncio.sleep(SLOW_S)
+    while delay_s > 0:
+        # Frames do not overtake each other.
+        delay_s -= DRAIN_STEP_S
+        set_delay(max(delay_s, 0.0))
+        await asyncio.sleep(DRAIN_STEP_S)
+
+
 def versions_of(node):
     """Return the versions that were in force at a node, in all its processes."""
     return [configuration.version for _, configuration in node.versions]
@@ -191,3 +214,56 @@
         node = first[0] if kind == "first" else others[0]
         node.kill()
         mesh.restart_later(node)
+
+
+class SlowLinkTests(QuietLogs):
+    """Guards against changes and heartbeats that are held up by one slow link.
+
+    Frames wait behind large ones for some seconds at the open connections between a
+    node and the one that it follows.
+    """
+
+    @params(
+        *[
+            (count, data_centres, delay_s)
+            for count, data_centres in ((6, 1), (6, 3), (60, 6))
+            for delay_s in (0.2, 0.6, 0.9, 1.5, 3.0)
+        ]
+    )
+    def test_changes_are_in_force_and_the_source_is_kept_if_it_is_heard(
+        self, count, data_centres, delay_s
+    ):
+        async def main():
+            mesh = VirtualMesh(count, data_centres)
+            await mesh.start()
+            await asyncio.sleep(START_S)
+            first = mesh.first_nodes()
+            node = next(n for n in mesh.running() if n not in first)
+            (source,) = node.propagation.sources.ids()
+            ends = [end for end in node.links if end.other.node.node_id == source]
+            before = [n.propagation.sources.ids() for n in mesh.running()]
+            slowing = asyncio.create_task(slow_down(ends, delay_s))
+            late = []
+            for _ in range(SLOW_CHANGES):
+                late += await self.late_nodes(mesh)
+            after = [n.propagation.sources.ids() for n in mesh.running()]
+            await slowing
+            late += await self.late_nodes(mesh)
+            await asyncio.sleep(SETTLE_S)
+            restored = [n.propagation.sources.ids() for n in mesh.running()]
+            members = {n.directory.running_count for n in mesh.running()}
+            mesh.close()
+            return late, before == after, before == restored, members, mesh.errors
+
+        late, is_kept, is_restored, members, errors = run_virtual(main())
+        self.assertEqual((late, members, errors), ([], {count}, []))
+        self.assertTrue(is_restored)
+        if delay_s + HEARTBEAT_S < QUIET_S:
+            self.assertTrue(is_kept)
+
+    @staticmethod
+    async def late_nodes(mesh):
+        """Change the configuration; return the nodes that do not have it in time."""
+        version = mesh.configure()
+        await asyncio.sleep(SLOW_S / SLOW_CHANGES)
+        return [n.node_id for n in mesh.behind(version)]
