Ask subscribers for the configuration only after the store

A restarted node that follows the store asked the nodes that subscribe to it for their configuration after 0.1 s. While the store responded within 0.6 s and no other node had its newest version yet, the node put the version before in force again; the test of that failed in four cases. It now waits until its first call to the store has succeeded or failed. Versions in heartbeats are handled as before.

--- a/damaskproxy/propagation/propagation.py
+++ b/damaskproxy/propagation/propagation.py
@@ -120,7 +120,7 @@
         self._is_started = False
         self._pending: dict[str, Peer | None] = {}
         self._is_flush_scheduled = False
-        self._newer_versions: dict[Peer, tuple[int, float]] = {}
+        self._newer_versions: dict[Peer, tuple[int, float, bool]] = {}
         self._mismatch_since_s: float | None = None
         self._synced_s = 0.0
         self._must_sync = False
@@ -297,7 +297,7 @@
     def _handle_subscription(self, peer: Peer, frame: SubscribeFrame) -> None:
         self._subscribers[peer] = frame.data_centre
         # The store may hold an invalid row, and this node may have no source.
-        self._note_newer_version(peer, frame.configuration_version)
+        self._note_newer_version(peer, frame.configuration_version, is_subscriber=True)
         self._send_configuration(peer, frame.configuration_version)
         peer.write(self._heartbeat())
         if frame.record is not None:
@@ -317,22 +317,43 @@
             self._compare_records(peer, frame, now_s)
         self.contact.report(peer, age_s)
 
-    def _note_newer_version(self, peer: Peer, version: int) -> None:
-        """Request the configuration of a peer after a delay, if it is newer."""
+    def _note_newer_version(
+        self, peer: Peer, version: int, *, is_subscriber: bool = False
+    ) -> None:
+        """Request the configuration of a peer after a delay, if it is newer.
+
+        Parameters
+        ----------
+        peer : Peer
+            The peer.
+        version : int
+            Version that it has in force.
+        is_subscriber : bool
+            Whether it has named the version when it subscribed to this node.
+        """
         if version > self._configuration.version:
             since_s = self._newer_versions.get(peer, (0, self._now_s()))[1]
-            self._newer_versions[peer] = (version, since_s)
+            self._newer_versions[peer] = (version, since_s, is_subscriber)
             self._schedule_flush(REQUEST_DELAY_S)
 
     def _request_newer_configurations(self, now_s: float) -> None:
         own_version = self._configuration.version
-        for peer, (version, since_s) in list(self._newer_versions.items()):
+        awaits_store = self._awaits_store()
+        for peer, newer in list(self._newer_versions.items()):
+            version, since_s, is_subscriber = newer
             if version <= own_version:
                 del self._newer_versions[peer]
+            elif is_subscriber and awaits_store:
+                # It may be behind what was in force here before a restart.
+                continue
             elif now_s - since_s >= REQUEST_DUE_SHARE * REQUEST_DELAY_S:
                 del self._newer_versions[peer]
                 peer.write(StateRequestFrame(own_version))
 
+    def _awaits_store(self) -> bool:
+        """Tell whether this node is about to read its first configuration itself."""
+        return not (self._configuration.version or self.contact.has_outcome)
+
     def _compare_records(self, peer: Peer, frame: HeartbeatFrame, now_s: float) -> None:
         """Ask a source for records that have differed for some time."""
         if frame.directory_digest == self._directory.digest():
--- a/damaskproxy/propagation/store_contact.py
+++ b/damaskproxy/propagation/store_contact.py
@@ -97,6 +97,8 @@
         Whether this node follows the store for its data centre.
     is_feed_open : bool
         Whether a call of the configuration feed waits for the next change.
+    has_outcome : bool
+        Whether a call of this node for the configuration has succeeded or failed.
     era : int
         Newest known era of the store; it rises when the store returns from an older
         copy.
@@ -120,6 +122,7 @@
         self.members_position = StorePosition()
         self.is_first = False
         self.is_feed_open = False
+        self.has_outcome = False
         self.era = UNKNOWN_ERA
         self.restores = 0
         self._data_centre = data_centre
@@ -276,6 +279,7 @@
 
     def store_succeeded(self, position: StorePosition) -> None:
         """Record a response of the store that has all changes up to `position`."""
+        self.has_outcome = True
         self._own_contact_s = self._now_s()
         self._missed_change_s = None
         self._check_at_s = None
@@ -305,6 +309,7 @@
 
     def store_failed(self) -> None:
         """Record that a call to the store failed."""
+        self.has_outcome = True
         if self.is_feed_open:
             self._distrust_until_s = self._now_s() + DISTRUST_S
             self._own_contact_s = float("-inf")
--- a/damaskproxy/propagation/tests/test_configuration_faults.py
+++ b/damaskproxy/propagation/tests/test_configuration_faults.py
@@ -1,14 +1,16 @@
 """Changes of the configuration beside one fault each, on virtual time."""
 
 import asyncio
+from unittest import mock
 
 from nose2.tools import params
 
 from damaskproxy.directory.following import OPERATOR_TABLE
 from damaskproxy.propagation.propagation import HEARTBEAT_S
 from damaskproxy.propagation.sources import QUIET_S
+from damaskproxy.propagation.tests import virtual_mesh
 from damaskproxy.propagation.tests.test_schedules import QuietLogs
-from damaskproxy.propagation.tests.virtual_mesh import VirtualMesh, VirtualNode
+from damaskproxy.propagation.tests.virtual_mesh import STORE_S, VirtualMesh, VirtualNode
 from tools.faults.virtual_time import run_virtual
 
 START_S = 10.0
@@ -120,9 +122,15 @@
         # Once in each of the two processes.
         self.assertEqual(versions, [1, 2, 2])
 
-    @params(*[(dcs, off_s) for dcs in (1, 3) for off_s in (0.01, 0.1, 0.8, 4.0)])
+    @params(
+        *[
+            (data_centres, store_s, off_s)
+            for data_centres, store_s in ((1, STORE_S), (3, STORE_S), (1, 0.6))
+            for off_s in (0.01, 0.1, 0.8, 4.0)
+        ]
+    )
     def test_restarted_node_does_not_take_the_version_before_from_its_peers(
-        self, data_centres, off_s
+        self, data_centres, store_s, off_s
     ):
         """No other node reaches the store, so that all others still have version 1."""
 
@@ -134,7 +142,7 @@
             mesh.store.cut |= mesh.nodes.keys() - {node.node_id}
             node.configuration.on_change(lambda _: cut_power(node))
             version = mesh.configure()
-            await asyncio.sleep(off_s)
+            await asyncio.sleep(store_s + off_s)
             behind = len(mesh.behind(version))
             restore_power(node)
             await asyncio.sleep(IN_FORCE_S)
@@ -142,7 +150,8 @@
             mesh.close()
             return behind, versions, mesh.errors
 
-        self.assertEqual(run_virtual(main()), (5, [1, 2, 2], []))
+        with mock.patch.object(virtual_mesh, "STORE_S", store_s):
+            self.assertEqual(run_virtual(main()), (5, [1, 2, 2], []))
 
     @staticmethod
     def choose(mesh, *, is_first):
