Use no connection to the earlier server at an address

After another server had reported at the address, requests were still sent on pooled connections to the earlier one, up to 3 s after their last use. If that server still ran, it answered requests for the other service, and callers saw its 200. The health check of the other server went to it as well, so that the node did not serve the other server for as long. A report of another incarnation now retires the connections that are open.

--- a/damaskproxy/forwarding/target.py
+++ b/damaskproxy/forwarding/target.py
@@ -237,7 +237,10 @@
         record = self._backend.record
         if record is None:
             return
-        self._incarnation = (record.instance_id, record.born_ms)
+        if self._incarnation and self._incarnation != record.incarnation_key:
+            # Open connections lead to the earlier server, which may still answer.
+            self._pool.retire()
+        self._incarnation = record.incarnation_key
         slots = min(record.slots, self._max_connections(record.service) or record.slots)
         if self._admission is None:
             self._admission = self._make_admission(slots)
--- a/damaskproxy/http1/client.py
+++ b/damaskproxy/http1/client.py
@@ -60,6 +60,7 @@
         self._connect_timeout_s = connect_timeout_s
         self._idle: list[ClientConnection] = []
         self._busy: set[ClientConnection] = set()
+        self._generation = 0
 
     async def exchange(
         self,
@@ -88,6 +89,7 @@
         ExchangeLost
             If the request was sent and no valid response was received.
         """
+        generation = self._generation
         connection = self._take_idle(max_idle_share)
         if connection is None:
             # In a task, since `asyncio.timeout` needs a current task; a fiber has none.
@@ -103,7 +105,7 @@
             return await connection.exchange(request, accept)
         finally:
             self._busy.discard(connection)
-            if connection.is_open:
+            if connection.is_open and generation == self._generation:
                 self._idle.append(connection)
             else:
                 connection.transport.close()
@@ -118,6 +120,13 @@
                 connection.transport.close()
         self._idle = kept
 
+    def retire(self) -> None:
+        """Use no connection again that is open now; exchanges in progress go on."""
+        self._generation += 1
+        for connection in self._idle:
+            connection.transport.close()
+        self._idle = []
+
     def close(self) -> None:
         """Close all connections; exchanges in progress fail."""
         for connection in (*self._idle, *self._busy):
--- a/damaskproxy/sidecar/tests/faulty_server.py
+++ b/damaskproxy/sidecar/tests/faulty_server.py
@@ -58,6 +58,7 @@
         self.faults = faults
         self.runs: Counter[bytes] = Counter()
         self.opened_count = self.closed_count = 0
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def open(self) -> str:
         """Listen on a loopback port and return the address."""
@@ -65,12 +66,18 @@
         return "{}:{}".format(*self._server.sockets[0].getsockname()[:2])
 
     async def close(self) -> None:
-        """Stop listening."""
+        """Stop listening; connections stay open."""
         self._server.close()
         await self._server.wait_closed()
 
+    def end_connections(self) -> None:
+        """Close all connections, as when the process ends."""
+        for writer in self._writers:
+            writer.close()
+
     async def _serve(self, reader, writer):
         self.opened_count += 1
+        self._writers.add(writer)
         is_faulty = False
         last_id = b""
         with contextlib.closing(writer), contextlib.suppress(ConnectionError):
