--- a/damaskproxy/sidecar/tests/test_reassigned_address.py
+++ b/damaskproxy/sidecar/tests/test_reassigned_address.py
@@ -5,12 +5,15 @@
 
 from nose2.tools import params
 
+from damaskproxy.forwarding.calls import NotRunReason
 from damaskproxy.platform.standins import StampedBackend, encode_configuration
 from damaskproxy.platform.standins.requests import ROUTES
 from damaskproxy.sidecar.settings import to_address
 from damaskproxy.sidecar.tests.faulty_server import FaultyServer
 from damaskproxy.sidecar.tests.mesh import MeshTestCase
+from demo.processes import free_ports
 
+LISTENERS = ("caller", "readiness", "control")
 OTHER_ROUTE = {"prefix": "/other/", "kind": "safe", "service": "stores"}
 
 
@@ -98,3 +101,30 @@
         answer = await caller.call(b"/other/1", request_id=b"later")
         self.assertEqual((answer.status, answer.body), (200, b"from i-other"))
         self.assertFalse(self.earlier.runs[b"later"])
+
+
+class ReassignedPeerAddressTests(MeshTestCase, unittest.IsolatedAsyncioTestCase):
+    """Guards against calls that a node of another service runs on its own server."""
+
+    @params(b"/read/1", b"/write/1")
+    async def test_call_to_the_earlier_node_is_not_run(self, target):
+        one = await self.start("n1", "stores")
+        two = await self.start("n2")
+        await self.until_known(1)
+        answer = await one.call(target, request_id=b"0")
+        self.assertEqual(answer.status, 200)
+        peer_address = two.sidecar.settings.listeners.peer
+        await self.kill(two)
+        ports = zip(LISTENERS, free_ports(len(LISTENERS)))
+        listeners = {name: f"127.0.0.1:{port}" for name, port in ports}
+        listeners["peer"] = peer_address
+        three = await self.start("n3", "stores", listeners=listeners)
+        self.assertEqual(len(one.sidecar.directory.serving("orders")), 1)
+        for number in range(3):
+            answer = await one.call(target, request_id=b"id%d" % number)
+            self.assertEqual(answer.status, 503)
+            self.assertIsNotNone(answer.header(b"retry-after"))
+            await asyncio.sleep(0.3)
+        self.assertFalse(three.backend.runs)
+        refused = three.sidecar.target._stats.calls_refused
+        self.assertGreater(refused[NotRunReason.OTHER_SERVICE], 0)
--- a/damaskproxy/sidecar/tests/test_server_faults.py
+++ b/damaskproxy/sidecar/tests/test_server_faults.py
@@ -141,3 +141,23 @@
         self.assertEqual((answer.status, answer.body), (200, b"proper"))
         self.assertEqual(self.runs(b"id"), 1)
         self.assertEqual(self.servers[0].opened_count, opened_count + 1)
+
+    @params(
+        *[
+            (service, target)
+            for service in ("orders", "stores")
+            for target in (b"/read/1", b"/write/1")
+        ]
+    )
+    async def test_idle_connections_that_the_server_closes(self, service, target):
+        """Each request finds the connection of the one before it closed."""
+        caller = await self.start_servers(service)
+        opened_count = self.servers[0].opened_count
+        for number in range(5):
+            request_id = b"id%d" % number
+            answer = await caller.call(target, method=b"POST", request_id=request_id)
+            self.assertEqual((answer.status, answer.body), (200, b"proper"))
+            self.assertEqual(self.runs(request_id), 1)
+            for server in self.servers:
+                server.end_connections()
+        self.assertGreaterEqual(self.servers[0].opened_count, opened_count + 4)
