Log the configuration version that a request was handled under

The log line of a request that was not served named the version in force at its end. If a new one came into force meanwhile, operators looked at the wrong routes; callers saw no difference. The new test found version 2 in place of 1 before.

--- a/damaskproxy/forwarding/attempts.py
+++ b/damaskproxy/forwarding/attempts.py
@@ -53,6 +53,8 @@
         Organisation whose allowance the request counts against.
     is_counted : bool
         Whether it was counted against the allowance.
+    configuration_version : int
+        Version of the configuration that the request is handled under.
     """
 
     call: Call
@@ -72,6 +74,7 @@
     breaker: RouteBreaker | None = None
     organisation: Organisation | None = None
     is_counted: bool = False
+    configuration_version: int = 0
 
     @property
     def organisation_name(self) -> str:
--- a/damaskproxy/forwarding/origin.py
+++ b/damaskproxy/forwarding/origin.py
@@ -229,11 +229,12 @@
             parent=parent,
             organisation=identity.organisation,
             caller_deadline_s=boot_s() + caller_budget_ms / MS_PER_S,
+            configuration_version=configuration.version,
         )
 
     def _log_failure(self, attempts: Attempts, status: int) -> None:
         level = self._levels.known_level(attempts)
-        self._refusals.log_failure(attempts, status, self._configuration.version, level)
+        self._refusals.log_failure(attempts, status, level)
 
     async def _attempt_all(self, attempts: Attempts) -> Response:
         call = attempts.call
--- a/damaskproxy/forwarding/request_refusals.py
+++ b/damaskproxy/forwarding/request_refusals.py
@@ -101,13 +101,7 @@
         self._stats.request_refused(attempts.last_refusal, attempts.organisation_name)
         return _not_run_response(retry_after_s(attempts, self._rng))
 
-    def log_failure(
-        self,
-        attempts: Attempts,
-        status: int,
-        configuration_version: int,
-        level: int | None,
-    ) -> None:
+    def log_failure(self, attempts: Attempts, status: int, level: int | None) -> None:
         """Log a request that ended without a successful attempt."""
         log_event(
             logger,
@@ -120,7 +114,7 @@
             attempts=attempts.describe_results(),
             end=attempts.end,
             budget_ms=attempts.call.deadline_ms,
-            configuration_version=configuration_version,
+            configuration_version=attempts.configuration_version,
             **sharing_fields(attempts.call, level),
         )
 
--- a/damaskproxy/forwarding/tests/test_configuration_change.py
+++ b/damaskproxy/forwarding/tests/test_configuration_change.py
@@ -75,3 +75,12 @@
             self.assertEqual(found, ("orders", "r", 2, True))
             self.assertLessEqual(call.deadline_ms, old.timeout_ms)
         self.assertEqual(len(self.sent), 2)
+
+    async def test_log_names_the_version_that_the_request_began_with(self):
+        self.next = make_configuration(2, (SAME,))
+        self.results = [LOST, LOST]
+        with self.assertLogs("damaskproxy.forwarding", "INFO") as logs:
+            self.assertEqual(await self.send(), 502)
+        (entry,) = logs.records
+        self.assertEqual(entry.fields["configuration_version"], 1)
+        self.assertEqual(self.configuration.version, 2)
