--- a/damaskproxy/forwarding/attempts.py
+++ b/damaskproxy/forwarding/attempts.py
@@ -53,6 +53,8 @@
         Organisation whose allowance the request counts against.
     allowance_term : int or None
         Term of the allowances in which it was charged, None if it was not.
+    configuration_version : int
+        Version of the configuration that the request is handled under.
     """
 
     call: Call
@@ -72,6 +74,7 @@
     breaker: RouteBreaker | None = None
     organisation: Organisation | None = None
     allowance_term: int | None = None
+    configuration_version: int = 0
 
     @property
     def organisation_name(self) -> str:
