--- a/damaskproxy/sidecar/tests/test_killed_writers.py
+++ b/damaskproxy/sidecar/tests/test_killed_writers.py
@@ -12,6 +12,15 @@
 class KilledNodeTests(LeaveTestCase):
     """Guards against a row that the next process of a node does not continue from."""
 
+    async def start_served(self):
+        """Start a node whose server is served, with nothing left to write."""
+        member = await self.start("n1")
+        # The record changes once more when the server has passed its health check.
+        await self.until_known(1)
+        await self.until_stored(member)
+        self.assertIs(self.stored_state(member), MemberState.SERVING)
+        return member
+
     def lose_next_write(self, *, applies):
         """Let the next write get no response."""
         self.rows.calls.clear()
@@ -28,8 +37,7 @@
 
     @params(True, False)
     async def test_unconfirmed_leave_is_in_force_if_it_was_stored(self, applies):
-        member = await self.start("n1")
-        await self.until_stored(member)
+        member = await self.start_served()
         self.lose_next_write(applies=applies)
         leave = asyncio.create_task(self.delete(member, born_ms=member.born_ms))
         await self.kill_during_write(member)
@@ -46,8 +54,7 @@
 
     @params(True, False)
     async def test_confirmed_leave_outlasts_a_later_write(self, applies):
-        member = await self.start("n1")
-        await self.until_stored(member)
+        member = await self.start_served()
         self.assertEqual(await self.delete(member, born_ms=member.born_ms), 200)
         await self.until_stored(member)
         self.lose_next_write(applies=applies)
