Simulate the selection among uneven servers

The virtual nodes clear what they know of a member whose server was replaced, as the product does, and may be in several data centres.

--- a/damaskproxy/forwarding/tests/virtual_service.py
+++ b/damaskproxy/forwarding/tests/virtual_service.py
@@ -112,8 +112,19 @@
         self.version += 1
         rng = random.Random(f"{self.node_id}/{self.version}")
         configuration = CurrentConfiguration()
-        self.directory = Directory(lambda record: selector.apply_limit(record))
-        selector = self.service.make_selector(self.directory, rng)
+        incarnations = {}
+
+        def member_changed(record):
+            backend_id = record.backend.instance_id if record.backend else ""
+            if incarnations.get(record.node_id, backend_id) != backend_id:
+                selector.reset(record.node_id)
+            incarnations[record.node_id] = backend_id
+            selector.apply_limit(record)
+
+        self.directory = Directory(member_changed)
+        selector = self.service.make_selector(
+            self.service.data_centre_of(self.node_id), self.directory, rng
+        )
         configuration.apply_if_newer(self.service.configuration)
         poison, stats = (
             PoisonRequestDetector(self.node_id, lambda: None),
@@ -165,7 +176,7 @@
             self.node_id,
             1,
             self.version,
-            "a",
+            self.service.data_centre_of(self.node_id),
             "10.0.0.1",
             1,
             backend=self.backend.published_record(),
@@ -195,9 +206,13 @@
         for number, server in enumerate(beside):
             self.nodes[f"n{number}"] = VirtualNode(self, number, server)
 
-    def make_selector(self, directory, rng):
+    def data_centre_of(self, node_id):
+        """Return the data centre of a node."""
+        return "a"
+
+    def make_selector(self, data_centre, directory, rng):
         """Return the member selector of a node."""
-        return MemberSelector("a", rng, lambda: directory.running_count)
+        return MemberSelector(data_centre, rng, lambda: directory.running_count)
 
     def publish(self, record):
         """Pass a record on to all nodes."""
