--- a/damaskproxy/sidecar/tests/mesh.py
+++ b/damaskproxy/sidecar/tests/mesh.py
@@ -126,6 +126,38 @@
         await self.restart(member)
         return member
 
+    async def start_order_servers(self, make_server, caller_service):
+        """Start two servers of orders in two data centres, each beside a node.
+
+        Parameters
+        ----------
+        make_server : callable
+            Returns a server, given its instance id.
+        caller_service : str
+            Service of the node that receives requests; "orders" is that of the first
+            server, any other one is that of a third node.
+
+        Returns
+        -------
+        servers : list
+            The servers.
+        caller : Member
+            Node that receives requests.
+        """
+        servers = []
+        names = ("n1", "n2") if caller_service == "orders" else ("n2", "n3")
+        for number, name in enumerate(names):
+            server = make_server(f"i-{name}")
+            address = await server.open()
+            self.addAsyncCleanup(server.close)
+            servers.append(server)
+            data_centre = "ab"[number]
+            await self.start(name, data_centre=data_centre, backend_address=address)
+        if caller_service != "orders":
+            await self.start("n1", caller_service)
+        await self.until_known(2)
+        return servers, next(m for m in self.members if m.name == "n1")
+
     async def restart(self, member, *, report=True):
         """Start the sidecar of a member from its settings file."""
         member.sidecar = compose(load_settings(str(member.path)))
--- a/damaskproxy/sidecar/tests/test_mesh.py
+++ b/damaskproxy/sidecar/tests/test_mesh.py
@@ -179,14 +179,19 @@
         await two.report("ready")
         self.assertEqual((await two.call(b"/read/1")).status, 503)
 
-    @params("report", "delete")
-    async def test_leave_confirmed_without_the_store_survives_a_restart(self, kind):
+    async def start_without_store(self):
+        """Start a caller and the node of a server; then the store is unavailable."""
         one = await self.start("n1", "stores")
         two = await self.start("n2")
         await self.until_known(1)
         await one.call(b"/read/1")
         two.backend.runs.clear()
         self.rows.status = 503
+        return one, two
+
+    @params("report", "delete")
+    async def test_leave_confirmed_without_the_store_survives_a_restart(self, kind):
+        one, two = await self.start_without_store()
         path = f"/api/instances/{two.backend.instance_id}".encode()
         if kind == "report":
             self.assertEqual(await two.report("draining"), 200)
@@ -203,12 +208,7 @@
 
         A node that did not wait for the peer served such a server again.
         """
-        one = await self.start("n1", "stores")
-        two = await self.start("n2")
-        await self.until_known(1)
-        await one.call(b"/read/1")
-        two.backend.runs.clear()
-        self.rows.status = 503
+        one, two = await self.start_without_store()
         path = f"/api/instances/{two.backend.instance_id}".encode()
         answer = await two.control(Request(b"DELETE", path, HOST))
         self.assertEqual(answer.status, 200)
--- a/damaskproxy/sidecar/tests/test_server_faults.py
+++ b/damaskproxy/sidecar/tests/test_server_faults.py
@@ -21,19 +21,10 @@
     async def start_servers(self, caller_service):
         """Start the servers, and return the node that receives requests."""
         self.faults = []
-        self.servers = []
-        names = ("n1", "n2") if caller_service == "orders" else ("n2", "n3")
-        for number, name in enumerate(names):
-            server = FaultyServer(f"i-{name}", self.faults)
-            address = await server.open()
-            self.addAsyncCleanup(server.close)
-            self.servers.append(server)
-            data_centre = "ab"[number]
-            await self.start(name, data_centre=data_centre, backend_address=address)
-        if caller_service != "orders":
-            await self.start("n1", caller_service)
-        await self.until_known(2)
-        return next(m for m in self.members if m.name == "n1")
+        self.servers, caller = await self.start_order_servers(
+            lambda instance_id: FaultyServer(instance_id, self.faults), caller_service
+        )
+        return caller
 
     def runs(self, request_id):
         """Return how often the servers have run a request."""
--- a/damaskproxy/sidecar/tests/test_statuses.py
+++ b/damaskproxy/sidecar/tests/test_statuses.py
@@ -90,19 +90,10 @@
     async def start_servers(self, caller_service):
         """Start a node that receives requests, and two servers of orders."""
         self.script = []
-        self.servers = []
-        names = ("n1", "n2") if caller_service == "orders" else ("n2", "n3")
-        for number, name in enumerate(names):
-            server = ScriptedServer(f"i-{name}", self.script)
-            address = await server.open()
-            self.addAsyncCleanup(server.close)
-            self.servers.append(server)
-            data_centre = "ab"[number]
-            await self.start(name, data_centre=data_centre, backend_address=address)
-        if caller_service != "orders":
-            await self.start("n1", caller_service)
-        await self.until_known(2)
-        return next(m for m in self.members if m.name == "n1")
+        self.servers, caller = await self.start_order_servers(
+            lambda instance_id: ScriptedServer(instance_id, self.script), caller_service
+        )
+        return caller
 
     async def check(self, caller, method, target, raw, expected):
         """Send a request while a server sends `raw` once; check status and runs."""
