--- a/damaskproxy/allowances/ledger.py
+++ b/damaskproxy/allowances/ledger.py
@@ -53,7 +53,6 @@
 """Asks for each token while many nodes ask, so that no token stays unused."""
 DEMAND_MAX_AGE_S = 0.5
 """Time for which a node counts among those that ask for an organisation."""
-NOBODY: OwnerView = ((), frozenset())
 
 
 class _Account:
--- a/damaskproxy/forwarding/origin.py
+++ b/damaskproxy/forwarding/origin.py
@@ -27,9 +27,7 @@
 )
 from damaskproxy.forwarding.headers import HeaderNames
 from damaskproxy.forwarding.member_selection import MemberSelector
-from damaskproxy.forwarding.parent_requests import (
-    ParentRequests,
-)
+from damaskproxy.forwarding.parent_requests import ParentRequests
 from damaskproxy.forwarding.poison_requests import PoisonRequestDetector
 from damaskproxy.forwarding.request_allowance import Allowances, allowance_wait_s
 from damaskproxy.forwarding.request_calls import CallMaker, host_of, identify, path_of
@@ -41,15 +39,12 @@
 )
 from damaskproxy.forwarding.stats import RequestStats
 from damaskproxy.http1 import Request, Response
-from damaskproxy.organisations import (
-    AuthenticationFailure,
-)
+from damaskproxy.organisations import AuthenticationFailure
 from damaskproxy.retries import RetryBudget
 
 __all__ = ["Origin"]
 
 MS_PER_S = 1000
-AUTHORIZATION = b"authorization"
 REFUSALS_MAX = 3
 """Refusals by nodes after which a request is refused; each costs a round trip."""
 QUEUE_MARGIN_MS = 30
