--- a/damaskproxy/forwarding/links.py
+++ b/damaskproxy/forwarding/links.py
@@ -17,6 +17,7 @@
 from damaskproxy.forwarding.frames import HelloFrame
 from damaskproxy.forwarding.large_frames import LinkMemory
 from damaskproxy.forwarding.link import Link, LinkHandlers
+from damaskproxy.http1.limits import BACKLOG_DEFAULT
 from damaskproxy.http1.sockets import accept_queued
 
 __all__ = ["Links"]
@@ -38,8 +39,6 @@
 counted, since frames may wait in the kernel while this node is suspended."""
 ACCEPTED_MAX = 1 << 16
 """Default limit on accepted connections; the number of ports of a machine."""
-BACKLOG = 1024
-"""Default limit on connections that wait to be accepted."""
 SHED_SHARE = 1 / 16
 """Share of the accepted connections that are closed at once when there are too many."""
 
@@ -79,7 +78,7 @@
         on_open: Callable[[str], None] = lambda node_id: None,
         memory: LinkMemory | None = None,
         accepted_max: Callable[[], int] = lambda: ACCEPTED_MAX,
-        backlog: int = BACKLOG,
+        backlog: int = BACKLOG_DEFAULT,
     ):
         self._memory = memory or LinkMemory()
         self._accepted_max = accepted_max
--- a/damaskproxy/http1/limits.py
+++ b/damaskproxy/http1/limits.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "ANSWERS_PER_TURN",
+    "BACKLOG_DEFAULT",
     "CONNECTION_BYTES",
     "FIELD_BYTES",
     "HELD_DEFAULT_BYTES",
--- a/damaskproxy/sidecar/listener_limits.py
+++ b/damaskproxy/sidecar/listener_limits.py
@@ -5,8 +5,7 @@
 from types import MappingProxyType
 
 from damaskproxy.http1 import ListenerLimits
-from damaskproxy.http1.limits import CONNECTION_BYTES
-from damaskproxy.sidecar.listening import BACKLOG
+from damaskproxy.http1.limits import BACKLOG_DEFAULT, CONNECTION_BYTES
 
 __all__ = [
     "CONNECTION_SHARES",
@@ -77,7 +76,7 @@
     return ListenerLimits(
         memory_bytes,
         max(CONNECTIONS_MIN, min(by_descriptors, by_memory)),
-        min(BACKLOG, backlog),
+        min(BACKLOG_DEFAULT, backlog),
     )
 
 
--- a/damaskproxy/sidecar/listening.py
+++ b/damaskproxy/sidecar/listening.py
@@ -9,14 +9,14 @@
 
 from damaskproxy.common import DamaskError
 from damaskproxy.events import log_event
+from damaskproxy.http1.limits import BACKLOG_DEFAULT
 from damaskproxy.model import Address
 from damaskproxy.sidecar import events
 
-__all__ = ["BACKLOG", "ListenerError", "ListenerSockets"]
+__all__ = ["ListenerError", "ListenerSockets"]
 
 logger = logging.getLogger(__name__)
 
-BACKLOG = 1024
 PAUSE_MIN_S, PAUSE_MAX_S = 0.05, 0.5
 """First and longest pause between two attempts to open the listeners."""
 PASSING_ERRORS = frozenset(
@@ -132,7 +132,7 @@
         if name in self._listening or name not in self._bound:
             return False
         try:
-            self._bound[name].listen(BACKLOG)
+            self._bound[name].listen(BACKLOG_DEFAULT)
         except OSError as error:
             # Another socket with SO_REUSEADDR was bound as well and listens already.
             self._bound.pop(name).close()
