--- a/damaskproxy/forwarding/parent_requests.py
+++ b/damaskproxy/forwarding/parent_requests.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from damaskproxy.admission.tickets import LEVEL_COUNT
+from damaskproxy.common import ordinal_of
 from damaskproxy.common.clock import boot_s
 from damaskproxy.forwarding.calls import Call
 
@@ -16,7 +17,7 @@
     "ParentRequests",
     "RouteLevels",
     "is_call_id",
-    "root_id_of",
+    "root_ordinal_of",
 ]
 
 SEPARATOR = b"."
@@ -42,9 +43,9 @@
 LevelKey = str | tuple[str, str]
 
 
-def root_id_of(request_id: bytes) -> bytes:
-    """Return the id of the root request of a call."""
-    return request_id.partition(SEPARATOR)[0]
+def root_ordinal_of(request_id: bytes) -> int:
+    """Return the ordinal by the hash of the id of the root request of a call."""
+    return ordinal_of(request_id.partition(SEPARATOR)[0])
 
 
 def is_call_id(request_id: bytes) -> bool:
--- a/damaskproxy/forwarding/request_fields.py
+++ b/damaskproxy/forwarding/request_fields.py
@@ -1,9 +1,8 @@
 """Fields of log events that tell how a request shares servers with others."""
 
 from damaskproxy.admission.tickets import admission_position
-from damaskproxy.common import ordinal_of
 from damaskproxy.forwarding.calls import Call, to_priority
-from damaskproxy.forwarding.parent_requests import root_id_of
+from damaskproxy.forwarding.parent_requests import root_ordinal_of
 
 __all__ = ["sharing_fields"]
 
@@ -29,7 +28,7 @@
         return {}
     ordinal = call.ordinal if call.has_begun else None
     if ordinal is None:
-        ordinal = ordinal_of(root_id_of(call.request_id))
+        ordinal = root_ordinal_of(call.request_id)
     fields: dict[str, object] = {
         "has_begun": call.has_begun,
         "position": admission_position(to_priority(call.priority), ordinal),
--- a/damaskproxy/forwarding/request_levels.py
+++ b/damaskproxy/forwarding/request_levels.py
@@ -1,14 +1,13 @@
 """Levels that the requests of an origin are compared with and report."""
 
 from damaskproxy.admission.tickets import admission_position
-from damaskproxy.common import ordinal_of
 from damaskproxy.forwarding.attempts import Attempts
 from damaskproxy.forwarding.calls import Call, Result, to_priority
 from damaskproxy.forwarding.parent_requests import (
     LevelKey,
     ParentRequests,
     RouteLevels,
-    root_id_of,
+    root_ordinal_of,
 )
 
 __all__ = ["RequestLevels"]
@@ -40,7 +39,7 @@
         A call that is refused deep in the call graph wastes the work of all servers on
         the path to it, so the request is refused before any of them starts.
         """
-        ordinal = ordinal_of(root_id_of(call.request_id))
+        ordinal = root_ordinal_of(call.request_id)
         position = admission_position(to_priority(call.priority), ordinal)
         return self.routes.refuses(_level_key(call), position)
 
--- a/damaskproxy/forwarding/target.py
+++ b/damaskproxy/forwarding/target.py
@@ -12,7 +12,7 @@
     Ticket,
     admission_position,
 )
-from damaskproxy.common import Outcome, Refusal, RefusalReason, ordinal_of
+from damaskproxy.common import Outcome, Refusal, RefusalReason
 from damaskproxy.common.clock import boot_s
 from damaskproxy.common.memory import MemoryAccount
 from damaskproxy.events import log_event
@@ -32,7 +32,7 @@
 )
 from damaskproxy.forwarding.crash_check import CrashCheck
 from damaskproxy.forwarding.headers import HeaderNames
-from damaskproxy.forwarding.parent_requests import ParentRequests, root_id_of
+from damaskproxy.forwarding.parent_requests import ParentRequests, root_ordinal_of
 from damaskproxy.forwarding.poison_requests import PoisonRequestDetector
 from damaskproxy.forwarding.request_fields import sharing_fields
 from damaskproxy.forwarding.server_state import ServerStateRecorder
@@ -206,7 +206,7 @@
         """Return the ordinal of a call, which the calls that it causes inherit."""
         if call.ordinal is not None:
             return call.ordinal
-        ordinal = ordinal_of(root_id_of(call.request_id))
+        ordinal = root_ordinal_of(call.request_id)
         if call.is_shared and not call.has_begun:
             ordinal = call.ordinal = self._fair_shares.ordinal(
                 priority, call.organisation, ordinal, call.earlier_refusals
