--- a/damaskproxy/allowances/accounts.py
+++ b/damaskproxy/allowances/accounts.py
@@ -143,6 +143,12 @@
             return
         bucket.balance = min(bucket.balance - extra, bucket.capacity)
 
+    def return_credit(self, contact: Contact) -> None:
+        """Give the unused tokens for expected requests back to the owner."""
+        if self.credit:
+            contact.add_spent(self.name, -self.credit)
+            self.credit = 0
+
     def take_expected(self, now_s: float) -> int:
         """Return the requests that are expected soon, from those that arrived."""
         elapsed_s = max(now_s - self.counted_s, EXPECTED_S)
--- a/damaskproxy/allowances/gate.py
+++ b/damaskproxy/allowances/gate.py
@@ -279,10 +279,7 @@
         account.asked, account.waiting = account.waiting, []
         account.sequence = next(self._sequence)
         account.asked_s = now_s
-        if account.credit:
-            # It has expired, since a valid one admits requests.
-            contact.add_spent(name, -account.credit)
-            account.credit = 0
+        account.return_credit(contact)
         ask = AllowanceAskFrame(
             account.sequence,
             name,
@@ -295,9 +292,8 @@
     def _add_credit(
         self, account: Account, contact: Contact, count: int, now_s: float
     ) -> None:
-        if account.credit and now_s >= account.credit_until_s:
-            contact.add_spent(account.name, -account.credit)
-            account.credit = 0
+        if now_s >= account.credit_until_s:
+            account.return_credit(contact)
         account.credit += count
         account.credit_until_s = now_s + CREDIT_S
 
