Share the connection handling of the servers that break the protocol

The servers of the tests of statuses and of faults read requests, answered health checks and counted runs in the same lines. The assertions are unchanged.

--- a/damaskproxy/sidecar/tests/faulty_server.py
+++ b/damaskproxy/sidecar/tests/faulty_server.py
@@ -4,12 +4,11 @@
 import contextlib
 import socket
 import struct
-from collections import Counter
+
+from damaskproxy.sidecar.tests.raw_server import ID, RawServer
 
 __all__ = ["FORGED", "LATE_S", "FaultyServer"]
 
-ID = b"X-Damaskproxy-Request-Id"
-INSTANCE = b"X-Damaskproxy-Instance-Id"
 FORGED = b"forged"
 """Body that no caller may get; the body of a proper response is ``proper``."""
 NO_LINGER = struct.pack("ii", 1, 0)
@@ -29,7 +28,7 @@
     )
 
 
-class FaultyServer:
+class FaultyServer(RawServer):
     """Backend server with one fault for each of the next responses.
 
     Parameters
@@ -47,29 +46,16 @@
 
     Attributes
     ----------
-    runs : Counter
-        Number of executions by request id.
-    opened_count, closed_count : int
-        Connections that nodes have opened, and those that they closed after a fault.
+    opened_count : int
+        Connections that nodes have opened.
     """
 
     def __init__(self, instance_id: str, faults: list[str]):
-        self._instance_id = instance_id.encode()
+        super().__init__(instance_id)
         self.faults = faults
-        self.runs: Counter[bytes] = Counter()
-        self.opened_count = self.closed_count = 0
+        self.opened_count = 0
         self._writers: set[asyncio.StreamWriter] = set()
 
-    async def open(self) -> str:
-        """Listen on a loopback port and return the address."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return "{}:{}".format(*self._server.sockets[0].getsockname()[:2])
-
-    async def close(self) -> None:
-        """Stop listening; connections stay open."""
-        self._server.close()
-        await self._server.wait_closed()
-
     def end_connections(self) -> None:
         """Close all connections, as when the process ends."""
         for writer in self._writers:
@@ -81,19 +67,7 @@
         is_faulty = False
         last_id = b""
         with contextlib.closing(writer), contextlib.suppress(ConnectionError):
-            while True:
-                try:
-                    head = await reader.readuntil(b"\r\n\r\n")
-                except asyncio.IncompleteReadError:
-                    break
-                if head.startswith(b"GET /health"):
-                    extra = b"%s: %s\r\n" % (INSTANCE, self._instance_id)
-                    writer.write(
-                        _response(b"", b"", extra).replace(ID + b": \r\n", b"")
-                    )
-                    continue
-                request_id = head.partition(ID + b": ")[2].partition(b"\r\n")[0]
-                self.runs[request_id] += 1
+            async for _, request_id in self._requests(reader, writer):
                 fault = self.faults.pop() if self.faults else ""
                 is_faulty = is_faulty or bool(fault)
                 if fault in ("close", "reset", "cut"):
--- a/damaskproxy/sidecar/tests/test_statuses.py
+++ b/damaskproxy/sidecar/tests/test_statuses.py
@@ -1,6 +1,5 @@
 """Requests through two nodes while a backend server sends what is no response."""
 
-import asyncio
 import contextlib
 import time
 import unittest
@@ -10,6 +9,7 @@
 
 from damaskproxy.http1.tests.test_statuses import NO_RESPONSES
 from damaskproxy.sidecar.tests.mesh import MeshTestCase
+from damaskproxy.sidecar.tests.raw_server import ID, RawServer
 
 OTHER_FAULTS = (
     b"HTTP/2.0 200 OK\r\nContent-Length: 2\r\n%s\r\nok",
@@ -17,18 +17,14 @@
     b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n%s\r\nok",
     b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n%s\r\n0\r\n\r\n",
 )
-ID = b"X-Damaskproxy-Request-Id"
 STAMPED = b"X-Damaskproxy-Server-Stamp: s\r\n"
-HEALTHY = (
-    b"HTTP/1.1 200 OK\r\nX-Damaskproxy-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n"
-)
 EARN_REQUESTS = 12
 """Requests that earn a token of the retry budget; the ratio is 0.2 by default."""
 AT_ONCE_S = 0.5
 """Time within which a request ends; the time-out of the routes is 0.8 s."""
 
 
-class ScriptedServer:
+class ScriptedServer(RawServer):
     """Backend server that sends some responses as given.
 
     Attributes
@@ -36,40 +32,15 @@
     script : list of bytes
         What it sends for the next requests, with a place for the id of the request;
         servers may share it. Afterwards responses are proper.
-    runs : Counter
-        Number of executions by request id.
-    closed_count : int
-        Connections that the node closed after a scripted response.
     """
 
     def __init__(self, instance_id: str, script: list[bytes]):
-        self._instance_id = instance_id.encode()
+        super().__init__(instance_id)
         self.script = script
-        self.runs: Counter[bytes] = Counter()
-        self.closed_count = 0
-
-    async def open(self) -> str:
-        """Listen on a loopback port and return the address."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return "{}:{}".format(*self._server.sockets[0].getsockname()[:2])
-
-    async def close(self) -> None:
-        """Stop listening."""
-        self._server.close()
-        await self._server.wait_closed()
 
     async def _serve(self, reader, writer):
         with contextlib.closing(writer), contextlib.suppress(ConnectionError):
-            while True:
-                try:
-                    head = await reader.readuntil(b"\r\n\r\n")
-                except asyncio.IncompleteReadError:
-                    return
-                if head.startswith(b"GET /health"):
-                    writer.write(HEALTHY % self._instance_id)
-                    continue
-                request_id = head.partition(ID + b": ")[2].partition(b"\r\n")[0]
-                self.runs[request_id] += 1
+            async for head, request_id in self._requests(reader, writer):
                 fields = b"%s: %s\r\n%s" % (ID, request_id, STAMPED)
                 length = b"Content-Length: 6\r\n"
                 proper = b"HTTP/1.1 200 OK\r\n%s%s\r\n" % (fields, length)
