--- /dev/null
+++ b/review/standins_two/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the second review: store, instances, clients and node processes."""
