Say whose contact with the store a node relies on

A node reported only how long ago the store was in touch. Whether a claim was its own, that of a waiting call, or its own claim repeated by another node could not be told from logs or metrics, so the hypotheses of a late configuration could not be told apart. Heartbeats, the status object and the new events E11104 and E11105 now name the node that was in touch, and damask_store_feed_open says whether a call waits. Decisions are unchanged.

--- a/damaskproxy/forwarding/frames.py
+++ b/damaskproxy/forwarding/frames.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from damaskproxy.common.decoding import INTEGER_MAX, Count
+from damaskproxy.common.decoding import INTEGER_MAX, Count, Name
 from damaskproxy.common.ids import ORDINAL_COUNT
 from damaskproxy.directory import UNKNOWN_ERA, MemberRecord
 from damaskproxy.forwarding.allowance_frames import (
@@ -242,6 +242,9 @@
     configuration_era, members_era : int
         Eras of the store that these versions belong to. Senders of earlier releases
         leave them out.
+    contact_id : str or None
+        Id of the node that was in touch with the store `store_age_ms` ago. None if it
+        is not known, and from senders of earlier releases.
     """
 
     configuration_version: Count
@@ -251,6 +254,7 @@
     members_position: Count
     configuration_era: Era = UNKNOWN_ERA
     members_era: Era = UNKNOWN_ERA
+    contact_id: Name | None = None
 
 
 class RecordDigestsFrame(msgspec.Struct, array_like=True, tag=13):
--- a/damaskproxy/propagation/propagation.py
+++ b/damaskproxy/propagation/propagation.py
@@ -52,6 +52,8 @@
 
     Parameters
     ----------
+    node_id : str
+        Id of this node.
     own_record : callable
         Returns the record of this node.
     directory : Directory
@@ -85,6 +87,7 @@
 
     def __init__(
         self,
+        node_id: str,
         own_record: Callable[[], MemberRecord],
         directory: Directory,
         configuration: CurrentConfiguration,
@@ -99,6 +102,7 @@
         self.sources = Sources(own_record, directory, connect, self._source_lost, now_s)
         self._subscribers: dict[Peer, str] = {}
         self.contact = StoreContact(
+            node_id=node_id,
             data_centre=lambda: own_record().data_centre,
             data_centres=self.sources.data_centres,
             has_source=lambda: bool(self.sources),
@@ -265,6 +269,7 @@
             self.contact.members_position.version,
             self.contact.configuration_position.era,
             self.contact.members_position.era,
+            self.contact.contact().node_id,
         )
 
     def _send_heartbeats(self) -> None:
@@ -315,7 +320,7 @@
         age_s = frame.store_age_ms / MS_PER_S
         if self.sources.heard(peer, age_s):
             self._compare_records(peer, frame, now_s)
-        self.contact.report(peer, age_s)
+        self.contact.report(peer, age_s, frame.contact_id)
 
     def _note_newer_version(
         self, peer: Peer, version: int, *, is_subscriber: bool = False
--- a/damaskproxy/propagation/store_contact.py
+++ b/damaskproxy/propagation/store_contact.py
@@ -8,12 +8,14 @@
 from damaskproxy.directory import UNKNOWN_ERA, StorePosition
 from damaskproxy.events import log_event
 from damaskproxy.propagation import events
+from damaskproxy.propagation.contact_reports import Contact, ContactReports
 from damaskproxy.propagation.peer import Peer
 
 __all__ = ["STALE_S", "StoreContact"]
 
 logger = logging.getLogger(__name__)
 
+MS_PER_S = 1000
 STALE_S = 1.5
 """Age of the last contact with the store from which on a node asks the store itself.
 Above the sum of two heartbeat intervals and the checks of two levels of sources."""
@@ -71,6 +73,8 @@
 
     Parameters
     ----------
+    node_id : str
+        Id of this node.
     data_centre : callable
         Returns the data centre of this node.
     data_centres : callable
@@ -109,6 +113,7 @@
     def __init__(
         self,
         *,
+        node_id: str,
         data_centre: Callable[[], str],
         data_centres: Callable[[], list[str]],
         has_source: Callable[[], bool],
@@ -125,6 +130,7 @@
         self.has_outcome = False
         self.era = UNKNOWN_ERA
         self.restores = 0
+        self._node_id = node_id
         self._data_centre = data_centre
         self._data_centres = data_centres
         self._has_source = has_source
@@ -135,7 +141,7 @@
         self._now_s = now_s
         self._is_started = False
         self._was_stale = True
-        self._reports: dict[Peer, float] = {}
+        self._reports = ContactReports()
         self._start_contact_s = float("-inf")
         self._own_contact_s = float("-inf")
         self._distrust_until_s = float("-inf")
@@ -166,23 +172,36 @@
 
         It is `NO_CONTACT_AGE_S` at most, also before the first contact.
         """
+        last_s = self.contact().last_s
+        return min(self._now_s() - last_s, NO_CONTACT_AGE_S)
+
+    def contact(self) -> Contact:
+        """Return the newest contact of this node or of one that it hears of."""
         if self.is_feed_open:
-            return 0.0
-        age_s = self._now_s() - max(self._reported_s(), self._own_contact_s)
-        return min(age_s, NO_CONTACT_AGE_S)
+            return Contact(self._node_id, self._now_s())
+        reported = self._reported()
+        if self._own_contact_s > reported.last_s:
+            return Contact(self._node_id, self._own_contact_s)
+        return reported
 
-    def report(self, peer: Peer, age_s: float) -> None:
+    def report(self, peer: Peer, age_s: float, contact_id: str | None = None) -> None:
         """Record what a peer reports.
 
-        Each report replaces the one before it from the same peer: a node that follows
-        the store reports contact until its feed fails, and then takes that back.
+        Parameters
+        ----------
+        peer : Peer
+            The peer.
+        age_s : float
+            Time since the contact.
+        contact_id : str, optional
+            Id of the node that was in touch.
         """
-        self._reports[peer] = self._now_s() - age_s
+        self._reports.record(peer, Contact(contact_id, self._now_s() - age_s))
         self.update()
 
     def forget(self, peer: Peer) -> None:
         """Drop the report of a peer that is no neighbour any more."""
-        self._reports.pop(peer, None)
+        self._reports.forget(peer)
 
     def configuration_received(self) -> None:
         """Record that a peer sent a newer configuration."""
@@ -199,26 +218,31 @@
         is_stale = self.age_s() > STALE_S
         if is_stale != self._was_stale:
             self._was_stale = is_stale
+            log_event(
+                logger,
+                events.CONTACT_LOST if is_stale else events.CONTACT_REGAINED,
+                contact=self.contact().node_id,
+                age_ms=int(self.age_s() * MS_PER_S),
+            )
             self._on_change()
         if self._is_store_wanted(now_s):
             self._store_wanted.set()
         else:
             self._store_wanted.clear()
 
-    def _reported_s(self) -> float:
-        """Return when the store was last in touch, as reported by other nodes."""
-        reports = self._reports.items()
-        if self._now_s() < self._distrust_until_s:
-            subscribers = self._subscribers()
-            reports = [(peer, s) for peer, s in reports if peer in subscribers]
-        return max((s for _, s in reports), default=self._start_contact_s)
+    def _reported(self) -> Contact:
+        """Return the newest contact that other nodes have reported."""
+        is_distrustful = self._now_s() < self._distrust_until_s
+        peers = self._subscribers() if is_distrustful else None
+        newest = self._reports.newest(peers)
+        return newest or Contact(None, self._start_contact_s)
 
     def _is_store_wanted(self, now_s: float) -> bool:
         if not self._is_started:
             return False
         if self.is_first:
             return True
-        if now_s - self._reported_s() <= STALE_S:
+        if now_s - self._reported().last_s <= STALE_S:
             self._check_at_s = None
             return False
         if not self._has_configuration():
--- a/damaskproxy/propagation/tests/test_decisions.py
+++ b/damaskproxy/propagation/tests/test_decisions.py
@@ -87,6 +87,7 @@
         self.has_configuration = True
         self.data_centres = ["a", "b", "c"]
         self.contact = StoreContact(
+            node_id="n1",
             data_centre=lambda: "b",
             data_centres=lambda: self.data_centres,
             has_source=lambda: True,
@@ -108,6 +109,7 @@
 
     def test_age_is_finite_before_any_contact(self):
         contact = StoreContact(
+            node_id="n1",
             data_centre=lambda: "b",
             data_centres=lambda: ["b"],
             has_source=lambda: False,
@@ -207,6 +209,13 @@
         heartbeat = msgspec.msgpack.decode(encoded, type=HeartbeatFrame)
         self.assertEqual(heartbeat, HeartbeatFrame(4, 7, 100, 9, 8))
         self.assertEqual(heartbeat.configuration_era, UNKNOWN_ERA)
+        self.assertIsNone(heartbeat.contact_id)
+
+    def test_contact_is_that_of_the_node_that_was_in_touch(self):
+        self.contact.report("source", 0.2, "n7")
+        self.assertEqual(self.contact.contact().node_id, "n7")
+        self.contact.store_succeeded(StorePosition(0, 5))
+        self.assertEqual(self.contact.contact().node_id, "n1")
 
     def test_loss_and_return_of_the_store_are_announced_once(self):
         self.contact.is_first = True
--- a/damaskproxy/propagation/tests/test_odd_rows.py
+++ b/damaskproxy/propagation/tests/test_odd_rows.py
@@ -97,6 +97,7 @@
         now_s = 0.0
         names = [f"dc-{number:04}" for number in range(1000)]
         contact = StoreContact(
+            node_id="n1",
             data_centre=lambda: names[-1],
             data_centres=lambda: names,
             has_source=lambda: False,
--- a/damaskproxy/propagation/tests/virtual_mesh.py
+++ b/damaskproxy/propagation/tests/virtual_mesh.py
@@ -267,6 +267,7 @@
         self.configuration = CurrentConfiguration()
         self.directory = Directory(lambda r: self.propagation.member_changed(r))
         self.propagation = Propagation(
+            self.node_id,
             lambda: self.record,
             self.directory,
             self.configuration,
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -275,6 +275,7 @@
         allowances,
     )
     propagation = Propagation(
+        settings.node_id,
         lambda: sidecar.record,
         directory,
         configuration,
--- a/damaskproxy/sidecar/tests/test_metrics.py
+++ b/damaskproxy/sidecar/tests/test_metrics.py
@@ -143,9 +143,10 @@
         samples = await self.samples()
         self.assertEqual(samples["damask_store_restores_total",], 1)
         self.assertEqual(samples["damask_store_era",], 1)
+        self.assertEqual(samples["damask_store_feed_open",], 1)
         status = json.loads((await self.fetch(b"/status")).body)
         shown = "store     era 1, 1 times restored from an older copy"
-        self.assertIn(shown, format_top(status))
+        self.assertIn(f"{shown}, in touch 0.0 s ago by n1", format_top(status))
 
     @params(
         (["--count", "2", "--interval-s", "0.1"], 0, "node      n1"),
--- a/damaskproxy/sidecar/top.py
+++ b/damaskproxy/sidecar/top.py
@@ -56,7 +56,8 @@
     text = f"era {era}" if era >= 0 else "no response yet"
     if restores:
         text += f", {restores} times restored from an older copy"
-    return f"{text}, in touch {now['store_age_s']:.1f} s ago"
+    text = f"{text}, in touch {now['store_age_s']:.1f} s ago"
+    return f"{text} by {now['store_contact']}" if now["store_contact"] else text
 
 
 def _backend(backend: dict[str, Any] | None) -> str:
