--- a/damaskproxy/propagation/tests/virtual_mesh.py
+++ b/damaskproxy/propagation/tests/virtual_mesh.py
@@ -71,6 +71,7 @@
         self.refused = set()
         self.cut = set()
         self.is_silent = False
+        self.silent_to = set()
         self.lost_share = 0.0
         self.oldest_version = 0
         self.rng = random.Random(1)
@@ -93,6 +94,10 @@
         self.oldest_version = min(self.oldest_version, self.version)
         self.era += 1
 
+    def answers(self, node_id):
+        """Tell whether calls of a node are answered, if only by an error."""
+        return not (self.is_silent or node_id in self.silent_to)
+
     def position(self):
         """Return the current position."""
         return StorePosition(self.era, self.version)
@@ -182,14 +187,14 @@
             raise StoreError("cut off")
         store.calls.append((now_s(), self._node_id, kind))
         await asyncio.sleep(STORE_S / 2)
-        if store.is_silent:
+        if not store.answers(self._node_id):
             await asyncio.Event().wait()
         if store.is_down or self._node_id in store.refused:
             raise StoreError("down")
 
     async def _respond(self, rows):
         store = self._store
-        is_unreachable = store.is_silent or self._node_id in store.cut
+        is_unreachable = not store.answers(self._node_id) or self._node_id in store.cut
         if is_unreachable or store.rng.random() < store.lost_share:
             await asyncio.Event().wait()
         await asyncio.sleep(STORE_S / 2)
