Keep a feed of the store open while the first node of the data centre has none

Callers saw requests handled by an older configuration, or refused with 404, for up to 9 s after a newer one was confirmed.

Cause: a node that stands in for a first node without contact asked the store once. Its source passed the contact on, also back to it, so it gave up its feed, and all nodes relied on a contact of the past: nobody waited for the next change. While first nodes of other data centres claimed contact on feeds that were not answered, it was not even asked again.

A node ignores its own contact when it comes back, prefers contacts of its data centre, and gives up a feed only for that of a node before it in the order, so that each data centre has one feed. After a failure only contacts of the own data centre count for 0.6 s. A heartbeat of a subscriber is treated like its subscription: a restarted node does not take an older configuration from it before its own first call to the store.

--- a/damaskproxy/propagation/propagation.py
+++ b/damaskproxy/propagation/propagation.py
@@ -107,8 +107,8 @@
             data_centres=self.sources.data_centres,
             has_source=lambda: bool(self.sources),
             has_configuration=lambda: configuration.current is not None,
-            subscribers=lambda: self._subscribers,
-            on_change=self._send_heartbeats,
+            rank_of=self.sources.rank_of,
+            on_change=self._announce_contact,
             rng=rng,
             now_s=now_s,
         )
@@ -273,16 +273,23 @@
         )
 
     def _send_heartbeats(self) -> None:
-        """Send a heartbeat to the subscribers, and to sources that lost the store."""
+        """Send a heartbeat to the subscribers and dependent sources."""
         heartbeat = self._heartbeat()
         for peer in list(self._subscribers):
             peer.write(heartbeat)
         if self.contact.age_s() >= STALE_S:
             return
+        is_stand_in = self.contact.is_feed_open and not self.contact.is_first
         for source in self.sources.all():
-            if source.store_age_s > STALE_S:
+            if is_stand_in or source.store_age_s > STALE_S:
                 source.peer.write(heartbeat)
 
+    def _announce_contact(self) -> None:
+        """Tell all neighbours that the contact with the store was lost or regained."""
+        heartbeat = self._heartbeat()
+        for peer in self._neighbours():
+            peer.write(heartbeat)
+
     def _configuration_changed(self) -> None:
         """Send a new configuration to subscribers, or announce it to other peers."""
         if self._sender is not None:
@@ -311,7 +318,11 @@
     def _handle_heartbeat(self, peer: Peer, frame: HeartbeatFrame) -> None:
         now_s = self._now_s()
         self.contact.note_era(max(frame.configuration_era, frame.members_era))
-        self._note_newer_version(peer, frame.configuration_version)
+        self._note_newer_version(
+            peer,
+            frame.configuration_version,
+            is_subscriber=peer in self._subscribers,
+        )
         if frame.configuration_version == self._configuration.version:
             self.contact.configuration_position = max(
                 self.contact.configuration_position,
@@ -334,7 +345,7 @@
         version : int
             Version that it has in force.
         is_subscriber : bool
-            Whether it has named the version when it subscribed to this node.
+            Whether it follows this node.
         """
         if version > self._configuration.version:
             since_s = self._newer_versions.get(peer, (0, self._now_s()))[1]
--- a/damaskproxy/propagation/sources.py
+++ b/damaskproxy/propagation/sources.py
@@ -116,6 +116,13 @@
         """Return the ids of the nodes that this node is subscribed to."""
         return list(self._sources)
 
+    def rank_of(self, node_id: str) -> int | None:
+        """Return the rank of a running node of the own data centre, or None."""
+        ranking = self._rankings.get(self._own_record().data_centre)
+        if ranking is None or node_id not in ranking:
+            return None
+        return ranking.rank(node_id)
+
     def data_centres(self) -> list[str]:
         """Return the data centres with running nodes and that of this node, sorted."""
         names = {name for name, ranking in self._rankings.items() if len(ranking)}
--- a/damaskproxy/propagation/store_contact.py
+++ b/damaskproxy/propagation/store_contact.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 
 from damaskproxy.directory import UNKNOWN_ERA, StorePosition
 from damaskproxy.events import log_event
@@ -26,9 +26,9 @@
 FIRST_START_GRACE_S = 0.8
 """The same when all nodes start, which takes them 0.3 s."""
 DISTRUST_S = 0.6
-"""Time after the failure of its own feed in which a node does not rely on what the
-nodes that it follows report. They may be cut off from the store as well and notice it
-later; in the meantime the nodes that follow this one ask the store."""
+"""Time after the failure of its own feed in which a node does not rely on contacts of
+other data centres. Their first nodes may be cut off from the store as well and notice
+it later; in the meantime the nodes that follow this one ask the store."""
 MISSED_CHANGE_S = 0.5
 """Time after which a feed is renewed that has not delivered a configuration that came
 from another node; the response of the store was probably lost."""
@@ -83,8 +83,8 @@
         Returns whether this node follows another one.
     has_configuration : callable
         Returns whether a configuration is in force.
-    subscribers : callable
-        Returns the peers that follow this node.
+    rank_of : callable
+        Returns the rank of a running node of this data centre, None for other nodes.
     on_change : callable
         Called when the store was lost or is in touch again.
     rng : random.Random
@@ -118,7 +118,7 @@
         data_centres: Callable[[], list[str]],
         has_source: Callable[[], bool],
         has_configuration: Callable[[], bool],
-        subscribers: Callable[[], Collection[Peer]],
+        rank_of: Callable[[str], int | None],
         on_change: Callable[[], None],
         rng: random.Random,
         now_s: Callable[[], float],
@@ -135,13 +135,12 @@
         self._data_centres = data_centres
         self._has_source = has_source
         self._has_configuration = has_configuration
-        self._subscribers = subscribers
         self._on_change = on_change
         self._rng = rng
         self._now_s = now_s
         self._is_started = False
         self._was_stale = True
-        self._reports = ContactReports()
+        self._reports = ContactReports(node_id, rank_of)
         self._start_contact_s = float("-inf")
         self._own_contact_s = float("-inf")
         self._distrust_until_s = float("-inf")
@@ -176,7 +175,7 @@
         return min(self._now_s() - last_s, NO_CONTACT_AGE_S)
 
     def contact(self) -> Contact:
-        """Return the newest contact of this node or of one that it hears of."""
+        """Return the contact with the store that this node relies on."""
         if self.is_feed_open:
             return Contact(self._node_id, self._now_s())
         reported = self._reported()
@@ -231,17 +230,22 @@
             self._store_wanted.clear()
 
     def _reported(self) -> Contact:
-        """Return the newest contact that other nodes have reported."""
-        is_distrustful = self._now_s() < self._distrust_until_s
-        peers = self._subscribers() if is_distrustful else None
-        newest = self._reports.newest(peers)
-        return newest or Contact(None, self._start_contact_s)
+        """Return the contact that other nodes have reported, local ones first."""
+        now_s = self._now_s()
+        reported = self._reports.local(now_s - STALE_S)
+        if reported is None and now_s >= self._distrust_until_s:
+            reported = self._reports.newest()
+        return reported or Contact(None, self._start_contact_s)
 
     def _is_store_wanted(self, now_s: float) -> bool:
         if not self._is_started:
             return False
         if self.is_first:
             return True
+        if self.is_feed_open:
+            # A feed is given up only for another one in the same data centre.
+            holder = self._reports.local(now_s - STALE_S)
+            return holder is None or not self._reports.has_foremost(holder)
         if now_s - self._reported().last_s <= STALE_S:
             self._check_at_s = None
             return False
@@ -279,8 +283,6 @@
         is_renewal : bool
             Whether the call before waited as well and ended without a change.
         """
-        if not self.is_first:
-            return FIRST_WAIT_S
         turns = self._turns()
         if is_renewal and turns > 1:
             return RENEWAL_S * turns
