Count a feed of the store as contact only until its response is late

Callers saw requests handled by an older configuration, or refused with 404, for up to 5 s after a newer one was confirmed, when the store stopped answering the first nodes of all data centres.

Cause: a feed counted as contact with the store for as long as it waited, up to 3 s times the number of data centres and 1 s of time-out, although a store that answers a node nothing leaves its feed open. Feeds that were opened again one by one also lost their turns, so that the next one to end could be any time away.

Change: a feed whose response is 0.25 s late is no contact and is opened again. The turns of the data centres follow the clock that the store sends, and their interval the bound on configurations (configApplyMs less 1 s, at most 3 s). The tests of fixed waits are replaced by tests of turns, of the interval for each bound, and of late feeds; the limit on waits with 1,000 data centres is 30 s instead of 60 s, which is what the store allows.

--- a/damaskproxy/directory/events.py
+++ b/damaskproxy/directory/events.py
@@ -44,8 +44,8 @@
     11009,
     "store-feed-stuck",
     logging.INFO,
-    "The feed of the store has not delivered a configuration or an era that another "
-    "node has received; it is opened again.",
+    "The feed of the store has not ended in time, or not with a configuration or an "
+    "era that another node has received; it is opened again.",
 )
 MEMBERS_RESTORED = define(
     11010,
--- a/damaskproxy/directory/following.py
+++ b/damaskproxy/directory/following.py
@@ -119,7 +119,7 @@
     async def wait_until_store_wanted(self) -> None:
         """Wait until the configuration is to be read from the store."""
 
-    def feed_wait_s(self, *, is_renewal: bool) -> float:
+    def feed_wait_s(self) -> float:
         """Return how long the next call of the configuration feed may wait."""
 
     @property
@@ -135,8 +135,16 @@
     async def wait_until_feed_stuck(self) -> None:
         """Wait until the feed has evidently missed a change."""
 
-    def store_succeeded(self, position: StorePosition) -> None:
-        """Record that all changes up to a position have been applied."""
+    def store_succeeded(self, position: StorePosition, clock_s: float) -> None:
+        """Record that all changes up to a position have been applied.
+
+        Parameters
+        ----------
+        position : StorePosition
+            Position of the store.
+        clock_s : float
+            Clock of the store when it responded, 0 if it names none.
+        """
 
     def store_failed(self) -> None:
         """Record a failed call."""
@@ -156,7 +164,7 @@
 
 
 class FeedStuck(StoreError):
-    """The feed did not deliver a change or an era that other nodes have received."""
+    """The feed did not end in time, or not with what other nodes have received."""
 
 
 class StoreWatcher:
@@ -242,7 +250,6 @@
         followed before, knows the configuration.
         """
         failures = 0
-        is_renewal = False
         is_stuck = False
         while True:
             if not self._plan.wants_store:
@@ -250,7 +257,7 @@
                 await self._plan.wait_until_store_wanted()
             wait_s = 0.0
             if self._plan.is_feed_open and not is_stuck:
-                wait_s = self._plan.feed_wait_s(is_renewal=is_renewal)
+                wait_s = self._plan.feed_wait_s()
             is_stuck = False
             try:
                 rows = await self._read_configuration(wait_s)
@@ -273,8 +280,7 @@
             for row in rows.rows:
                 if row.key == CONFIGURATION_KEY and row.value is not None:
                     self._apply_configuration_row(row)
-            is_renewal = wait_s > 0 and not rows.rows
-            self._plan.store_succeeded(rows.position)
+            self._plan.store_succeeded(rows.position, rows.clock_s)
 
     async def _read_configuration(self, wait_s: float) -> Rows:
         """Return the rows of the operator that have changed.
@@ -299,7 +305,7 @@
                 return response.result()
             if broken.done():
                 return broken.result()
-            raise FeedStuck("another node has a change, or a newer era of the store")
+            raise FeedStuck("it is late, or another node has received more")
         finally:
             for task in tasks:
                 task.cancel()
--- a/damaskproxy/directory/rows.py
+++ b/damaskproxy/directory/rows.py
@@ -101,10 +101,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Rows:
-    """All rows of a table at a position of the store, or the changes up to it."""
+    """All rows of a table at a position of the store, or the changes up to it.
+
+    Parameters
+    ----------
+    rows : list of Row
+        The rows.
+    position : StorePosition
+        Position of the store.
+    clock_s : float
+        Steady clock of the store when it responded, 0 if it names none.
+    """
 
     rows: list[Row]
     position: StorePosition
+    clock_s: float = 0.0
 
 
 class RowStore(Protocol):
--- a/damaskproxy/directory/tests/test_following.py
+++ b/damaskproxy/directory/tests/test_following.py
@@ -62,7 +62,7 @@
     async def wait_until_store_wanted(self):
         return
 
-    def feed_wait_s(self, *, is_renewal):
+    def feed_wait_s(self):
         return FEED_WAIT_S
 
     def store_retry_s(self, failures):
@@ -74,7 +74,7 @@
     async def wait_until_feed_stuck(self):
         await asyncio.Event().wait()
 
-    def store_succeeded(self, position):
+    def store_succeeded(self, position, clock_s):
         self.configuration_position = position
         self.is_feed_open = True
 
--- a/damaskproxy/platform/bounds.py
+++ b/damaskproxy/platform/bounds.py
@@ -29,6 +29,8 @@
     quota_overshoot, quota_slack : float
         Requests beyond the allowance of an organisation that are tolerated in a window,
         as a share of the allowance and as a number.
+    configuration_ms : float
+        Time from the confirmation of a configuration until it has to be in force.
     """
 
     retry_ratio: float = 0.2
@@ -37,11 +39,13 @@
     quota_window_s: float = 5.0
     quota_overshoot: float = 0.1
     quota_slack: float = 20.0
+    configuration_ms: float = 2000
 
 
 PLATFORM_NAMES = {
     "retryBudgetRatio": "retry_ratio",
     "budgetSlack": "retry_slack",
+    "configApplyMs": "configuration_ms",
     "graceS": "stop_grace_s",
 }
 OPTIONAL_NAMES = {
--- a/damaskproxy/platform/messages.py
+++ b/damaskproxy/platform/messages.py
@@ -41,6 +41,7 @@
     "to_rows",
 ]
 
+MS_PER_S = 1000
 IDEMPOTENT_KIND = "safe"
 DRAINING_STATE = "draining"
 STATES = frozenset({"ready", DRAINING_STATE})
@@ -156,20 +157,22 @@
     deleted: bool = False
 
 
-class FeedBody(msgspec.Struct):
+class FeedBody(msgspec.Struct, rename="camel"):
     """Rows at version `ver` of the store, or the changes up to it."""
 
     rows: list[RowBody] = []
     ver: Count = 0
     truncated: bool = False
+    now_ms: Rate = 0
 
 
-class UndecodedFeedBody(msgspec.Struct):
+class UndecodedFeedBody(msgspec.Struct, rename="camel"):
     """`FeedBody` whose rows are decoded one by one."""
 
     rows: list[msgspec.Raw] = []
     ver: Count = 0
     truncated: bool = False
+    now_ms: Rate = 0
 
 
 class RowNameBody(msgspec.Struct):
@@ -285,7 +288,8 @@
         return _decode(encoded, FeedBody)
     except RecordError:
         body = _decode(encoded, UndecodedFeedBody)
-    return FeedBody([_row(row) for row in body.rows], body.ver, body.truncated)
+    rows = [_row(row) for row in body.rows]
+    return FeedBody(rows, body.ver, body.truncated, body.now_ms)
 
 
 def _row(encoded: bytes) -> RowBody:
@@ -341,7 +345,7 @@
         for row in body.rows
         if not row.part
     ]
-    return Rows(rows, StorePosition(era, body.ver))
+    return Rows(rows, StorePosition(era, body.ver), body.now_ms / MS_PER_S)
 
 
 def _decode_value(value: str) -> bytes:
--- a/damaskproxy/platform/standins/rows.py
+++ b/damaskproxy/platform/standins/rows.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import contextlib
+import time
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, unquote, urlsplit
 
@@ -12,6 +13,7 @@
 
 __all__ = ["RowStoreStandIn"]
 
+MS_PER_S = 1000
 NEVER_S = 3600.0
 
 
@@ -176,7 +178,7 @@
         return {**body, "value": row.value}
 
     def _respond(self, body: dict, status: int = 200) -> Response:
-        content = {**body, "ver": self.version, "nowMs": 0}
+        content = {**body, "ver": self.version, "nowMs": time.monotonic() * MS_PER_S}
         return Response(status, self._era_header(), msgspec.json.encode(content))
 
     def _era_header(self) -> Headers:
--- a/damaskproxy/platform/store.py
+++ b/damaskproxy/platform/store.py
@@ -100,7 +100,7 @@
             era = page_era
             rows += body.rows
             if not body.truncated:
-                return to_rows(FeedBody(rows, body.ver), era)
+                return to_rows(FeedBody(rows, body.ver, now_ms=body.now_ms), era)
             if not body.rows or body.rows[-1].key < first:
                 raise StoreError(f"a page of {table} does not go on from the last one")
             # The smallest key that is greater than the last one.
--- a/damaskproxy/propagation/propagation.py
+++ b/damaskproxy/propagation/propagation.py
@@ -68,6 +68,8 @@
         Opens a connection to a member and calls `connected` with the result.
     schedule_flush : callable
         Calls `flush` after a number of seconds.
+    configuration_bound_s : float
+        Time from the confirmation of a configuration until it has to be in force.
     rng : random.Random
         Spreads calls to the store.
     now_s : callable
@@ -96,6 +98,7 @@
         handle_own_record: Callable[[MemberRecord], None],
         connect: Callable[[MemberRecord], None],
         schedule_flush: Callable[[float], None],
+        configuration_bound_s: float,
         rng: random.Random,
         now_s: Callable[[], float] = boot_s,
     ):
@@ -109,6 +112,7 @@
             has_configuration=lambda: configuration.current is not None,
             rank_of=self.sources.rank_of,
             on_change=self._announce_contact,
+            configuration_bound_s=configuration_bound_s,
             rng=rng,
             now_s=now_s,
         )
@@ -279,7 +283,7 @@
             peer.write(heartbeat)
         if self.contact.age_s() >= STALE_S:
             return
-        is_stand_in = self.contact.is_feed_open and not self.contact.is_first
+        is_stand_in = self.contact.has_live_feed and not self.contact.is_first
         for source in self.sources.all():
             if is_stand_in or source.store_age_s > STALE_S:
                 source.peer.write(heartbeat)
@@ -319,9 +323,7 @@
         now_s = self._now_s()
         self.contact.note_era(max(frame.configuration_era, frame.members_era))
         self._note_newer_version(
-            peer,
-            frame.configuration_version,
-            is_subscriber=peer in self._subscribers,
+            peer, frame.configuration_version, is_subscriber=peer in self._subscribers
         )
         if frame.configuration_version == self._configuration.version:
             self.contact.configuration_position = max(
--- a/damaskproxy/propagation/store_contact.py
+++ b/damaskproxy/propagation/store_contact.py
@@ -9,6 +9,7 @@
 from damaskproxy.events import log_event
 from damaskproxy.propagation import events
 from damaskproxy.propagation.contact_reports import Contact, ContactReports
+from damaskproxy.propagation.feed_turns import FeedTurns, renewal_interval_s
 from damaskproxy.propagation.peer import Peer
 
 __all__ = ["STALE_S", "StoreContact"]
@@ -34,17 +35,6 @@
 from another node; the response of the store was probably lost."""
 STORE_CHECK_SPREAD_S = 0.2
 """Spreads the calls of the nodes whose source has lost the store."""
-RENEWAL_S = 3.0
-"""Interval in which one of the nodes that follow the store renews its feed.
-
-When a response of the store was lost, the feed that waits for it delivers nothing. The
-nodes renew their feeds in turn, so that one of them receives the next configuration
-within the time that is allowed after a disruption."""
-FIRST_WAIT_S = 1.5
-"""Wait of the first feed to be renewed after several were opened at once.
-
-The store may have stopped responding just before, and then none of them delivers
-anything. This wait and the time-out of the call have to end within 3 s."""
 FIRST_RETRY = (0.2, 2.0, 1.0)
 OTHER_RETRY = (1.0, 3.0, 8.0)
 """First pause after a failed call to the store, growth, and longest pause, in seconds.
@@ -87,6 +77,8 @@
         Returns the rank of a running node of this data centre, None for other nodes.
     on_change : callable
         Called when the store was lost or is in touch again.
+    configuration_bound_s : float
+        Time from the confirmation of a configuration until it has to be in force.
     rng : random.Random
         Spreads calls to the store.
     now_s : callable
@@ -120,6 +112,7 @@
         has_configuration: Callable[[], bool],
         rank_of: Callable[[str], int | None],
         on_change: Callable[[], None],
+        configuration_bound_s: float,
         rng: random.Random,
         now_s: Callable[[], float],
     ):
@@ -127,6 +120,7 @@
         self.members_position = StorePosition()
         self.is_first = False
         self.is_feed_open = False
+        self._is_feed_late = False
         self.has_outcome = False
         self.era = UNKNOWN_ERA
         self.restores = 0
@@ -138,6 +132,8 @@
         self._on_change = on_change
         self._rng = rng
         self._now_s = now_s
+        interval_s = renewal_interval_s(configuration_bound_s)
+        self._feed = FeedTurns(interval_s, self._turn, self._turns, now_s)
         self._is_started = False
         self._was_stale = True
         self._reports = ContactReports(node_id, rank_of)
@@ -176,7 +172,7 @@
 
     def contact(self) -> Contact:
         """Return the contact with the store that this node relies on."""
-        if self.is_feed_open:
+        if self.has_live_feed:
             return Contact(self._node_id, self._now_s())
         reported = self._reported()
         if self._own_contact_s > reported.last_s:
@@ -210,6 +206,10 @@
     def update(self) -> None:
         """Bring up to date what follows from the clock and the reports."""
         now_s = self._now_s()
+        if self.has_live_feed and self._feed.is_feed_late():
+            self._is_feed_late = True
+            self._lose_own_contact()
+            self._feed_stuck.set()
         missed_s = self._missed_change_s
         if missed_s is not None and now_s - missed_s >= MISSED_CHANGE_S:
             self._missed_change_s = None
@@ -242,7 +242,7 @@
             return False
         if self.is_first:
             return True
-        if self.is_feed_open:
+        if self.has_live_feed:
             # A feed is given up only for another one in the same data centre.
             holder = self._reports.local(now_s - STALE_S)
             return holder is None or not self._reports.has_foremost(holder)
@@ -275,18 +275,14 @@
         """Wait until the configuration is to be read from the store."""
         await self._store_wanted.wait()
 
-    def feed_wait_s(self, *, is_renewal: bool) -> float:
-        """Return how long the next call of the configuration feed may wait.
+    @property
+    def has_live_feed(self) -> bool:
+        """Whether the feed is open and its response is not late."""
+        return self.is_feed_open and not self._is_feed_late
 
-        Parameters
-        ----------
-        is_renewal : bool
-            Whether the call before waited as well and ended without a change.
-        """
-        turns = self._turns()
-        if is_renewal and turns > 1:
-            return RENEWAL_S * turns
-        return FIRST_WAIT_S + RENEWAL_S * self._turn()
+    def feed_wait_s(self) -> float:
+        """Return how long the next call of the configuration feed may wait."""
+        return self._feed.begin_feed()
 
     def store_retry_s(self, failures: int) -> float:
         """Return the pause after a number of failed calls in a row."""
@@ -297,16 +293,28 @@
     def feed_closed(self) -> None:
         """Record that no call of the feed waits any more."""
         self.is_feed_open = False
+        self._feed.end_feed()
 
     async def wait_until_feed_stuck(self) -> None:
         """Wait until the feed has evidently missed a change."""
         self._feed_stuck.clear()
         await self._feed_stuck.wait()
 
-    def store_succeeded(self, position: StorePosition) -> None:
-        """Record a response of the store that has all changes up to `position`."""
+    def store_succeeded(self, position: StorePosition, clock_s: float = 0.0) -> None:
+        """Record a response of the store that has all changes up to `position`.
+
+        Parameters
+        ----------
+        position : StorePosition
+            Position of the store.
+        clock_s : float
+            Clock of the store when it responded, 0 if it names none.
+        """
         self.has_outcome = True
         self._own_contact_s = self._now_s()
+        self._is_feed_late = False
+        self._feed.end_feed()
+        self._feed.set_store_clock(clock_s)
         self._missed_change_s = None
         self._check_at_s = None
         self.is_feed_open = True
@@ -337,11 +345,14 @@
         """Record that a call to the store failed."""
         self.has_outcome = True
         if self.is_feed_open:
-            self._distrust_until_s = self._now_s() + DISTRUST_S
-            self._own_contact_s = float("-inf")
-        self.is_feed_open = False
+            self._lose_own_contact()
+        self.feed_closed()
         self.update()
 
+    def _lose_own_contact(self) -> None:
+        self._distrust_until_s = self._now_s() + DISTRUST_S
+        self._own_contact_s = float("-inf")
+
     def is_members_poll_due(self) -> bool:
         """Tell whether to read the changes of the member rows now; at most once."""
         now_s = self._now_s()
--- a/damaskproxy/propagation/tests/test_decisions.py
+++ b/damaskproxy/propagation/tests/test_decisions.py
@@ -8,7 +8,6 @@
 
 from damaskproxy.directory import UNKNOWN_ERA, StorePosition
 from damaskproxy.forwarding.frames import HeartbeatFrame
-from damaskproxy.platform.store import FEED_GRACE_S
 from damaskproxy.propagation import (
     FANOUT,
     Ranking,
@@ -16,18 +15,22 @@
     local_candidates,
     remote_candidates,
 )
+from damaskproxy.propagation.feed_turns import (
+    DETECTION_S,
+    FEED_LATE_S,
+    renewal_interval_s,
+)
 from damaskproxy.propagation.store_contact import (
     DISTRUST_S,
-    FIRST_RETRY,
-    FIRST_WAIT_S,
     MISSED_CHANGE_S,
-    RENEWAL_S,
     STALE_S,
     START_GRACE_S,
+    STORE_CHECK_SPREAD_S,
 )
+from damaskproxy.sidecar.lifecycle import PROPAGATION_TICK_S
 
-RECOVERY_S = 3.0
-"""Time after a disruption within which a changed configuration must be in force."""
+BOUND_S = 2.0
+"""Bound on the time until a confirmed configuration is in force."""
 
 
 def make_ranking(data_centre, count):
@@ -94,6 +97,7 @@
             rank_of={"first": 0, "n1": 3, "last": 7}.get,
             on_change=self.changed,
             rng=random.Random(1),
+            configuration_bound_s=BOUND_S,
             now_s=lambda: self.now_s,
         )
         self.contact.start(is_first_start=False)
@@ -116,6 +120,7 @@
             rank_of=lambda node_id: None,
             on_change=self.changed,
             rng=random.Random(1),
+            configuration_bound_s=BOUND_S,
             now_s=lambda: self.now_s,
         )
         self.assertGreater(int(contact.age_s() * 1000), STALE_S)
@@ -190,24 +195,37 @@
         self.assertTrue(self.contact._feed_stuck.is_set())
 
     @params(
-        # is first, data centres, is renewal, expected wait
-        (True, "abc", False, FIRST_WAIT_S + RENEWAL_S),
-        (True, "abc", True, 3 * RENEWAL_S),
-        (True, "bc", False, FIRST_WAIT_S),
-        (True, "b", True, FIRST_WAIT_S),
-        (False, "abc", True, 3 * RENEWAL_S),
+        # Data centres, clock of the store, expected wait. The turns are 1 s apart.
+        ("abc", 30.0, 1.0),
+        ("abc", 31.5, 2.5),
+        ("abc", 30.95, 3.05),
+        ("bc", 30.5, 1.5),
+        ("b", 30.5, 0.5),
+        ("b", 0, 1.0),
     )
-    def test_feeds_are_renewed_in_turn(
-        self, is_first, data_centres, is_renewal, expected_s
-    ):
-        self.contact.is_first = is_first
+    def test_feeds_are_renewed_in_turn(self, data_centres, clock_s, expected_s):
         self.data_centres = list(data_centres)
-        wait_s = self.contact.feed_wait_s(is_renewal=is_renewal)
-        self.assertEqual(wait_s, expected_s)
+        self.contact.store_succeeded(StorePosition(0, 5), clock_s)
+        self.assertAlmostEqual(self.contact.feed_wait_s(), expected_s)
+
+    @params((2.0, 1.0), (2.5, 1.5), (3.0, 2.0), (0.1, 0.5), (60.0, 3.0))
+    def test_a_change_behind_a_silent_feed_is_found_within_the_bound(
+        self, bound_s, expected_s
+    ):
+        self.assertEqual(renewal_interval_s(bound_s), expected_s)
+        ticks_s = 2 * PROPAGATION_TICK_S
+        self.assertLess(FEED_LATE_S + ticks_s + STORE_CHECK_SPREAD_S, DETECTION_S)
 
-    def test_one_of_the_feeds_that_hang_is_given_up_in_time(self):
-        longest_pause_s = 1.25 * FIRST_RETRY[0]
-        self.assertLess(FIRST_WAIT_S + FEED_GRACE_S + longest_pause_s, RECOVERY_S)
+    @params((FEED_LATE_S / 2, True), (2 * FEED_LATE_S, False))
+    def test_feed_that_does_not_end_in_time_is_no_contact(self, late_s, is_live):
+        self.contact.is_first = True
+        self.contact.store_succeeded(StorePosition(0, 5))
+        self.wait(self.contact.feed_wait_s() + late_s)
+        self.assertEqual(self.contact.has_live_feed, is_live)
+        self.assertEqual(self.contact.age_s() <= STALE_S, is_live)
+        self.assertEqual(self.contact._feed_stuck.is_set(), not is_live)
+        self.contact.store_succeeded(StorePosition(0, 5))
+        self.assertTrue(self.contact.has_live_feed)
 
     def test_rise_of_the_era_renews_the_feed_and_is_counted_once(self):
         self.contact.is_first = True
--- a/damaskproxy/propagation/tests/test_first_nodes_without_store.py
+++ b/damaskproxy/propagation/tests/test_first_nodes_without_store.py
@@ -26,7 +26,7 @@
 
 async def start_without_store(kind, data_centres, seed=1):
     """Return a mesh whose first nodes have just lost the store, and their ids."""
-    mesh = VirtualMesh(NODES, data_centres, seed)
+    mesh = VirtualMesh(NODES, data_centres, seed, CONFIGURATION_S)
     await mesh.start()
     await asyncio.sleep(START_S + 0.3 * seed)
     first = {node.node_id for node in mesh.first_nodes()}
--- a/damaskproxy/propagation/tests/test_odd_rows.py
+++ b/damaskproxy/propagation/tests/test_odd_rows.py
@@ -105,6 +105,7 @@
             rank_of=lambda node_id: None,
             on_change=lambda: None,
             rng=random.Random(1),
+            configuration_bound_s=3.0,
             now_s=lambda: now_s,
         )
         contact.start(is_first_start=False)
@@ -113,8 +114,7 @@
         self.assertTrue(contact.is_members_poll_due())
         now_s += 100.0
         self.assertTrue(contact.is_members_poll_due())
-        for is_renewal in (False, True):
-            self.assertLessEqual(contact.feed_wait_s(is_renewal=is_renewal), 60.0)
+        self.assertLessEqual(contact.feed_wait_s(), 30.0)
         contact.note_era(1)
         contact.note_era(2)
         now_s += 6.0
--- a/damaskproxy/propagation/tests/virtual_mesh.py
+++ b/damaskproxy/propagation/tests/virtual_mesh.py
@@ -150,7 +150,7 @@
     async def _read(self, table):
         await self._begin("read")
         rows = self._store.changes_after(table, 0)
-        return await self._respond(Rows(rows, self._store.position()))
+        return await self._respond(Rows(rows, self._store.position(), now_s()))
 
     async def _changes(self, table, after, wait_ms):
         await self._begin("changes")
@@ -165,7 +165,7 @@
                 raise StoreError("cut off")
             if store.is_down or self._node_id in store.refused:
                 raise StoreError("down")
-        return await self._respond(Rows(rows, store.position()))
+        return await self._respond(Rows(rows, store.position(), now_s()))
 
     async def _write(self, table, writes):
         await self._begin("write")
@@ -284,6 +284,7 @@
             schedule_flush=lambda delay_s: asyncio.get_running_loop().call_later(
                 delay_s, self._flush, self.incarnation
             ),
+            configuration_bound_s=self.mesh.configuration_bound_s,
             rng=rng,
             now_s=now_s,
         )
@@ -404,6 +405,8 @@
         Number of nodes and of data centres.
     seed : int
         Seed of all random choices.
+    configuration_bound_s : float
+        Bound that the nodes are set up for.
 
     Attributes
     ----------
@@ -411,7 +414,8 @@
         Exceptions in callbacks, which would close a connection between real nodes.
     """
 
-    def __init__(self, count, data_centres, seed=1):
+    def __init__(self, count, data_centres, seed=1, configuration_bound_s=3.0):
+        self.configuration_bound_s = configuration_bound_s
         self.seed = seed
         self.rng = random.Random(seed)
         self.store = VirtualStore()
--- a/damaskproxy/sidecar/compose.py
+++ b/damaskproxy/sidecar/compose.py
@@ -139,10 +139,9 @@
         lambda: sidecar.update_record(crashes=poison_detector.local_crashes),
     )
     bounds = decode_bounds(settings.bounds)
+    retry_ratio = bounds.retry_ratio * RETRY_RATIO_SHARE
     retry_budget = RetryBudget(
-        RetrySettings(
-            ratio=bounds.retry_ratio * RETRY_RATIO_SHARE, saved_max=RETRY_CAPACITY_MIN
-        )
+        RetrySettings(ratio=retry_ratio, saved_max=RETRY_CAPACITY_MIN)
     )
     member_selector = MemberSelector(
         settings.data_centre, rng, lambda: directory.running_count
@@ -287,6 +286,7 @@
         schedule_flush=lambda delay_s: asyncio.get_running_loop().call_later(
             delay_s, propagation.flush
         ),
+        configuration_bound_s=bounds.configuration_ms / MS_PER_S,
         rng=rng,
     )
     store = PlatformStore(to_address(settings.store_address))
--- a/damaskproxy/sidecar/metrics.py
+++ b/damaskproxy/sidecar/metrics.py
@@ -148,7 +148,7 @@
             "damask_follows_store": float(sidecar.propagation.sources.is_first),
             "damask_store_era": sidecar.propagation.contact.era,
             "damask_store_age_seconds": sidecar.propagation.contact.age_s(),
-            "damask_store_feed_open": float(sidecar.propagation.contact.is_feed_open),
+            "damask_store_feed_open": float(sidecar.propagation.contact.has_live_feed),
             "damask_configuration_version": sidecar.configuration.version,
             "damask_members": len(sidecar.directory),
             "damask_in_flight": sidecar.target.in_flight,
