--- a/damaskproxy/propagation/tests/test_schedules.py
+++ b/damaskproxy/propagation/tests/test_schedules.py
@@ -64,6 +64,7 @@
         *,
         is_store_silent_at_times=False,
         is_store_restored_at_times=False,
+        is_store_silent_to_some_at_times=False,
     ):
         self.mesh = mesh
         self.actions = [
@@ -82,6 +83,8 @@
             self.actions += [self._store_silent] * 5
         if is_store_restored_at_times:
             self.actions += [self._store_restored] * 4
+        if is_store_silent_to_some_at_times:
+            self.actions += [self._store_silent_to] * 5
         self.rng = random.Random(seed)
         self.problems = []
         self.store_troubled_s = float("-inf")
@@ -180,6 +183,15 @@
         self.mesh.store.is_silent = False
         self.store_troubled_s = now_s()
 
+    async def _store_silent_to(self, victims, duration_s):
+        # The other nodes are in touch all the time.
+        names = {n.node_id for n in victims}
+        self.mesh.store.silent_to |= names
+        await asyncio.sleep(duration_s * self.rng.choice([1, 2]))
+        self.mesh.store.silent_to -= names
+        for node in victims:
+            node.troubled_s = now_s()
+
     async def _store_restored(self, victims, duration_s):
         # Some nodes reach the store later, when its versions may have passed theirs.
         store = self.mesh.store
@@ -235,7 +247,7 @@
             node
             for node in self.mesh.running()
             if not (node.is_frozen or node.is_isolated)
-            and node.node_id not in self.mesh.store.cut
+            and node.node_id not in self.mesh.store.cut | self.mesh.store.silent_to
             and max(node.started_s, node.troubled_s) < since_s
         ]
 
@@ -304,7 +316,7 @@
     """Play one random schedule and return the broken limits and the calls."""
 
     async def main():
-        mesh = VirtualMesh(count, data_centres, seed)
+        mesh = VirtualMesh(count, data_centres, seed, CONFIGURATION_S)
         await mesh.start()
         await asyncio.sleep(8)
         schedule = Schedule(mesh, seed, **options)
@@ -342,6 +354,15 @@
         schedule = play(count, data_centres, seed, is_store_silent_at_times=True)
         self.assertEqual(schedule.problems, [])
 
+    @params(*[(12, 3, seed) for seed in range(8)], *[(16, 4, s) for s in range(8)])
+    def test_limits_hold_with_a_store_that_answers_some_nodes_nothing(
+        self, count, data_centres, seed
+    ):
+        schedule = play(
+            count, data_centres, seed, is_store_silent_to_some_at_times=True
+        )
+        self.assertEqual(schedule.problems, [])
+
     def test_limits_hold_with_hundreds_of_nodes(self):
         self.assertEqual(play(300, 6, 1, 10.0).problems, [])
 
