Cut responses without end to a node that uses aiohttp's parser

The connection now counts all bytes of an exchange and applies ResponseLimits, like the client of the node on the prepared machines.

--- a/damaskproxy/routing/backend_connection.py
+++ b/damaskproxy/routing/backend_connection.py
@@ -17,7 +17,7 @@
     RawResponseMessage,
 )
 
-from damaskproxy.http1 import is_final_status, status_fault
+from damaskproxy.http1 import ResponseLimits, is_final_status, status_fault
 from damaskproxy.routing.errors import BackendError
 
 __all__ = ["BackendConnection", "RawResponse"]
@@ -55,9 +55,11 @@
         "_has_extra_message",
         "_head",
         "_keep_alive",
+        "_limits",
         "_max_body_bytes",
         "_response_parser",
         "_payload",
+        "_received_bytes",
         "idle_since_s",
     )
 
@@ -65,6 +67,11 @@
         super().__init__(loop)
         self.idle_since_s = 0.0
         self._max_body_bytes = max_body_bytes
+        self._limits = ResponseLimits(
+            max_head_bytes=max(max_body_bytes, ResponseLimits().max_head_bytes),
+            max_body_bytes=max_body_bytes,
+        )
+        self._received_bytes = 0
         self._response: asyncio.Future | None = None
         self._response_parser: HttpResponseParser | None = None
         self._head = None
@@ -97,6 +104,7 @@
             response is malformed or too large.
         """
         self._head = self._payload = None
+        self._received_bytes = 0
         self._response = self._loop.create_future()
         self._response_parser = HttpResponseParser(
             self,
@@ -128,6 +136,7 @@
             # Unsolicited bytes would be parsed as the response to the next request.
             self.abort()
             return
+        self._received_bytes += len(data)
         try:
             messages, _, _ = self._response_parser.feed_data(data)
         except HttpProcessingError as error:
@@ -147,13 +156,16 @@
 
     def _check_complete(self) -> None:
         payload = self._payload
-        if payload is None or self._response is None or self._response.done():
+        if self._response is None or self._response.done():
+            return
+        body_bytes = payload.total_bytes if payload is not None else 0
+        if excess := self._limits.excess(self._received_bytes, body_bytes):
+            self._fail(f"the answer has {excess}", disconnected=False)
+            return
+        if payload is None:
             return
         if payload.exception() is not None:
             self._fail(f"malformed answer: {payload.exception()}", disconnected=False)
-        elif payload.total_bytes > self._max_body_bytes:
-            limit = self._max_body_bytes
-            self._fail(f"the answer exceeds {limit} bytes", disconnected=False)
         elif payload.is_eof():
             self._keep_alive = not (self._head.should_close or self._has_extra_message)
             headers = [
