Cut responses of services and nodes that have no end

The clients of the table service and the object store, damask-move watch and damask-node kept all of a body until their time-out; a service in trouble could make the process run out of memory.

Bodies are now read up to a limit: 64 MiB, which is the largest object, and 8 MiB for a status. Beyond it the connection is closed and the outcome is unknown.

--- a/damaskproxy/move/watch.py
+++ b/damaskproxy/move/watch.py
@@ -7,10 +7,14 @@
 import aiohttp
 import msgspec
 
+from damaskproxy.store.http import ResponseTooLarge, read_body
+
 __all__ = ["NodeStatus", "Progress", "progress_of", "read_statuses", "status_url"]
 
 MAX_CONCURRENT = 32
 MAX_LISTED = 10
+MAX_STATUS_BYTES = 8 << 20
+"""Some ten times the status of a node with 5,000 members."""
 DRAINING = "draining"
 STOPPED = "stopped"
 
@@ -178,9 +182,15 @@
         async with session.get(url) as response:
             if response.status != 200:
                 return None
-            body = await response.read()
+            body = await read_body(response, MAX_STATUS_BYTES)
             return msgspec.json.decode(body, type=NodeStatus)
-    except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError):
+    except (
+        aiohttp.ClientError,
+        OSError,
+        TimeoutError,
+        msgspec.MsgspecError,
+        ResponseTooLarge,
+    ):
         return None
 
 
--- a/damaskproxy/node/cli.py
+++ b/damaskproxy/node/cli.py
@@ -34,6 +34,7 @@
 EXIT_SETTINGS = 2
 EXIT_UNREACHABLE = 3
 STATUS_TIMEOUT_S = 5.0
+MAX_STATUS_BYTES = 8 << 20
 
 app = typer.Typer(
     help="Overload control proxy next to a backend server.",
@@ -112,7 +113,7 @@
     url = f"http://{address}/status"
     try:
         with urllib.request.urlopen(url, timeout=STATUS_TIMEOUT_S) as response:
-            return json.load(response)
+            return json.loads(response.read(MAX_STATUS_BYTES))
     except (urllib.error.URLError, OSError, ValueError) as error:
         raise _fail(f"no status from {address}: {error}", EXIT_UNREACHABLE) from error
 
--- a/damaskproxy/store/http.py
+++ b/damaskproxy/store/http.py
@@ -9,10 +9,19 @@
 from damaskproxy.common import DamaskError
 from damaskproxy.http1 import is_final_status
 
-__all__ = ["AnswerLost", "HttpAnswer", "HttpExchange", "NotSent"]
+__all__ = [
+    "AnswerLost",
+    "HttpAnswer",
+    "HttpExchange",
+    "NotSent",
+    "ResponseTooLarge",
+    "read_body",
+]
 
 # aiohttp sends a larger ``bytes`` body in one write, which blocks the event loop.
 MAX_PLAIN_BYTES = 512 * 1024
+RESPONSE_MAX_BYTES = 64 << 20
+"""Body of the largest object that the object store keeps."""
 
 
 class NotSent(DamaskError):
@@ -23,6 +32,27 @@
     """No complete response arrived; the request may have been processed."""
 
 
+class ResponseTooLarge(AnswerLost):
+    """The body of a response is larger than any valid one."""
+
+
+async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    """Return the body of a response.
+
+    Raises
+    ------
+    ResponseTooLarge
+        If it has more than `max_bytes`; the connection is closed.
+    """
+    body = bytearray()
+    async for part in response.content.iter_any():
+        body += part
+        if len(body) > max_bytes:
+            response.close()
+            raise ResponseTooLarge(f"the response has more than {max_bytes} bytes")
+    return bytes(body)
+
+
 @dataclass(frozen=True, slots=True)
 class HttpAnswer:
     """Status and complete body of a response."""
@@ -54,6 +84,8 @@
         Deadlines of opening a connection and of the complete exchange.
     max_concurrent : int
         Maximum number of requests in flight.
+    max_response_bytes : int
+        Largest body of a response.
 
     Notes
     -----
@@ -70,11 +102,13 @@
         connect_timeout_s: float,
         timeout_s: float,
         max_concurrent: int,
+        max_response_bytes: int = RESPONSE_MAX_BYTES,
     ):
         self._base_url = base_url.rstrip("/")
         self._timeout_s = timeout_s
         self._timeout = aiohttp.ClientTimeout(sock_connect=connect_timeout_s)
         self._max_concurrent = max_concurrent
+        self._max_response_bytes = max_response_bytes
         self._semaphore = asyncio.Semaphore(max_concurrent)
         self._session: aiohttp.ClientSession | None = None
 
@@ -136,7 +170,8 @@
             ):
                 if not is_final_status(response.status):
                     raise AnswerLost(f"status {response.status} is no response")
-                return HttpAnswer(response.status, await response.read())
+                content = await read_body(response, self._max_response_bytes)
+                return HttpAnswer(response.status, content)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise NotSent(f"cannot connect to {self._base_url}: {error}") from error
         except TimeoutError as error:
