--- a/damaskproxy/propagation/feed_turns.py
+++ b/damaskproxy/propagation/feed_turns.py
@@ -4,17 +4,17 @@
 
 __all__ = ["DETECTION_S", "FEED_LATE_S", "FeedTurns", "renewal_interval_s"]
 
-DETECTION_S = 1.0
+DETECTION_S = 1.25
 """Time from the end of a feed that the store does not answer until another node has
 found a change and all have it: `FEED_LATE_S`, two ticks of the propagation, the spread
 of the calls to the store, and 0.15 s for the way through several data centres."""
 RENEWAL_MIN_S, RENEWAL_MAX_S = 0.5, 3.0
 """Limits on the interval in which one of the nodes that follow the store renews its
 feed. The longest one is the time that is allowed after a disruption."""
-FEED_LATE_S = 0.25
+FEED_LATE_S = 0.5
 """Time after its end from which on a feed without a response counts as no contact. A
-store responds within some milliseconds, a slow one within half a second; a response
-that is merely late costs some calls."""
+store responds within some milliseconds, a slow one within half a second. For a response
+that is merely later, all nodes of the data centre would call the store."""
 FEED_WAIT_MAX_S = 30.0
 """Longest wait of a feed that the store allows."""
 TURN_MARGIN = 0.1
--- a/damaskproxy/propagation/tests/test_first_nodes_without_store.py
+++ b/damaskproxy/propagation/tests/test_first_nodes_without_store.py
@@ -1,9 +1,11 @@
 """Changes of the configuration while no first node is in touch with the store."""
 
 import asyncio
+from unittest import mock
 
 from nose2.tools import params
 
+from damaskproxy.propagation.tests import virtual_mesh
 from damaskproxy.propagation.tests.test_schedules import (
     CONFIGURATION_S,
     STABLE_S,
@@ -18,6 +20,7 @@
 """Share of the frames between nodes that arrive 0.25 s late."""
 CHANGES = 6
 CHANGE_S = 2.3
+SLOW_S = 10.0
 
 KINDS = ("silent_to", "refused", "cut")
 """Sets of the virtual store: nodes that it does not answer, or refuses, or that are cut
@@ -64,6 +67,21 @@
 
         self.assertEqual(run_virtual(main()), ([], []))
 
+    @params(0.1, 0.38, 0.48)
+    def test_calls_to_a_slow_store_do_not_grow_with_the_nodes(self, store_s):
+        async def calls(count):
+            mesh = VirtualMesh(count, 3, 1, CONFIGURATION_S)
+            await mesh.start()
+            await asyncio.sleep(START_S)
+            before = len(mesh.store.calls)
+            with mock.patch.object(virtual_mesh, "STORE_S", store_s):
+                await asyncio.sleep(SLOW_S)
+            mesh.close()
+            return len(mesh.store.calls) - before
+
+        small, large = (run_virtual(calls(count)) for count in (9, 90))
+        self.assertLessEqual(large, small + 5)
+
     @params(
         *[
             (kind, data_centres, seed)
