--- a/damaskproxy/propagation/propagation.py
+++ b/damaskproxy/propagation/propagation.py
@@ -52,6 +52,8 @@
 
     Parameters
     ----------
+    node_id : str
+        Id of this node.
     own_record : callable
         Returns the record of this node.
     directory : Directory
@@ -66,6 +68,8 @@
         Opens a connection to a member and calls `connected` with the result.
     schedule_flush : callable
         Calls `flush` after a number of seconds.
+    configuration_bound_s : float
+        Time from the confirmation of a configuration until it has to be in force.
     rng : random.Random
         Spreads calls to the store.
     now_s : callable
@@ -85,6 +89,7 @@
 
     def __init__(
         self,
+        node_id: str,
         own_record: Callable[[], MemberRecord],
         directory: Directory,
         configuration: CurrentConfiguration,
@@ -93,18 +98,21 @@
         handle_own_record: Callable[[MemberRecord], None],
         connect: Callable[[MemberRecord], None],
         schedule_flush: Callable[[float], None],
+        configuration_bound_s: float,
         rng: random.Random,
         now_s: Callable[[], float] = boot_s,
     ):
         self.sources = Sources(own_record, directory, connect, self._source_lost, now_s)
         self._subscribers: dict[Peer, str] = {}
         self.contact = StoreContact(
+            node_id=node_id,
             data_centre=lambda: own_record().data_centre,
             data_centres=self.sources.data_centres,
             has_source=lambda: bool(self.sources),
             has_configuration=lambda: configuration.current is not None,
-            subscribers=lambda: self._subscribers,
-            on_change=self._send_heartbeats,
+            rank_of=self.sources.rank_of,
+            on_change=self._announce_contact,
+            configuration_bound_s=configuration_bound_s,
             rng=rng,
             now_s=now_s,
         )
@@ -265,19 +273,27 @@
             self.contact.members_position.version,
             self.contact.configuration_position.era,
             self.contact.members_position.era,
+            self.contact.contact().node_id,
         )
 
     def _send_heartbeats(self) -> None:
-        """Send a heartbeat to the subscribers, and to sources that lost the store."""
+        """Send a heartbeat to the subscribers and dependent sources."""
         heartbeat = self._heartbeat()
         for peer in list(self._subscribers):
             peer.write(heartbeat)
         if self.contact.age_s() >= STALE_S:
             return
+        is_stand_in = self.contact.has_live_feed and not self.contact.is_first
         for source in self.sources.all():
-            if source.store_age_s > STALE_S:
+            if is_stand_in or source.store_age_s > STALE_S:
                 source.peer.write(heartbeat)
 
+    def _announce_contact(self) -> None:
+        """Tell all neighbours that the contact with the store was lost or regained."""
+        heartbeat = self._heartbeat()
+        for peer in self._neighbours():
+            peer.write(heartbeat)
+
     def _configuration_changed(self) -> None:
         """Send a new configuration to subscribers, or announce it to other peers."""
         if self._sender is not None:
@@ -306,7 +322,9 @@
     def _handle_heartbeat(self, peer: Peer, frame: HeartbeatFrame) -> None:
         now_s = self._now_s()
         self.contact.note_era(max(frame.configuration_era, frame.members_era))
-        self._note_newer_version(peer, frame.configuration_version)
+        self._note_newer_version(
+            peer, frame.configuration_version, is_subscriber=peer in self._subscribers
+        )
         if frame.configuration_version == self._configuration.version:
             self.contact.configuration_position = max(
                 self.contact.configuration_position,
@@ -315,7 +333,7 @@
         age_s = frame.store_age_ms / MS_PER_S
         if self.sources.heard(peer, age_s):
             self._compare_records(peer, frame, now_s)
-        self.contact.report(peer, age_s)
+        self.contact.report(peer, age_s, frame.contact_id)
 
     def _note_newer_version(
         self, peer: Peer, version: int, *, is_subscriber: bool = False
@@ -329,7 +347,7 @@
         version : int
             Version that it has in force.
         is_subscriber : bool
-            Whether it has named the version when it subscribed to this node.
+            Whether it follows this node.
         """
         if version > self._configuration.version:
             since_s = self._newer_versions.get(peer, (0, self._now_s()))[1]
--- a/damaskproxy/propagation/store_contact.py
+++ b/damaskproxy/propagation/store_contact.py
@@ -3,17 +3,20 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 
 from damaskproxy.directory import UNKNOWN_ERA, StorePosition
 from damaskproxy.events import log_event
 from damaskproxy.propagation import events
+from damaskproxy.propagation.contact_reports import Contact, ContactReports
+from damaskproxy.propagation.feed_turns import FeedTurns, renewal_interval_s
 from damaskproxy.propagation.peer import Peer
 
 __all__ = ["STALE_S", "StoreContact"]
 
 logger = logging.getLogger(__name__)
 
+MS_PER_S = 1000
 STALE_S = 1.5
 """Age of the last contact with the store from which on a node asks the store itself.
 Above the sum of two heartbeat intervals and the checks of two levels of sources."""
@@ -24,25 +27,14 @@
 FIRST_START_GRACE_S = 0.8
 """The same when all nodes start, which takes them 0.3 s."""
 DISTRUST_S = 0.6
-"""Time after the failure of its own feed in which a node does not rely on what the
-nodes that it follows report. They may be cut off from the store as well and notice it
-later; in the meantime the nodes that follow this one ask the store."""
+"""Time after the failure of its own feed in which a node does not rely on contacts of
+other data centres. Their first nodes may be cut off from the store as well and notice
+it later; in the meantime the nodes that follow this one ask the store."""
 MISSED_CHANGE_S = 0.5
 """Time after which a feed is renewed that has not delivered a configuration that came
 from another node; the response of the store was probably lost."""
 STORE_CHECK_SPREAD_S = 0.2
 """Spreads the calls of the nodes whose source has lost the store."""
-RENEWAL_S = 3.0
-"""Interval in which one of the nodes that follow the store renews its feed.
-
-When a response of the store was lost, the feed that waits for it delivers nothing. The
-nodes renew their feeds in turn, so that one of them receives the next configuration
-within the time that is allowed after a disruption."""
-FIRST_WAIT_S = 1.5
-"""Wait of the first feed to be renewed after several were opened at once.
-
-The store may have stopped responding just before, and then none of them delivers
-anything. This wait and the time-out of the call have to end within 3 s."""
 FIRST_RETRY = (0.2, 2.0, 1.0)
 OTHER_RETRY = (1.0, 3.0, 8.0)
 """First pause after a failed call to the store, growth, and longest pause, in seconds.
@@ -71,6 +63,8 @@
 
     Parameters
     ----------
+    node_id : str
+        Id of this node.
     data_centre : callable
         Returns the data centre of this node.
     data_centres : callable
@@ -79,10 +73,12 @@
         Returns whether this node follows another one.
     has_configuration : callable
         Returns whether a configuration is in force.
-    subscribers : callable
-        Returns the peers that follow this node.
+    rank_of : callable
+        Returns the rank of a running node of this data centre, None for other nodes.
     on_change : callable
         Called when the store was lost or is in touch again.
+    configuration_bound_s : float
+        Time from the confirmation of a configuration until it has to be in force.
     rng : random.Random
         Spreads calls to the store.
     now_s : callable
@@ -109,12 +105,14 @@
     def __init__(
         self,
         *,
+        node_id: str,
         data_centre: Callable[[], str],
         data_centres: Callable[[], list[str]],
         has_source: Callable[[], bool],
         has_configuration: Callable[[], bool],
-        subscribers: Callable[[], Collection[Peer]],
+        rank_of: Callable[[str], int | None],
         on_change: Callable[[], None],
+        configuration_bound_s: float,
         rng: random.Random,
         now_s: Callable[[], float],
     ):
@@ -122,20 +120,23 @@
         self.members_position = StorePosition()
         self.is_first = False
         self.is_feed_open = False
+        self._is_feed_late = False
         self.has_outcome = False
         self.era = UNKNOWN_ERA
         self.restores = 0
+        self._node_id = node_id
         self._data_centre = data_centre
         self._data_centres = data_centres
         self._has_source = has_source
         self._has_configuration = has_configuration
-        self._subscribers = subscribers
         self._on_change = on_change
         self._rng = rng
         self._now_s = now_s
+        interval_s = renewal_interval_s(configuration_bound_s)
+        self._feed = FeedTurns(interval_s, self._turn, self._turns, now_s)
         self._is_started = False
         self._was_stale = True
-        self._reports: dict[Peer, float] = {}
+        self._reports = ContactReports(node_id, rank_of)
         self._start_contact_s = float("-inf")
         self._own_contact_s = float("-inf")
         self._distrust_until_s = float("-inf")
@@ -166,23 +167,36 @@
 
         It is `NO_CONTACT_AGE_S` at most, also before the first contact.
         """
-        if self.is_feed_open:
-            return 0.0
-        age_s = self._now_s() - max(self._reported_s(), self._own_contact_s)
-        return min(age_s, NO_CONTACT_AGE_S)
-
-    def report(self, peer: Peer, age_s: float) -> None:
+        last_s = self.contact().last_s
+        return min(self._now_s() - last_s, NO_CONTACT_AGE_S)
+
+    def contact(self) -> Contact:
+        """Return the contact with the store that this node relies on."""
+        if self.has_live_feed:
+            return Contact(self._node_id, self._now_s())
+        reported = self._reported()
+        if self._own_contact_s > reported.last_s:
+            return Contact(self._node_id, self._own_contact_s)
+        return reported
+
+    def report(self, peer: Peer, age_s: float, contact_id: str | None = None) -> None:
         """Record what a peer reports.
 
-        Each report replaces the one before it from the same peer: a node that follows
-        the store reports contact until its feed fails, and then takes that back.
+        Parameters
+        ----------
+        peer : Peer
+            The peer.
+        age_s : float
+            Time since the contact.
+        contact_id : str, optional
+            Id of the node that was in touch.
         """
-        self._reports[peer] = self._now_s() - age_s
+        self._reports.record(peer, Contact(contact_id, self._now_s() - age_s))
         self.update()
 
     def forget(self, peer: Peer) -> None:
         """Drop the report of a peer that is no neighbour any more."""
-        self._reports.pop(peer, None)
+        self._reports.forget(peer)
 
     def configuration_received(self) -> None:
         """Record that a peer sent a newer configuration."""
@@ -192,6 +206,10 @@
     def update(self) -> None:
         """Bring up to date what follows from the clock and the reports."""
         now_s = self._now_s()
+        if self.has_live_feed and self._feed.is_feed_late():
+            self._is_feed_late = True
+            self._lose_own_contact()
+            self._feed_stuck.set()
         missed_s = self._missed_change_s
         if missed_s is not None and now_s - missed_s >= MISSED_CHANGE_S:
             self._missed_change_s = None
@@ -199,26 +217,36 @@
         is_stale = self.age_s() > STALE_S
         if is_stale != self._was_stale:
             self._was_stale = is_stale
+            log_event(
+                logger,
+                events.CONTACT_LOST if is_stale else events.CONTACT_REGAINED,
+                contact=self.contact().node_id,
+                age_ms=int(self.age_s() * MS_PER_S),
+            )
             self._on_change()
         if self._is_store_wanted(now_s):
             self._store_wanted.set()
         else:
             self._store_wanted.clear()
 
-    def _reported_s(self) -> float:
-        """Return when the store was last in touch, as reported by other nodes."""
-        reports = self._reports.items()
-        if self._now_s() < self._distrust_until_s:
-            subscribers = self._subscribers()
-            reports = [(peer, s) for peer, s in reports if peer in subscribers]
-        return max((s for _, s in reports), default=self._start_contact_s)
+    def _reported(self) -> Contact:
+        """Return the contact that other nodes have reported, local ones first."""
+        now_s = self._now_s()
+        reported = self._reports.local(now_s - STALE_S)
+        if reported is None and now_s >= self._distrust_until_s:
+            reported = self._reports.newest()
+        return reported or Contact(None, self._start_contact_s)
 
     def _is_store_wanted(self, now_s: float) -> bool:
         if not self._is_started:
             return False
         if self.is_first:
             return True
-        if now_s - self._reported_s() <= STALE_S:
+        if self.has_live_feed:
+            # A feed is given up only for another one in the same data centre.
+            holder = self._reports.local(now_s - STALE_S)
+            return holder is None or not self._reports.has_foremost(holder)
+        if now_s - self._reported().last_s <= STALE_S:
             self._check_at_s = None
             return False
         if not self._has_configuration():
@@ -247,20 +275,14 @@
         """Wait until the configuration is to be read from the store."""
         await self._store_wanted.wait()
 
-    def feed_wait_s(self, *, is_renewal: bool) -> float:
-        """Return how long the next call of the configuration feed may wait.
+    @property
+    def has_live_feed(self) -> bool:
+        """Whether the feed is open and its response is not late."""
+        return self.is_feed_open and not self._is_feed_late
 
-        Parameters
-        ----------
-        is_renewal : bool
-            Whether the call before waited as well and ended without a change.
-        """
-        if not self.is_first:
-            return FIRST_WAIT_S
-        turns = self._turns()
-        if is_renewal and turns > 1:
-            return RENEWAL_S * turns
-        return FIRST_WAIT_S + RENEWAL_S * self._turn()
+    def feed_wait_s(self) -> float:
+        """Return how long the next call of the configuration feed may wait."""
+        return self._feed.begin_feed()
 
     def store_retry_s(self, failures: int) -> float:
         """Return the pause after a number of failed calls in a row."""
@@ -271,16 +293,28 @@
     def feed_closed(self) -> None:
         """Record that no call of the feed waits any more."""
         self.is_feed_open = False
+        self._feed.end_feed()
 
     async def wait_until_feed_stuck(self) -> None:
         """Wait until the feed has evidently missed a change."""
         self._feed_stuck.clear()
         await self._feed_stuck.wait()
 
-    def store_succeeded(self, position: StorePosition) -> None:
-        """Record a response of the store that has all changes up to `position`."""
+    def store_succeeded(self, position: StorePosition, clock_s: float = 0.0) -> None:
+        """Record a response of the store that has all changes up to `position`.
+
+        Parameters
+        ----------
+        position : StorePosition
+            Position of the store.
+        clock_s : float
+            Clock of the store when it responded, 0 if it names none.
+        """
         self.has_outcome = True
         self._own_contact_s = self._now_s()
+        self._is_feed_late = False
+        self._feed.end_feed()
+        self._feed.set_store_clock(clock_s)
         self._missed_change_s = None
         self._check_at_s = None
         self.is_feed_open = True
@@ -311,11 +345,14 @@
         """Record that a call to the store failed."""
         self.has_outcome = True
         if self.is_feed_open:
-            self._distrust_until_s = self._now_s() + DISTRUST_S
-            self._own_contact_s = float("-inf")
-        self.is_feed_open = False
+            self._lose_own_contact()
+        self.feed_closed()
         self.update()
 
+    def _lose_own_contact(self) -> None:
+        self._distrust_until_s = self._now_s() + DISTRUST_S
+        self._own_contact_s = float("-inf")
+
     def is_members_poll_due(self) -> bool:
         """Tell whether to read the changes of the member rows now; at most once."""
         now_s = self._now_s()
