--- a/damaskproxy/sidecar/top.py
+++ b/damaskproxy/sidecar/top.py
@@ -57,7 +57,8 @@
     if restores:
         text += f", {restores} times restored from an older copy"
     text = f"{text}, in touch {now['store_age_s']:.1f} s ago"
-    return f"{text} by {now['store_contact']}" if now["store_contact"] else text
+    contact = now.get("store_contact")
+    return f"{text} by {contact}" if contact else text
 
 
 def _backend(backend: dict[str, Any] | None) -> str:
