Keep one limit on the size of a status, and one name for each error

The limit on a status stood in damask-move and in damask-node; damask-node now uses that of damask-move. ResponseTooLarge was the name of two errors; that of the clients of services is AnswerTooLarge, next to AnswerLost. Behaviour is unchanged.

--- a/damaskproxy/http1/tests/endless_server.py
+++ b/damaskproxy/http1/tests/endless_server.py
@@ -4,7 +4,7 @@
 
 from damaskproxy.model import Address
 
-__all__ = ["ENDLESS", "HEAD", "SENT_MAX_BYTES", "WHOLE_BODY", "EndlessServer"]
+__all__ = ["ENDLESS", "SENT_MAX_BYTES", "WHOLE_BODY", "EndlessServer"]
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
--- a/damaskproxy/move/watch.py
+++ b/damaskproxy/move/watch.py
@@ -7,9 +7,16 @@
 import aiohttp
 import msgspec
 
-from damaskproxy.store.http import ResponseTooLarge, read_body
+from damaskproxy.store.http import AnswerTooLarge, read_body
 
-__all__ = ["NodeStatus", "Progress", "progress_of", "read_statuses", "status_url"]
+__all__ = [
+    "MAX_STATUS_BYTES",
+    "NodeStatus",
+    "Progress",
+    "progress_of",
+    "read_statuses",
+    "status_url",
+]
 
 MAX_CONCURRENT = 32
 MAX_LISTED = 10
@@ -189,7 +196,7 @@
         OSError,
         TimeoutError,
         msgspec.MsgspecError,
-        ResponseTooLarge,
+        AnswerTooLarge,
     ):
         return None
 
--- a/damaskproxy/node/cli.py
+++ b/damaskproxy/node/cli.py
@@ -20,6 +20,7 @@
 from damaskproxy.events import configure_logging
 from damaskproxy.events.request_log import format_entry, read_request_log
 from damaskproxy.forwarding.refusal_meanings import explain_refusal
+from damaskproxy.move.watch import MAX_STATUS_BYTES
 from damaskproxy.node.lifecycle import run_node
 from damaskproxy.node.status import format_status
 from damaskproxy.sidecar import (
@@ -34,7 +35,6 @@
 EXIT_SETTINGS = 2
 EXIT_UNREACHABLE = 3
 STATUS_TIMEOUT_S = 5.0
-MAX_STATUS_BYTES = 8 << 20
 
 app = typer.Typer(
     help="Overload control proxy next to a backend server.",
--- a/damaskproxy/propagation/propagation.py
+++ b/damaskproxy/propagation/propagation.py
@@ -320,7 +320,6 @@
             self.apply_state(StateFrame(b"", [frame.record]), peer)
 
     def _handle_heartbeat(self, peer: Peer, frame: HeartbeatFrame) -> None:
-        now_s = self._now_s()
         self.contact.note_era(max(frame.configuration_era, frame.members_era))
         self._note_newer_version(
             peer, frame.configuration_version, is_subscriber=peer in self._subscribers
@@ -332,7 +331,7 @@
             )
         age_s = frame.store_age_ms / MS_PER_S
         if self.sources.heard(peer, age_s):
-            self._compare_records(peer, frame, now_s)
+            self._compare_records(peer, frame, self._now_s())
         self.contact.report(peer, age_s, frame.contact_id)
 
     def _note_newer_version(
--- a/damaskproxy/propagation/store_contact.py
+++ b/damaskproxy/propagation/store_contact.py
@@ -120,7 +120,6 @@
         self.members_position = StorePosition()
         self.is_first = False
         self.is_feed_open = False
-        self._is_feed_late = False
         self.has_outcome = False
         self.era = UNKNOWN_ERA
         self.restores = 0
@@ -134,6 +133,7 @@
         self._now_s = now_s
         interval_s = renewal_interval_s(configuration_bound_s)
         self._feed = FeedTurns(interval_s, self._turn, self._turns, now_s)
+        self._is_feed_late = False
         self._is_started = False
         self._was_stale = True
         self._reports = ContactReports(node_id, rank_of)
--- a/damaskproxy/store/http.py
+++ b/damaskproxy/store/http.py
@@ -11,10 +11,10 @@
 
 __all__ = [
     "AnswerLost",
+    "AnswerTooLarge",
     "HttpAnswer",
     "HttpExchange",
     "NotSent",
-    "ResponseTooLarge",
     "read_body",
 ]
 
@@ -32,7 +32,7 @@
     """No complete response arrived; the request may have been processed."""
 
 
-class ResponseTooLarge(AnswerLost):
+class AnswerTooLarge(AnswerLost):
     """The body of a response is larger than any valid one."""
 
 
@@ -41,7 +41,7 @@
 
     Raises
     ------
-    ResponseTooLarge
+    AnswerTooLarge
         If it has more than `max_bytes`; the connection is closed.
     """
     body = bytearray()
@@ -49,7 +49,7 @@
         body += part
         if len(body) > max_bytes:
             response.close()
-            raise ResponseTooLarge(f"the response has more than {max_bytes} bytes")
+            raise AnswerTooLarge(f"the response has more than {max_bytes} bytes")
     return bytes(body)
 
 
--- a/damaskproxy/store/tests/test_endless_responses.py
+++ b/damaskproxy/store/tests/test_endless_responses.py
@@ -11,7 +11,7 @@
     EndlessServer,
 )
 from damaskproxy.move.watch import read_status
-from damaskproxy.store.http import AnswerLost, HttpExchange, ResponseTooLarge
+from damaskproxy.store.http import AnswerLost, AnswerTooLarge, HttpExchange
 
 TIMEOUT_S = 3.0
 LIMIT_BYTES = 16 << 10
@@ -36,7 +36,7 @@
             max_response_bytes=LIMIT_BYTES,
         )
         self.addAsyncCleanup(exchange.close)
-        with self.assertRaises(ResponseTooLarge if is_body else AnswerLost):
+        with self.assertRaises(AnswerTooLarge if is_body else AnswerLost):
             await exchange.send("GET", self.server.path_of(name))
         await self.server.until_closed()
 
